--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+	files: ['packages/*/dist/test/**/*.test.js'],
+	timeout: '120s',
+	workerThreads: false,
+	concurrency: 4,
+};
--- /dev/null
+++ b/packages/bundle/src/check-bundle.ts
@@ -0,0 +1,47 @@
+import {fail, succeed, type Outcome} from '@deckwheel/core';
+import {bundleSchema} from './bundle-schema.js';
+import type {Bundle} from './bundle.js';
+import type {Fault} from './fault.js';
+import {findFaults} from './find-faults.js';
+
+const duplicates = (name: string, ids: readonly string[]): readonly Fault[] =>
+	ids
+		.map((id, index) => ({id, index}))
+		.filter(({id, index}) => ids.indexOf(id) !== index)
+		.map(({id, index}) => ({path: `${name}.${index}.id`, message: `"${id}" is listed twice`}));
+
+const danglingEndpoints = (bundle: Bundle): readonly Fault[] => {
+	const halls = new Set(bundle.halls.map(({id}) => id));
+	const served = new Set([...bundle.models, ...bundle.services].map(({id}) => id));
+	return bundle.endpoints.flatMap((endpoint, index) => [
+		...(halls.has(endpoint.hall) ? [] : [{path: `endpoints.${index}.hall`, message: `there is no hall "${endpoint.hall}"`}]),
+		...endpoint.serves
+			.filter(id => !served.has(id))
+			.map(id => ({path: `endpoints.${index}.serves`, message: `there is no model or service "${id}"`})),
+	]);
+};
+
+const repeatedKeys = (bundle: Bundle): readonly Fault[] => {
+	const hashes = bundle.organisations.flatMap(({apiKeys}) => apiKeys.map(({sha256}) => sha256));
+	return hashes.length === new Set(hashes).size ? [] : [{path: 'organisations', message: 'two API keys have the same hash'}];
+};
+
+/** Checks a bundle's shape and its references. Reports every fault at once. */
+export const checkBundle = (document: unknown): Outcome<Bundle, readonly Fault[]> => {
+	const parsed = bundleSchema.safeParse(document);
+	if (!parsed.success) {
+		return fail(findFaults(parsed.error));
+	}
+
+	const bundle = parsed.data;
+	const faults = [
+		...duplicates('halls', bundle.halls.map(({id}) => id)),
+		...duplicates('organisations', bundle.organisations.map(({id}) => id)),
+		...duplicates('endpoints', bundle.endpoints.map(({id}) => id)),
+		...duplicates('models', bundle.models.map(({id}) => id)),
+		...duplicates('services', bundle.services.map(({id}) => id)),
+		...danglingEndpoints(bundle),
+		...repeatedKeys(bundle),
+	];
+	return faults.length > 0 ? fail(faults) : succeed(bundle);
+};
--- /dev/null
+++ b/packages/bundle/src/fault.ts
@@ -0,0 +1,5 @@
+/** One fault in a document: where it is and what is wrong. */
+export type Fault = {
+	readonly path: string;
+	readonly message: string;
+};
--- /dev/null
+++ b/packages/bundle/src/index.ts
@@ -0,0 +1,12 @@
+export {adoptBundle} from './adopt-bundle.js';
+export type {AdoptedBundle} from './adopted-bundle.js';
+export type {Bundle} from './bundle.js';
+export {checkBundle} from './check-bundle.js';
+export type {Fault} from './fault.js';
+export {findFaults} from './find-faults.js';
+export {hashApiKey} from './hash-api-key.js';
+export {signText} from './sign-text.js';
+export type {Signature} from './signature.js';
+export type {SignedBundle} from './signed-bundle.js';
+export type {TrustedKey} from './trusted-key.js';
+export {verifySignature} from './verify-signature.js';
--- /dev/null
+++ b/packages/core/src/fail.ts
@@ -0,0 +1,4 @@
+import type {Failed} from './failed.js';
+
+/** Wraps an expected error as a failed outcome. */
+export const fail = <E>(error: E): Failed<E> => ({ok: false, error});
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,15 @@
+export {assertInvariant} from './assert-invariant.js';
+export type {Clock} from './clock.js';
+export {fail} from './fail.js';
+export type {Failed} from './failed.js';
+export {hash32} from './hash32.js';
+export {InvariantError} from './invariant-error.js';
+export type {Ok} from './ok.js';
+export type {Outcome} from './outcome.js';
+export {prefixBlocks} from './prefix-blocks.js';
+export {rankByRendezvous} from './rank-by-rendezvous.js';
+export type {Refusal} from './refusal.js';
+export type {RefusalCode} from './refusal-code.js';
+export type {RunState} from './run-state.js';
+export {succeed} from './succeed.js';
+export {systemClock} from './system-clock.js';
--- /dev/null
+++ b/packages/core/src/rank-by-rendezvous.ts
@@ -0,0 +1,15 @@
+import {hash32} from './hash32.js';
+
+/**
+Orders members for a key by rendezvous (highest random weight) hashing, best first.
+
+When one member goes, only the keys that it was first for move.
+
+@example
+rankByRendezvous('budget-7', ['host-a', 'host-b'])[0];
+*/
+export const rankByRendezvous = (key: string, members: readonly string[]): readonly string[] =>
+	members
+		.map(member => ({member, weight: hash32(`${member}\n${key}`)}))
+		.sort((a, b) => b.weight - a.weight || (a.member < b.member ? -1 : 1))
+		.map(({member}) => member);
--- /dev/null
+++ b/packages/core/src/refusal-code.ts
@@ -0,0 +1,18 @@
+/** The stable codes of errors that callers see. */
+export type RefusalCode =
+	| 'bad_request'
+	| 'unauthorized'
+	| 'not_found'
+	| 'unknown_model'
+	| 'key_conflict'
+	| 'budget_exhausted'
+	| 'rights_unavailable'
+	| 'claim_unavailable'
+	| 'already_running'
+	| 'outcome_unknown'
+	| 'overloaded'
+	| 'deadline_exceeded'
+	| 'no_endpoint'
+	| 'endpoint_failed'
+	| 'stopping'
+	| 'not_ready';
--- /dev/null
+++ b/packages/daemon/src/lib/chat-job.ts
@@ -0,0 +1,135 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Bundle} from '@deckwheel/bundle';
+import {prefixBlocks} from '@deckwheel/core';
+import type {Answer, Run} from '@deckwheel/ledger';
+import type {Caller} from './caller.js';
+import type {ChatRequest} from './chat-request.js';
+import type {EngineEnd} from './engine-end.js';
+import {fingerprint} from './fingerprint.js';
+import type {Job} from './job.js';
+import type {LiveStream} from './live-stream.js';
+import {readEngineStream} from './read-engine-stream.js';
+import {promptBound} from './prompt-bound.js';
+import type {RequestOptions} from './request-options.js';
+import type {RunEnd} from './run-end.js';
+import {streamId} from './stream-id.js';
+import {traceHeaders} from './trace-headers.js';
+
+const defaultMaxTokens = 1024;
+const resumeTries = 4;
+const resumePauseMs = 100;
+const priorityNumbers = {quick: 0, normal: 1, slow: 2} as const;
+const streamContentType = 'text/event-stream';
+
+type Sources = {
+	readonly body: ChatRequest;
+	readonly model: Bundle['models'][number];
+	readonly caller: Caller;
+	readonly options: RequestOptions;
+	/** Where the answer's events go. */
+	readonly stream: LiveStream;
+};
+
+/** Builds the job for a chat completion. */
+export const chatJob = ({body, model, caller, options, stream}: Sources): Job => {
+	const {key, priority} = options;
+	const prompt = body.messages.map(({content}) => content).join('\n');
+	const maxTokens = Math.min(body.max_tokens ?? defaultMaxTokens, model.maxOutputTokens);
+	const {stream: wantsStream, ...content} = body;
+	let seen = 0;
+
+	const onEvent = (event: string): void => {
+		seen++;
+		stream.push(event);
+	};
+
+	const answer = (): Answer => ({status: 200, contentType: streamContentType, body: stream.events.join('')});
+
+	const toRunEnd = (end: EngineEnd): RunEnd => {
+		switch (end.type) {
+			case 'finished': {
+				return {
+					outcome: 'finished', served: end.served, outputTokens: end.outputTokens, answer: answer(),
+				};
+			}
+
+			case 'failed': {
+				return {outcome: 'failed', served: end.served, outputTokens: 0};
+			}
+
+			case 'not_run': {
+				return {outcome: 'not_run', served: 0, outputTokens: 0};
+			}
+
+			default: {
+				return {outcome: 'lost', served: 0, outputTokens: 0};
+			}
+		}
+	};
+
+	// The request may have reached the engine, so its silence proves nothing.
+	const afterSending = (end: EngineEnd): EngineEnd => end.type === 'not_run' ? {type: 'lost'} : end;
+
+	const streamUrl = (run: Run, url: string): string => `${url}/v1/streams/${streamId(caller.budget, key.text, run.number)}`;
+
+	// The engine goes on when a connection breaks; its stream is taken up after the last event that came.
+	const resume = async (run: Run, url: string): Promise<EngineEnd> => {
+		let end: EngineEnd = {type: 'lost'};
+		for (let tries = 0; tries < resumeTries && (end.type === 'lost' || end.type === 'not_run'); tries++) {
+			await delay(resumePauseMs * tries);
+			end = await readEngineStream({
+				method: 'GET', url: `${streamUrl(run, url)}?after=${seen}`, headers: traceHeaders(), onEvent,
+			});
+		}
+
+		return end;
+	};
+
+	return {
+		budget: caller.budget,
+		key,
+		isKeyPresented: options.isKeyPresented,
+		fingerprint: fingerprint('chat', JSON.stringify(content)),
+		isRepeatable: !options.isNotRepeatable,
+		worstCase: promptBound(body) + maxTokens,
+		deadline: options.deadline,
+		monotonicDeadline: options.monotonicDeadline,
+		place: {
+			target: model.id,
+			organisation: caller.organisation,
+			weight: caller.weight,
+			priority,
+			deadline: options.monotonicDeadline,
+			session: options.session && `${caller.organisation}\n${options.session}`,
+			prefixBlocks: prefixBlocks(prompt),
+			promptTokens: Math.ceil(prompt.length / 4),
+		},
+		async send(run, url) {
+			const end = await readEngineStream({
+				method: 'POST',
+				url: `${url}/v1/chat/completions`,
+				headers: {
+					'content-type': 'application/json',
+					'x-stream-id': streamId(caller.budget, key.text, run.number),
+					'x-send-by': String(run.sendBy),
+					'x-priority': String(priorityNumbers[priority]),
+					...traceHeaders(),
+				},
+				body: JSON.stringify({...content, max_tokens: maxTokens, stream: true}),
+				onEvent,
+			});
+			return end.type === 'lost' ? toRunEnd(afterSending(await resume(run, url))) : toRunEnd(end);
+		},
+		async follow(run, url) {
+			const end = await resume(run, url);
+			const isUnknownThere = end.type === 'no_such_stream' || end.type === 'not_run';
+			return isUnknownThere ? 'no_such_run' : toRunEnd(end);
+		},
+		deliver(kept) {
+			for (const event of kept.body.split(/(?<=\n\n)/)) {
+				stream.push(event);
+			}
+		},
+		hasOutput: () => stream.events.length > 0,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/create-ask-slot.ts
@@ -0,0 +1,75 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {fail, succeed, type Outcome} from '@deckwheel/core';
+import type {SlotReply} from '@deckwheel/ledger';
+import type {Mesh} from '@deckwheel/mesh';
+import type {AskSlot} from './ask-slot.js';
+import type {Context} from './context.js';
+import type {MembershipTask} from './membership-task.js';
+import type {PeerSlotRequest} from './peer-slot-request.js';
+import type {SlotsTask} from './slots-task.js';
+import {traceHeaders} from './trace-headers.js';
+
+/** One try at one host. A primary that needs to draw from the store takes longer than one hop. */
+const tryTimeoutMs = 3000;
+const pauseMs = 40;
+
+type Options = {
+	readonly mesh: Mesh;
+	readonly membership: MembershipTask;
+	readonly slots: SlotsTask;
+	/** Serves a request at this host, if it is the slot's primary. */
+	readonly serve: (slot: number, request: PeerSlotRequest) => Promise<SlotReply>;
+};
+
+const isFinal = (reply: SlotReply | undefined): reply is SlotReply =>
+	reply !== undefined && reply.type !== 'not_owner';
+
+/** Creates the function that finds a slot's primary and asks it. */
+export const createAskSlot = ({settings, self, clock}: Context, options: Options): AskSlot => {
+	const {mesh, membership, slots, serve} = options;
+
+	const send = async (address: string, slot: number, hops: number, request: PeerSlotRequest, timeoutMs: number): Promise<SlotReply | undefined> => {
+		const outcome = await mesh.request(address, {
+			type: 'slot', slot, hops, request, trace: traceHeaders(),
+		}, timeoutMs);
+		return outcome.ok ? outcome.value as SlotReply : undefined;
+	};
+
+	const askOwnHall = async (slot: number, request: PeerSlotRequest, timeoutMs: number): Promise<SlotReply | undefined> => {
+		const primary = slots.pairOf(slot)?.primary;
+		if (primary === self) {
+			return serve(slot, request);
+		}
+
+		const address = primary === undefined ? undefined : membership.addressOf(primary);
+		return address === undefined ? undefined : send(address, slot, 0, request, timeoutMs);
+	};
+
+	// Any host of the other hall passes the request on to the slot's primary.
+	const askOtherHall = async (hall: string, slot: number, request: PeerSlotRequest, timeoutMs: number, attempt: number): Promise<SlotReply | undefined> => {
+		const addresses = membership.addressesIn(hall);
+		const address = addresses[attempt % Math.max(1, addresses.length)];
+		return address === undefined ? undefined : send(address, slot, 1, request, timeoutMs);
+	};
+
+	return async (hall, slot, request, deadline): Promise<Outcome<SlotReply, 'unreachable'>> => {
+		let attempt = 0;
+		while (true) {
+			const timeoutMs = Math.min(tryTimeoutMs, deadline - clock.monotonic());
+			if (timeoutMs <= 0) {
+				return fail('unreachable');
+			}
+
+			const reply = hall === settings.hall
+				? await askOwnHall(slot, request, timeoutMs)
+				: await askOtherHall(hall, slot, request, timeoutMs, attempt);
+			if (isFinal(reply)) {
+				return succeed(reply);
+			}
+
+			attempt++;
+			slots.wake();
+			await delay(Math.min(pauseMs, Math.max(0, deadline - clock.monotonic())));
+		}
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/create-fetch-rights.ts
@@ -0,0 +1,53 @@
+import {rankByRendezvous} from '@deckwheel/core';
+import type {Bundle} from '@deckwheel/bundle';
+import type {AskSlot} from './ask-slot.js';
+import type {Context} from './context.js';
+import type {SlotsTask} from './slots-task.js';
+
+const askTimeoutMs = 800;
+
+/** What came of asking other halls. */
+type Fetched = {readonly received: number; readonly allAnswered: boolean};
+
+type Options = {
+	readonly slots: SlotsTask;
+	readonly bundle: () => Bundle | undefined;
+	readonly askSlot: () => AskSlot;
+};
+
+/** Creates the function that asks the other halls for rights on a budget. */
+export const createFetchRights = ({settings, clock}: Context, {slots, bundle, askSlot}: Options) => {
+	const askHall = async (hall: string, slot: number, budget: string, tokens: number): Promise<number | undefined> => {
+		const {holder} = slots.replica(slot)!.ledger;
+		const outcome = await askSlot()(hall, slot, {
+			type: 'want', budget, holder, tokens,
+		}, clock.monotonic() + askTimeoutMs);
+		if (!outcome.ok || outcome.value.type !== 'given') {
+			return undefined;
+		}
+
+		const {from, total} = outcome.value;
+		const before = slots.replica(slot)!.ledger.accounts.get(budget)?.received.get(from) ?? 0;
+		await slots.submit(slot, {
+			type: 'receive', budget, from, total,
+		});
+		return Math.max(0, total - before);
+	};
+
+	return async (slot: number, budget: string, tokens: number): Promise<Fetched> => {
+		const halls = (bundle()?.halls ?? []).map(({id}) => id).filter(id => id !== settings.hall);
+		let received = 0;
+		let allAnswered = true;
+		// One after the other, so that no more is collected than the request needs.
+		for (const hall of rankByRendezvous(budget, halls)) {
+			const part = await askHall(hall, slot, budget, tokens - received);
+			received += part ?? 0;
+			allAnswered &&= part !== undefined;
+			if (received >= tokens) {
+				break;
+			}
+		}
+
+		return {received, allAnswered};
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/create-peer-handlers.ts
@@ -0,0 +1,97 @@
+import {context as traceContext, propagation} from '@opentelemetry/api';
+import type {Identity, MeshHandlers} from '@deckwheel/mesh';
+import type {SlotReply} from '@deckwheel/ledger';
+import type {BundleTask} from './bundle-task.js';
+import type {Context} from './context.js';
+import type {MembershipTask} from './membership-task.js';
+import {peerRequestSchema} from './peer-request-schema.js';
+import type {PeerRequest} from './peer-request.js';
+import type {PeerSlotRequest} from './peer-slot-request.js';
+import {replicaMessageSchema} from './replica-message-schema.js';
+import type {SlotsTask} from './slots-task.js';
+import {traceHeaders} from './trace-headers.js';
+
+const maxHops = 2;
+const forwardTimeoutMs = 2500;
+const maxKnownHosts = 200;
+
+type Options = {
+	readonly membership: () => MembershipTask;
+	readonly slots: () => SlotsTask;
+	readonly bundle: () => BundleTask;
+	readonly serve: (slot: number, request: PeerSlotRequest) => Promise<SlotReply>;
+	readonly forward: (address: string, body: unknown, timeoutMs: number) => Promise<unknown>;
+};
+
+/** Creates the handlers for what peers send. Whatever does not fit its schema is dropped and counted. */
+export const createPeerHandlers = ({settings, self, log, metrics, tracing}: Context, options: Options): MeshHandlers => {
+	const {membership, slots, bundle, serve, forward} = options;
+
+	const serveSlot = async ({slot, hops, request, trace}: PeerRequest & {type: 'slot'}): Promise<unknown> => {
+		if (slot >= settings.slots) {
+			return {type: 'not_owner'};
+		}
+
+		const primary = slots().pairOf(slot)?.primary;
+		const address = primary === undefined || primary === self ? undefined : membership().addressOf(primary);
+		const parent = propagation.extract(traceContext.active(), trace ?? {});
+		return tracing.tracer.startActiveSpan(address ? 'slot.forward' : 'slot.serve', {}, parent, async span => {
+			const canForward = address !== undefined && hops > 0 && hops < maxHops;
+			const reply = canForward
+				? await forward(address, {
+					type: 'slot', slot, hops: hops + 1, request, trace: traceHeaders(),
+				}, forwardTimeoutMs)
+				: await serve(slot, request);
+			span.end();
+			return reply ?? {type: 'not_owner'};
+		});
+	};
+
+	const heartbeat = (from: Identity, {status}: PeerRequest & {type: 'heartbeat'}): unknown => {
+		// A host speaks only for itself: its incarnation was proved on the link.
+		if (status.incarnation !== from.incarnation) {
+			return undefined;
+		}
+
+		const known = membership().hosts().slice(0, maxKnownHosts).map(({host, hall, address}) => ({host, hall, address}));
+		return {status: membership().heard(status), known};
+	};
+
+	return {
+		async onRequest(from, body) {
+			const parsed = peerRequestSchema.safeParse(body);
+			if (!parsed.success) {
+				metrics.count('peer.malformed');
+				log('warn', 'peer_malformed', {peer: from.incarnation, fault: parsed.error.issues[0]?.path.join('.')});
+				return {type: 'malformed'};
+			}
+
+			const request = parsed.data;
+			switch (request.type) {
+				case 'heartbeat': {
+					return heartbeat(from, request);
+				}
+
+				case 'pairs': {
+					return slots().pairs();
+				}
+
+				case 'bundle': {
+					return bundle().current()?.signed;
+				}
+
+				case 'slot': {
+					return serveSlot(request);
+				}
+			}
+		},
+		onMessage(from, body) {
+			const parsed = replicaMessageSchema.safeParse(body);
+			if (parsed.success && from.hall === settings.hall) {
+				slots().onMessage(from.incarnation, parsed.data);
+			} else {
+				metrics.count('peer.malformed');
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/create-settler.ts
@@ -0,0 +1,49 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {slotOfBudget, type SettleRequest} from '@deckwheel/ledger';
+import type {AskSlot} from './ask-slot.js';
+import type {Context} from './context.js';
+import type {Settler} from './settler.js';
+
+const tryMs = 5000;
+/** The caller's answer does not wait longer than this for the ledger. */
+const patienceMs = 1000;
+
+/** A settlement is given up after this time; the primary then asks the endpoint itself, or charges the worst case. */
+const giveUpMs = 600_000;
+
+/** Creates the task that reports the ends of runs. */
+export const createSettler = ({settings, clock, log, metrics}: Context, askSlot: AskSlot): Settler => {
+	const open = new Set<Promise<void>>();
+
+	const keepTrying = async (home: string, request: SettleRequest): Promise<void> => {
+		const slot = slotOfBudget(request.budget, settings.slots);
+		const giveUpAt = clock.monotonic() + giveUpMs;
+		while (clock.monotonic() < giveUpAt) {
+			const outcome = await askSlot(home, slot, request, clock.monotonic() + tryMs);
+			if (outcome.ok) {
+				return;
+			}
+
+			log('warn', 'settle_delayed', {home, slot, run: request.run});
+		}
+
+		metrics.count('settle.given_up');
+		log('error', 'settle_given_up', {
+			home, slot, run: request.run, served: request.served,
+		});
+	};
+
+	return {
+		async settle(home, request) {
+			const attempt = keepTrying(home, request);
+			open.add(attempt);
+			void attempt.finally(() => open.delete(attempt));
+			await Promise.race([attempt, delay(patienceMs, undefined, {ref: false})]);
+		},
+		open: () => open.size,
+		async drain(deadline) {
+			const wait = Math.max(0, deadline - clock.monotonic());
+			await Promise.race([Promise.all(open), delay(wait, undefined, {ref: false})]);
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/job.ts
@@ -0,0 +1,28 @@
+import {type Run, type Answer} from '@deckwheel/ledger';
+import type {PlaceRequest} from './place-request.js';
+import type {RequestKey} from './request-key.js';
+import type {RunEnd} from './run-end.js';
+
+/** A caller's request on its way: what it claims, and how it is sent. */
+export type Job = {
+	readonly budget: string;
+	readonly key: RequestKey;
+	/** Whether the caller gave the key, so that an earlier attempt may have run. */
+	readonly isKeyPresented: boolean;
+	readonly fingerprint: string;
+	readonly isRepeatable: boolean;
+	readonly worstCase: number;
+	/** Wall-clock ms. */
+	readonly deadline: number;
+	/** Monotonic ms. */
+	readonly monotonicDeadline: number;
+	readonly place: Omit<PlaceRequest, 'tried'>;
+	/** Sends the request to the endpoint, and returns when the run has ended. */
+	readonly send: (run: Run, url: string) => Promise<RunEnd>;
+	/** Follows a run that another host started. `no_such_run` when the endpoint does not know it. */
+	readonly follow: (run: Run, url: string) => Promise<RunEnd | 'no_such_run' | 'cannot_follow'>;
+	/** Hands a kept answer to the caller. */
+	readonly deliver: (answer: Answer) => void;
+	/** Whether the caller got a part of an answer already; then no other run's answer may follow. */
+	readonly hasOutput: () => boolean;
+};
--- /dev/null
+++ b/packages/daemon/src/lib/new-incarnation.ts
@@ -0,0 +1,7 @@
+import {randomBytes} from 'node:crypto';
+
+const timeDigits = 9;
+
+/** A new incarnation of a host: its name, the time of its start, and chance. Later ones sort after earlier ones. */
+export const newIncarnation = (host: string, now: number): string =>
+	`${host}~${Math.floor(now).toString(36).padStart(timeDigits, '0')}${randomBytes(4).toString('hex')}`;
--- /dev/null
+++ b/packages/daemon/src/lib/read-engine-stream.ts
@@ -0,0 +1,99 @@
+import type {IncomingMessage} from 'node:http';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import got, {RequestError, TimeoutError} from 'got';
+import {z} from 'zod';
+import type {EngineEnd} from './engine-end.js';
+
+/** An engine that sends nothing for this long counts as lost, in ms. */
+const silenceMs = 30_000;
+const connectMs = 1000;
+
+const usageSchema = z.object({
+	usage: z.object({completion_tokens: z.number().int().nonnegative(), total_tokens: z.number().int().nonnegative()}),
+	choices: z.array(z.object({finish_reason: z.string().nullable().optional()})),
+});
+
+type EngineCall = {
+	readonly method: 'GET' | 'POST';
+	readonly url: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body?: string;
+	/** Called for each event of the answer, in order, as text for the caller. */
+	readonly onEvent: (event: string, data: string) => void;
+	readonly signal?: AbortSignal;
+};
+
+/** Connection errors that prove that the request never reached the engine. */
+const neverSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+
+const toText = ({id, data}: EventSourceMessage): string => `${id === undefined ? '' : `id: ${id}\n`}data: ${data}\n\n`;
+
+const parseEnd = (data: string): EngineEnd | undefined => {
+	if (!data.includes('"usage"')) {
+		return undefined;
+	}
+
+	const parsed = usageSchema.safeParse(JSON.parse(data));
+	if (!parsed.success) {
+		return undefined;
+	}
+
+	const {usage, choices} = parsed.data;
+	return choices.some(({finish_reason: reason}) => reason === 'cancelled')
+		? {type: 'failed', served: usage.total_tokens}
+		: {type: 'finished', served: usage.total_tokens, outputTokens: usage.completion_tokens};
+};
+
+const endOfStatus = (response: IncomingMessage): EngineEnd => {
+	if (response.headers['x-not-run'] === 'true') {
+		return {type: 'not_run'};
+	}
+
+	return response.statusCode === 404 ? {type: 'no_such_stream'} : {type: 'lost'};
+};
+
+const isNeverSent = (error: unknown): boolean =>
+	(error instanceof RequestError && neverSentCodes.has(error.code))
+	|| (error instanceof TimeoutError && error.event === 'connect');
+
+/** Calls an engine and passes its events on until its stream ends. Never throws. */
+export const readEngineStream = async ({method, url, headers, body, onEvent, signal}: EngineCall): Promise<EngineEnd> => {
+	let end: EngineEnd | undefined;
+	let isDone = false;
+	const parser = createParser({
+		onEvent(message) {
+			end = parseEnd(message.data) ?? end;
+			isDone ||= message.data === '[DONE]';
+			onEvent(toText(message), message.data);
+		},
+	});
+	const stream = got.stream(url, {
+		method,
+		headers,
+		body,
+		signal,
+		retry: {limit: 0},
+		throwHttpErrors: false,
+		timeout: {connect: connectMs, socket: silenceMs},
+	});
+	try {
+		let response: IncomingMessage | undefined;
+		stream.once('response', (incoming: IncomingMessage) => {
+			response = incoming;
+		});
+		stream.setEncoding('utf8');
+		for await (const text of stream) {
+			if (response?.statusCode === 200) {
+				parser.feed(text as string);
+			}
+		}
+
+		if (response && response.statusCode !== 200) {
+			return endOfStatus(response);
+		}
+
+		return isDone && end ? end : {type: 'lost'};
+	} catch (error) {
+		return isNeverSent(error) ? {type: 'not_run'} : {type: 'lost'};
+	}
+};
--- /dev/null
+++ b/packages/daemon/src/lib/rights-object-schema.ts
@@ -0,0 +1,15 @@
+import {z} from 'zod';
+
+const holderSchema = z.object({
+	epoch: z.number(), granted: z.number(), settled: z.number(), billed: z.number(),
+});
+
+const budgetSchema = z.object({
+	organisation: z.string(),
+	limit: z.number(),
+	topUps: z.array(z.string()),
+	holders: z.record(z.string(), holderSchema),
+});
+
+/** The schema of a slot's budgets in the store. */
+export const rightsObjectSchema = z.object({budgets: z.record(z.string(), budgetSchema)});
--- /dev/null
+++ b/packages/daemon/src/lib/service-job.ts
@@ -0,0 +1,88 @@
+import type {Answer} from '@deckwheel/ledger';
+import got, {RequestError, TimeoutError, type Method} from 'got';
+import type {Caller} from './caller.js';
+import {fingerprint} from './fingerprint.js';
+import type {Job} from './job.js';
+import type {RequestOptions} from './request-options.js';
+import type {RunEnd} from './run-end.js';
+import type {ServiceCall} from './service-call.js';
+import {streamId} from './stream-id.js';
+import {traceHeaders} from './trace-headers.js';
+
+const connectMs = 1000;
+const neverSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
+
+type Sources = {
+	readonly service: string;
+	readonly call: ServiceCall;
+	readonly method: string;
+	/** Path and query behind the service's name. */
+	readonly path: string;
+	readonly contentType: string;
+	readonly body: string;
+	readonly caller: Caller;
+	readonly options: RequestOptions;
+	readonly deliver: (answer: Answer) => void;
+};
+
+const isNeverSent = (error: unknown): boolean =>
+	(error instanceof RequestError && neverSentCodes.has(error.code))
+	|| (error instanceof TimeoutError && error.event === 'connect');
+
+/** Builds the job for a call to a plain service. */
+export const serviceJob = (sources: Sources): Job => {
+	const {service, call, method, path, contentType, body, caller, options, deliver} = sources;
+	const {key, priority} = options;
+	let isDelivered = false;
+
+	const deliverOnce = (answer: Answer): void => {
+		isDelivered = true;
+		deliver(answer);
+	};
+
+	const callService = async (url: string, id: string): Promise<RunEnd> => {
+		try {
+			const response = await got(`${url}${path}`, {
+				method: method as Method,
+				headers: {...(contentType && {'content-type': contentType}), 'x-request-key': id, ...traceHeaders()},
+				body: body === '' ? undefined : body,
+				retry: {limit: 0},
+				throwHttpErrors: false,
+				followRedirect: false,
+				timeout: {connect: connectMs, request: Math.max(1, options.deadline - Date.now())},
+			});
+			const answer = {status: response.statusCode, contentType: response.headers['content-type'] ?? 'text/plain', body: response.body};
+			deliverOnce(answer);
+			return {
+				outcome: 'finished', served: call.cost, outputTokens: 0, answer,
+			};
+		} catch (error) {
+			return {outcome: isNeverSent(error) ? 'not_run' : 'lost', served: 0, outputTokens: 0};
+		}
+	};
+
+	return {
+		budget: caller.budget,
+		key,
+		isKeyPresented: options.isKeyPresented,
+		fingerprint: fingerprint('service', service, method, path, body),
+		isRepeatable: call.isRepeatable && !options.isNotRepeatable,
+		worstCase: call.cost,
+		deadline: options.deadline,
+		monotonicDeadline: options.monotonicDeadline,
+		place: {
+			target: service,
+			organisation: caller.organisation,
+			weight: caller.weight,
+			priority,
+			deadline: options.monotonicDeadline,
+			prefixBlocks: [],
+			promptTokens: 0,
+		},
+		send: async (run, url) => callService(url, streamId(caller.budget, key.text, run.number)),
+		// A plain service has no streams to take up: the first runner's settlement is waited for.
+		follow: async () => 'cannot_follow',
+		deliver: deliverOnce,
+		hasOutput: () => isDelivered,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/start-drawer.ts
@@ -0,0 +1,237 @@
+import {
+	accountOf, available, emptyLedger, holdAheadByDemand, planDraw, type DrawRequest, type HoldAhead, type RightsObject,
+} from '@deckwheel/ledger';
+import type {Bundle} from '@deckwheel/bundle';
+import type {Context} from './context.js';
+import {createDemandMeter} from './create-demand-meter.js';
+import type {DrawOutcome} from './draw-outcome.js';
+import type {Drawer} from './drawer.js';
+import {repeat} from './repeat.js';
+import {rightsObjectSchema} from './rights-object-schema.js';
+import type {SlotsTask} from './slots-task.js';
+
+/** Conflicts with other halls' writes to the same object before the draw waits for its next turn. */
+const maxConflicts = 8;
+
+/** Before a waiting request is told that a budget is used up, the store is read at least this lately, in ms. */
+const freshMs = 250;
+
+/** Rights this small are not worth a give-back. */
+const keepTokens = 2000;
+
+/** A holder keeps at most this many times its target before it gives the rest back. */
+const surplusFactor = 4;
+
+type Options = {
+	readonly slots: SlotsTask;
+	readonly bundle: () => Bundle | undefined;
+};
+
+type ReadObject = {
+	readonly version: number;
+	readonly rights: RightsObject;
+	/** Monotonic ms. */
+	readonly readAt: number;
+};
+
+type Flush = {
+	readonly rest: ReadonlyMap<string, number>;
+	readonly unknown: readonly string[];
+};
+
+/** Starts the task that moves rights between the store and this host's slots, one write at a time for each slot. */
+export const startDrawer = (context: Context, {slots, bundle}: Options): Drawer => {
+	const {settings, clock, platform, log, metrics} = context;
+	const meter = createDemandMeter(clock);
+	const needs = new Map<string, number>();
+	const turns = new Map<number, Promise<unknown>>();
+	const slotOfNeed = new Map<string, number>();
+	const objects = new Map<number, ReadObject>();
+
+	const policy = (): HoldAhead => holdAheadByDemand(bundle()?.policy ?? {horizonSeconds: 10, shareOfRest: 0.5});
+
+	const readObject = async (slot: number): Promise<boolean> => {
+		const outcome = await platform.get(`rights/${slot}`);
+		if (!outcome.ok) {
+			if (outcome.error === 'missing') {
+				objects.set(slot, {version: 0, rights: {budgets: {}}, readAt: clock.monotonic()});
+			}
+
+			return outcome.error === 'missing';
+		}
+
+		const parsed = rightsObjectSchema.safeParse(outcome.value.value);
+		if (!parsed.success) {
+			log('error', 'rights_unusable', {slot});
+			return false;
+		}
+
+		objects.set(slot, {version: outcome.value.version, rights: parsed.data, readAt: clock.monotonic()});
+		return true;
+	};
+
+	const needsOf = (slot: number): readonly string[] =>
+		[...needs.keys()].filter(budget => slotOfNeed.get(budget) === slot);
+
+	const drawRequests = (slot: number): readonly DrawRequest[] => {
+		const {ledger} = (slots.replica(slot)!);
+		const halls = bundle()?.halls.length ?? 1;
+		const budgets = new Set([...ledger.accounts.keys(), ...needsOf(slot)]);
+		return [...budgets].map(budget => {
+			const account = accountOf(ledger, budget);
+			const {granted, settled, billed} = account;
+			const missing = needs.get(budget) ?? 0;
+			const wants = (unallocated: number): number =>
+				policy()({
+					tokensPerSecond: meter.rate(budget), available: available(account), missing, unallocated, halls,
+				});
+			return {
+				budget, granted, settled, billed, wants,
+			};
+		});
+	};
+
+	// What is more than enough goes back, so that other halls can draw it. It leaves the ledger first.
+	const surplusOf = (slot: number): ReadonlyArray<{readonly budget: string; readonly amount: number}> => {
+		const ledger = slots.replica(slot)?.ledger ?? emptyLedger('');
+		const horizon = bundle()?.policy.horizonSeconds ?? 10;
+		return [...ledger.accounts].flatMap(([budget, account]) => {
+			const target = meter.rate(budget) * horizon;
+			const surplus = Math.floor(available(account) - (target * surplusFactor) - keepTokens);
+			return surplus > 0 && !needs.has(budget) ? [{budget, amount: surplus}] : [];
+		});
+	};
+
+	const isStale = (slot: number): boolean => {
+		const object = objects.get(slot);
+		return !object || (needsOf(slot).length > 0 && clock.monotonic() - object.readAt > freshMs);
+	};
+
+	// A draw that came while the write was under way still stands.
+	const dropNeeds = (asked: ReadonlyMap<string, number>): void => {
+		for (const [budget, tokens] of asked) {
+			const left = (needs.get(budget) ?? 0) - tokens;
+			if (left > 0) {
+				needs.set(budget, left);
+			} else {
+				needs.delete(budget);
+				slotOfNeed.delete(budget);
+			}
+		}
+	};
+
+	const writeOnce = async (slot: number): Promise<Flush | 'again' | undefined> => {
+		if (isStale(slot) && !await readObject(slot)) {
+			return undefined;
+		}
+
+		const replica = slots.replica(slot);
+		if (replica?.role !== 'primary') {
+			return undefined;
+		}
+
+		const {version, rights} = objects.get(slot)!;
+		const requests = drawRequests(slot);
+		const asked = new Map(needsOf(slot).map(budget => [budget, needs.get(budget)!]));
+		const plan = planDraw(rights, replica.ledger.holder, replica.pair.epoch, requests);
+		if (plan.type === 'deposed') {
+			// Its pair changed; another host writes for the slot now, or this one will know soon.
+			objects.delete(slot);
+			return undefined;
+		}
+
+		const text = JSON.stringify(plan.rights);
+		if (text === JSON.stringify(rights)) {
+			dropNeeds(asked);
+			return {rest: plan.rest, unknown: plan.unknown};
+		}
+
+		const outcome = await platform.put(`rights/${slot}`, plan.rights, version);
+		metrics.count('rights.write', {outcome: outcome.ok ? 'ok' : outcome.error});
+		if (!outcome.ok) {
+			objects.delete(slot);
+			return outcome.error === 'conflict' ? 'again' : undefined;
+		}
+
+		objects.set(slot, {version: outcome.value.version, rights: plan.rights, readAt: clock.monotonic()});
+		dropNeeds(asked);
+		const changed = plan.grants.filter(({budget, granted}) => granted !== accountOf(slots.replica(slot)!.ledger, budget).granted);
+		if (changed.length > 0) {
+			await slots.submit(slot, {type: 'grant', grants: changed});
+		}
+
+		return {rest: plan.rest, unknown: plan.unknown};
+	};
+
+	const write = async (slot: number): Promise<Flush | undefined> => {
+		for (let tries = 0; tries < maxConflicts; tries++) {
+			const flush = await writeOnce(slot);
+			if (flush !== 'again') {
+				return flush;
+			}
+		}
+
+		return undefined;
+	};
+
+	// One turn at a time for each slot. Inside a turn, a give-back is on both hosts before the
+	// store hears of it: otherwise a successor could still spend what the store offers elsewhere.
+	const takeTurn = async <T>(slot: number, work: () => Promise<T>): Promise<T> => {
+		const before = turns.get(slot);
+		const turn = (async () => {
+			await before;
+			return work();
+		})();
+		turns.set(slot, turn);
+		const result = await turn;
+		if (turns.get(slot) === turn) {
+			turns.delete(slot);
+		}
+
+		return result;
+	};
+
+	const giveBack = async (slot: number, amounts: ReadonlyArray<{readonly budget: string; readonly amount: number}>): Promise<void> => {
+		if (amounts.length > 0) {
+			await slots.submit(slot, {type: 'give_back', amounts});
+		}
+	};
+
+	const flushSlot = async (slot: number): Promise<Flush | undefined> =>
+		takeTurn(slot, async () => {
+			await giveBack(slot, surplusOf(slot));
+			return write(slot);
+		});
+
+	const flushing = repeat(async () => {
+		for (const slot of slots.ownSlots()) {
+			await flushSlot(slot);
+		}
+	}, () => settings.flushMs);
+
+	return {
+		async need(slot, budget, missing): Promise<DrawOutcome> {
+			slotOfNeed.set(budget, slot);
+			needs.set(budget, (needs.get(budget) ?? 0) + missing);
+			const flush = await takeTurn(slot, async () => write(slot));
+			if (!flush) {
+				needs.delete(budget);
+				return {type: 'store_away'};
+			}
+
+			return flush.unknown.includes(budget) ? {type: 'no_such_budget'} : {type: 'drawn', rest: flush.rest.get(budget) ?? 0};
+		},
+		noteDemand: meter.note,
+		async giveBackAll(slot) {
+			await takeTurn(slot, async () => {
+				const {ledger} = slots.replica(slot)!;
+				await giveBack(slot, [...ledger.accounts].map(([budget, account]) => ({budget, amount: Math.max(0, available(account))})));
+				return write(slot);
+			});
+		},
+		async flush(slot) {
+			await flushSlot(slot);
+		},
+		stop: flushing.stop,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/start-membership.ts
@@ -0,0 +1,183 @@
+import type {Mesh} from '@deckwheel/mesh';
+import {z} from 'zod';
+import type {Context} from './context.js';
+import {hostOfIncarnation} from './host-of-incarnation.js';
+import type {HostStatus} from './host-status.js';
+import type {KnownHost} from './known-host.js';
+import type {MembershipEvent} from './membership-event.js';
+import type {MembershipTask} from './membership-task.js';
+import type {Membership} from './membership.js';
+import {repeat} from './repeat.js';
+import {stepMembership} from './step-membership.js';
+
+/** Heartbeats missed before a host counts as gone. */
+const missedBeforeGone = 5;
+const missedBeforeDoubt = 2.5;
+const leastSilenceMs = 1500;
+
+/** Each further host in the hall slows all heartbeats by this much, so that their sum stays bounded. */
+const heartbeatMsPerHost = 20;
+
+/** A host that was heard of, and now is silent for this long, is believed to have lost its memory. */
+const leastLostMs = 5000;
+const missedBeforeLost = 8;
+
+/** A host that this one never heard of may serve well: this one may be new, or badly connected. */
+const neverHeardLostMs = 15_000;
+const listEveryMs = 3000;
+const heartbeatTimeoutMs = 1000;
+const maxRemoteHosts = 3;
+
+const heartbeatReplySchema = z.object({
+	status: z.object({
+		host: z.string(),
+		incarnation: z.string(),
+		hall: z.string(),
+		address: z.string(),
+		state: z.enum(['live', 'leaving']),
+		pairsVersion: z.number(),
+		bundleVersion: z.number(),
+	}),
+	known: z.array(z.object({host: z.string(), hall: z.string(), address: z.string()})),
+});
+
+type Options = {
+	readonly mesh: Mesh;
+	readonly address: string;
+	readonly versions: () => {readonly pairsVersion: number; readonly bundleVersion: number};
+	/** Called after each heartbeat with what the peer said. */
+	readonly onHeard: (status: HostStatus) => void;
+};
+
+/** Starts the task that finds out which hosts there are, by settings, the platform's list, and heartbeats. */
+export const startMembership = (context: Context, options: Options): MembershipTask => {
+	const {settings, self, clock, platform, log} = context;
+	const {mesh, address, versions, onHeard} = options;
+	let membership: Membership = {hosts: new Map(), steppedAt: clock.monotonic()};
+	let state: HostStatus['state'] = 'live';
+	let listedAt = -Infinity;
+	const unknownSince = new Map<string, number>();
+
+	const step = (event: MembershipEvent): void => {
+		membership = stepMembership(membership, event, clock.monotonic());
+	};
+
+	const others = (): readonly KnownHost[] => [...membership.hosts.values()].filter(({host}) => host !== settings.host);
+	const inHall = (): readonly KnownHost[] => others().filter(({hall}) => hall === settings.hall);
+	const intervalMs = (): number => Math.max(settings.heartbeatMs, inHall().length * heartbeatMsPerHost);
+	const silenceMs = ({heardAt}: KnownHost): number => clock.monotonic() - heardAt;
+	const goneAfterMs = (): number => Math.max(leastSilenceMs, missedBeforeGone * intervalMs());
+	const doubtAfterMs = (): number => Math.max(leastSilenceMs, missedBeforeDoubt * intervalMs());
+
+	const status = (): HostStatus => ({
+		host: settings.host, incarnation: self, hall: settings.hall, address, state, ...versions(),
+	});
+
+	const isLive = (known: KnownHost): boolean =>
+		known.status?.state === 'live' && !known.isListedLeaving && silenceMs(known) < doubtAfterMs();
+
+	// Of each other hall, a few hosts are enough: they learn the rest from their own.
+	const remoteTargets = (): readonly KnownHost[] => {
+		const byHall = new Map<string, KnownHost[]>();
+		for (const known of others().filter(({hall}) => hall !== settings.hall)) {
+			byHall.set(known.hall, [...(byHall.get(known.hall) ?? []), known]);
+		}
+
+		return [...byHall.values()].flatMap(hosts => hosts.sort((a, b) => b.heardAt - a.heardAt).slice(0, maxRemoteHosts));
+	};
+
+	const beat = async (known: KnownHost): Promise<void> => {
+		const outcome = await mesh.request(known.address, {type: 'heartbeat', status: status()}, heartbeatTimeoutMs);
+		const reply = heartbeatReplySchema.safeParse(outcome.ok ? outcome.value : undefined);
+		if (!reply.success) {
+			return;
+		}
+
+		step({type: 'heard', status: reply.data.status});
+		step({type: 'told', hosts: reply.data.known.filter(({host}) => !membership.hosts.has(host))});
+		onHeard(reply.data.status);
+	};
+
+	const readList = async (): Promise<void> => {
+		if (clock.monotonic() - listedAt < listEveryMs) {
+			return;
+		}
+
+		listedAt = clock.monotonic();
+		const outcome = await platform.hosts();
+		if (outcome.ok) {
+			step({type: 'listed', hosts: outcome.value.filter(({host}) => host !== settings.host)});
+		}
+	};
+
+	const unknownForMs = (host: string): number => {
+		const now = clock.monotonic();
+		const since = unknownSince.get(host) ?? now;
+		unknownSince.set(host, since);
+		return now - since;
+	};
+
+	const lostAfterMs = (): number => Math.max(leastLostMs, missedBeforeLost * intervalMs());
+
+	const isSilent = (incarnation: string, afterMs: number, neverHeardAfterMs: number): boolean => {
+		if (incarnation === self) {
+			return false;
+		}
+
+		const host = hostOfIncarnation(incarnation);
+		if (host === settings.host) {
+			return true;
+		}
+
+		const known = membership.hosts.get(host);
+		if (!known?.status) {
+			return unknownForMs(host) > neverHeardAfterMs;
+		}
+
+		const isReplaced = known.status.incarnation > incarnation;
+		return isReplaced || silenceMs(known) > afterMs;
+	};
+
+	step({type: 'told', hosts: settings.peers.filter(({host}) => host !== settings.host)});
+	const listing = repeat(readList, () => listEveryMs);
+	const beating = repeat(async () => {
+		step({type: 'tick'});
+		// Not awaited together with the pause: one stalled peer must not slow the others down.
+		void Promise.all([...inHall(), ...remoteTargets()].map(async known => beat(known)));
+	}, intervalMs);
+
+	return {
+		status,
+		heard(peer) {
+			const known = membership.hosts.get(peer.host);
+			if (known?.status?.incarnation !== peer.incarnation) {
+				log('info', 'host_heard', {peer: peer.host, incarnation: peer.incarnation, peer_hall: peer.hall});
+			}
+
+			step({type: 'heard', status: peer});
+			onHeard(peer);
+			return status();
+		},
+		hosts: others,
+		addressOf(incarnation) {
+			const known = membership.hosts.get(hostOfIncarnation(incarnation));
+			return known?.status?.incarnation === incarnation ? known.address : undefined;
+		},
+		isGone: incarnation => isSilent(incarnation, goneAfterMs(), goneAfterMs()),
+		isLost: incarnation => isSilent(incarnation, lostAfterMs(), neverHeardLostMs),
+		liveInHall: () => [
+			...(state === 'live' ? [self] : []),
+			...inHall().filter(known => isLive(known)).map(known => known.status!.incarnation),
+		],
+		addressesIn: hall => others()
+			.filter(known => known.hall === hall)
+			.sort((a, b) => b.heardAt - a.heardAt)
+			.map(known => known.address),
+		leave() {
+			state = 'leaving';
+		},
+		async stop() {
+			await Promise.all([beating.stop(), listing.stop()]);
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/start-operators.ts
@@ -0,0 +1,136 @@
+import {once} from 'node:events';
+import {createHash} from 'node:crypto';
+import Router from '@koa/router';
+import {
+	accountOf, available, emptyLedger, ranStateOf, slotOfBudget,
+} from '@deckwheel/ledger';
+import Koa, {type Context as KoaContext, type Next} from 'koa';
+import type {AskSlot} from './ask-slot.js';
+import type {BundleTask} from './bundle-task.js';
+import type {Context} from './context.js';
+import type {Gateway} from './gateway.js';
+import {listen} from './listen.js';
+import type {MembershipTask} from './membership-task.js';
+import {readKey} from './read-key.js';
+import type {RouterTask} from './router-task.js';
+import type {SlotsTask} from './slots-task.js';
+
+const askMs = 3000;
+
+type Options = {
+	readonly slots: SlotsTask;
+	readonly membership: MembershipTask;
+	readonly bundle: BundleTask;
+	readonly router: RouterTask;
+	readonly gateway: Gateway;
+	readonly askSlot: AskSlot;
+	/** Begins a planned stop of this host. */
+	readonly drain: () => void;
+};
+
+/** Opens the door for operators: status, budgets, explanations, drain. */
+export const startOperators = async (context: Context, options: Options) => {
+	const {settings, self, clock} = context;
+	const {slots, membership, bundle, router, gateway, askSlot, drain} = options;
+
+	const authorize = async (ctx: KoaContext, next: Next): Promise<void> => {
+		const token = /^Bearer (?<token>\S+)$/.exec(ctx.get('authorization'))?.groups?.token ?? '';
+		const sha256 = createHash('sha256').update(token).digest('hex');
+		if (!settings.operators.some(operator => operator.sha256 === sha256)) {
+			ctx.status = 401;
+			ctx.body = {error: {code: 'unauthorized', message: 'Send an operator\'s token that the settings of this host know.'}};
+			return;
+		}
+
+		await next();
+	};
+
+	const routes = new Router();
+	routes.use(authorize);
+	routes.get('/status', ctx => {
+		ctx.body = {
+			host: settings.host,
+			hall: settings.hall,
+			incarnation: self,
+			state: membership.status().state,
+			bundleVersion: bundle.current()?.bundle.version ?? 0,
+			openRequests: gateway.open(),
+			hosts: membership.hosts().map(known => ({
+				host: known.host,
+				hall: known.hall,
+				state: known.status?.state ?? 'never_heard',
+				bundleVersion: known.status?.bundleVersion ?? 0,
+				heardMsAgo: Math.round(clock.monotonic() - known.heardAt),
+			})),
+			slots: slots.pairs().pairs.map((pair, slot) => ({slot, ...pair, role: slots.replica(slot)?.role ?? 'retired'})),
+			endpoints: [...router.table().values()].map(({info, inFlight, report, failures, ejectedUntil}) => ({
+				endpoint: info.id,
+				inFlight,
+				reported: report?.total,
+				failures,
+				isEjected: ejectedUntil > clock.monotonic(),
+				isLeaving: info.isLeaving,
+			})),
+		};
+	});
+	routes.get('/budgets/:budget', ctx => {
+		const {budget} = ctx.params;
+		const slot = slotOfBudget(budget!, settings.slots);
+		const replica = slots.replica(slot);
+		const account = accountOf(replica?.ledger ?? emptyLedger(''), budget!);
+		ctx.body = {
+			hall: settings.hall,
+			slot,
+			role: replica?.role ?? 'retired',
+			primary: slots.pairOf(slot)?.primary,
+			holder: replica?.ledger.holder,
+			granted: account.granted,
+			reserved: account.reserved,
+			settled: account.settled,
+			billed: account.billed,
+			wasted: account.wasted,
+			available: available(account),
+		};
+	});
+	routes.get('/requests/:budget/:key', async ctx => {
+		const {budget, key} = ctx.params;
+		const halls = (bundle.current()?.bundle.halls ?? []).map(({id}) => id);
+		const parsed = readKey(key!, halls);
+		const slot = slotOfBudget(budget!, settings.slots);
+		const reply = parsed && await askSlot(parsed.home, slot, {type: 'lookup', budget: budget!, key: key!}, clock.monotonic() + askMs);
+		if (!reply?.ok || reply.value.type !== 'found') {
+			ctx.status = 503;
+			ctx.body = {error: {code: 'claim_unavailable', message: 'The hall that keeps the record of this key cannot be reached now.'}};
+			return;
+		}
+
+		const {claim} = reply.value;
+		if (!claim) {
+			ctx.status = 404;
+			ctx.body = {error: {code: 'not_found', message: 'There is no record of this key under this budget.'}};
+			return;
+		}
+
+		const {answer, ...rest} = claim;
+		ctx.body = {
+			...rest, home: parsed!.home, ran: ranStateOf(claim), hasAnswer: answer !== undefined,
+		};
+	});
+	routes.post('/drain', ctx => {
+		drain();
+		ctx.status = 202;
+		ctx.body = {state: 'leaving'};
+	});
+
+	const app = new Koa();
+	app.use(routes.routes());
+	const {server, port} = await listen(app, settings.listen.operators);
+	return {
+		port,
+		async close() {
+			server.close();
+			server.closeAllConnections();
+			await once(server, 'close');
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/lib/start-slots.ts
@@ -0,0 +1,229 @@
+import {
+	holderName, newReplica, planPair, stepReplica, type Pair, type PairMap, type PairView, type Replica, type ReplicaEffect, type ReplicaEvent, type SlotReply,
+} from '@deckwheel/ledger';
+import type {Mesh} from '@deckwheel/mesh';
+import type {Context} from './context.js';
+import type {MembershipTask} from './membership-task.js';
+import {pairMapSchema} from './pair-map-schema.js';
+import {repeat} from './repeat.js';
+import type {SlotsTask} from './slots-task.js';
+
+const planEveryMs = 200;
+
+/** A primary whose backup acknowledged nothing for this long sends everything again. */
+const resyncAfterMs = 600;
+
+type Options = {
+	readonly mesh: Mesh;
+	readonly membership: MembershipTask;
+};
+
+type Plan = {readonly slot: number; readonly pair: Pair};
+
+const emptyPair: Pair = {epoch: 0, generation: 0};
+
+/**
+Starts the task that owns the replicas. It runs the pure decisions, carries out
+their effects, and asks the store for other pairs when hosts come and go.
+*/
+export const startSlots = (context: Context, {mesh, membership}: Options): SlotsTask => {
+	const {settings, self, clock, platform, log, metrics} = context;
+	const objectKey = `pairs/${settings.hall}`;
+	const replicas = new Map<number, Replica>();
+	const waiters = new Map<number, (reply: SlotReply) => void>();
+	const unackedSince = new Map<number, number>();
+	/** Slots that this host sealed as their primary, in order to hand them over. */
+	const handovers = new Set<number>();
+	let map: PairMap = {version: 0, pairs: Array.from({length: settings.slots}, () => emptyPair)};
+	let nextId = 1;
+	/** Whether the store was read, so that an empty map means that there is none. */
+	let isMapRead = false;
+
+	const replicaOf = (slot: number): Replica => replicas.get(slot) ?? newReplica(self, slot);
+
+	const carryOut = (effect: ReplicaEffect): void => {
+		if (effect.type === 'send') {
+			const address = membership.addressOf(effect.to);
+			if (address !== undefined) {
+				mesh.send(address, effect.message);
+			}
+
+			return;
+		}
+
+		const waiter = waiters.get(effect.id);
+		waiters.delete(effect.id);
+		waiter?.(effect.reply);
+	};
+
+	const noteAcks = (slot: number, replica: Replica): void => {
+		const isBehind = replica.role === 'primary' && replica.acked < replica.seq;
+		if (!isBehind) {
+			unackedSince.delete(slot);
+		} else if (!unackedSince.has(slot)) {
+			unackedSince.set(slot, clock.monotonic());
+		}
+	};
+
+	const step = (slot: number, event: ReplicaEvent): void => {
+		const {replica, effects} = stepReplica(replicaOf(slot), event, clock.wall());
+		replicas.set(slot, replica);
+		noteAcks(slot, replica);
+		for (const effect of effects) {
+			carryOut(effect);
+		}
+	};
+
+	const configure = (slot: number, pair: Pair): void => {
+		if (pair.epoch <= replicaOf(slot).pair.epoch) {
+			return;
+		}
+
+		step(slot, {type: 'configure', pair, holder: holderName(settings.hall, pair.generation)});
+		handovers.delete(slot);
+		const {role} = replicaOf(slot);
+		if (pair.primary === self || pair.backup === self) {
+			log('info', 'pair_changed', {
+				slot, epoch: pair.epoch, generation: pair.generation, role, primary: pair.primary, backup: pair.backup,
+			});
+		}
+	};
+
+	const adopt = (next: PairMap): void => {
+		if (next.version <= map.version || next.pairs.length !== settings.slots) {
+			return;
+		}
+
+		map = next;
+		for (const [slot, pair] of next.pairs.entries()) {
+			configure(slot, pair);
+		}
+	};
+
+	const readMap = async (): Promise<boolean> => {
+		const outcome = await platform.get(objectKey);
+		if (!outcome.ok) {
+			isMapRead ||= outcome.error === 'missing';
+			return outcome.error === 'missing';
+		}
+
+		const parsed = pairMapSchema.safeParse({version: outcome.value.version, pairs: outcome.value.value});
+		if (!parsed.success || parsed.data.pairs.length !== settings.slots) {
+			log('error', 'pairs_unusable', {key: objectKey, hint: 'the setting "slots" must be the same on all hosts, for good'});
+			return false;
+		}
+
+		isMapRead = true;
+		adopt(parsed.data);
+		return true;
+	};
+
+	const isHandoverReady = (slot: number): boolean => {
+		const replica = replicaOf(slot);
+		const isCaughtUp = replica.role === 'primary' && replica.pending.size === 0 && replica.acked >= replica.seq;
+		return isCaughtUp || handovers.has(slot);
+	};
+
+	const view = (): PairView => {
+		const live = membership.liveInHall();
+		return {
+			self,
+			isStopping: !live.includes(self),
+			live,
+			isGone: membership.isGone,
+			isLost: membership.isLost,
+			isSynced: slot => replicaOf(slot).synced,
+			isHandoverReady,
+		};
+	};
+
+	const plan = (): readonly Plan[] => {
+		const current = view();
+		return map.pairs.flatMap((pair, slot) => {
+			const next = planPair(slot, pair, current);
+			return next ? [{slot, pair: next}] : [];
+		});
+	};
+
+	// Before the store is asked to name another primary, this host stops acknowledging to the
+	// present one, or deciding as the present one. Otherwise both could act for one epoch.
+	const sealFor = (plans: readonly Plan[]): void => {
+		for (const {slot, pair} of plans) {
+			const replica = replicaOf(slot);
+			const changesPrimary = pair.primary !== map.pairs[slot]!.primary;
+			const hasPart = replica.role === 'primary' || replica.role === 'backup';
+			if (!changesPrimary || !hasPart) {
+				continue;
+			}
+
+			if (replica.role === 'primary') {
+				handovers.add(slot);
+			}
+
+			step(slot, {type: 'seal'});
+		}
+	};
+
+	const propose = async (plans: readonly Plan[]): Promise<void> => {
+		sealFor(plans);
+		const pairs = [...map.pairs];
+		for (const {slot, pair} of plans) {
+			pairs[slot] = pair;
+		}
+
+		const outcome = await platform.put(objectKey, pairs, map.version);
+		metrics.count('pairs.proposed', {outcome: outcome.ok ? 'ok' : outcome.error});
+		if (outcome.ok) {
+			adopt({version: outcome.value.version, pairs});
+			return;
+		}
+
+		log('warn', 'pairs_not_changed', {reason: outcome.error, slots: plans.length});
+		await readMap();
+	};
+
+	const resync = (): void => {
+		for (const [slot, since] of unackedSince) {
+			if (clock.monotonic() - since > resyncAfterMs) {
+				unackedSince.set(slot, clock.monotonic());
+				step(slot, {type: 'resync'});
+			}
+		}
+	};
+
+	const looking = repeat(async () => {
+		resync();
+		if (!isMapRead && !await readMap()) {
+			return;
+		}
+
+		const plans = plan();
+		if (plans.length > 0) {
+			await propose(plans);
+		}
+	}, () => planEveryMs);
+
+	return {
+		async submit(slot, request) {
+			const id = nextId++;
+			return new Promise(resolve => {
+				waiters.set(id, resolve);
+				step(slot, {type: 'request', id, request});
+			});
+		},
+		onMessage(from, message) {
+			if (message.slot >= settings.slots) {
+				return;
+			}
+
+			step(message.slot, {type: 'message', from, message});
+		},
+		pairs: () => map,
+		pairOf: slot => map.pairs[slot],
+		replica: slot => replicas.get(slot),
+		ownSlots: () => [...replicas.values()].filter(({role}) => role === 'primary').map(({slot}) => slot),
+		adopt,
+		wake: looking.wake,
+		stop: looking.stop,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,64 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {loadSettings} from './load-settings.js';
+import {startDaemon} from './start-daemon.js';
+
+const usage = `deckwheeld: an entry host of a deckwheel fleet
+
+Usage: deckwheeld --settings FILE [--check]
+
+  --settings FILE  the settings, in JSON (see docs/operating.md)
+  --check          check the settings and exit
+  --help           show this
+
+Exit codes: 0 stopped as planned, 1 broken invariant, 2 faulty settings or arguments.
+`;
+
+const exitFaulty = 2;
+
+const readArguments = () => {
+	try {
+		return parseArgs({options: {settings: {type: 'string'}, check: {type: 'boolean'}, help: {type: 'boolean'}}}).values;
+	} catch (error) {
+		console.error((error as Error).message);
+		return undefined;
+	}
+};
+
+const run = async (path: string, isCheckOnly: boolean): Promise<void> => {
+	const settings = await loadSettings(path);
+	if (!settings.ok) {
+		for (const fault of settings.error) {
+			console.error(`${path}: ${fault.path}: ${fault.message}`);
+		}
+
+		process.exitCode = exitFaulty;
+		return;
+	}
+
+	if (isCheckOnly) {
+		console.log(`${path}: no faults`);
+		return;
+	}
+
+	const daemon = await startDaemon(settings.value);
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void daemon.stop();
+		});
+	}
+
+	await daemon.stopped;
+	process.exit(0);
+};
+
+const args = readArguments();
+if (args?.help) {
+	console.log(usage);
+} else if (args?.settings === undefined) {
+	console.error(usage);
+	process.exitCode = exitFaulty;
+} else {
+	await run(args.settings, args.check === true);
+}
--- /dev/null
+++ b/packages/daemon/src/start-daemon.ts
@@ -0,0 +1,185 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {systemClock} from '@deckwheel/core';
+import {openMesh} from '@deckwheel/mesh';
+import {connectPlatform} from '@deckwheel/platform';
+import type {AskSlot} from './lib/ask-slot.js';
+import type {BundleTask} from './lib/bundle-task.js';
+import type {Context} from './lib/context.js';
+import {createAskSlot} from './lib/create-ask-slot.js';
+import {createFetchRights} from './lib/create-fetch-rights.js';
+import {createLog} from './lib/create-log.js';
+import {createMetrics} from './lib/create-metrics.js';
+import {createPeerHandlers} from './lib/create-peer-handlers.js';
+import {createRunJob} from './lib/create-run-job.js';
+import {createServeSlot} from './lib/create-serve-slot.js';
+import {createSettler} from './lib/create-settler.js';
+import {createTracing} from './lib/create-tracing.js';
+import type {HostStatus} from './lib/host-status.js';
+import type {MembershipTask} from './lib/membership-task.js';
+import {newIncarnation} from './lib/new-incarnation.js';
+import {pairMapSchema} from './lib/pair-map-schema.js';
+import type {PeerSlotRequest} from './lib/peer-slot-request.js';
+import type {SlotsTask} from './lib/slots-task.js';
+import {startBundle} from './lib/start-bundle.js';
+import {startDrawer} from './lib/start-drawer.js';
+import {startGateway} from './lib/start-gateway.js';
+import {startMembership} from './lib/start-membership.js';
+import {startOperators} from './lib/start-operators.js';
+import {startRecovery} from './lib/start-recovery.js';
+import {startRouter} from './lib/start-router.js';
+import {startSlots} from './lib/start-slots.js';
+import type {Daemon} from './daemon.js';
+import type {Settings} from './settings.js';
+
+const fetchTimeoutMs = 2000;
+const handoverMs = 10_000;
+const handoverPauseMs = 50;
+const settleDrainMs = 20_000;
+const defaultKeepMs = 600_000;
+
+/**
+Starts a daemon: an entry host of the fleet.
+
+@example
+const daemon = await startDaemon(settings);
+await daemon.stop();
+*/
+export const startDaemon = async (settings: Settings): Promise<Daemon> => {
+	const clock = systemClock;
+	const self = newIncarnation(settings.host, clock.wall());
+	const log = createLog(settings.logLevel, {host: settings.host, hall: settings.hall});
+	const metrics = createMetrics(settings);
+	const tracing = createTracing(settings);
+	const platform = connectPlatform(settings.platform.url);
+	const context: Context = {
+		settings, self, clock, platform, log, metrics, tracing,
+	};
+
+	// The tasks refer to each other; each is reached through a function until all are there.
+	const tasks: {membership?: MembershipTask; slots?: SlotsTask; bundle?: BundleTask; askSlot?: AskSlot; serve?: ReturnType<typeof createServeSlot>} = {};
+	const currentBundle = () => tasks.bundle?.current()?.bundle;
+	const keepMs = (): number => (currentBundle()?.limits.keepSeconds ?? defaultKeepMs / 1000) * 1000;
+	const serve = async (slot: number, request: PeerSlotRequest) => tasks.serve!(slot, request);
+
+	const mesh = await openMesh({
+		self: {incarnation: self, hall: settings.hall},
+		secret: settings.secret,
+		listen: {host: settings.listen.peers.ip, port: settings.listen.peers.port},
+		handlers: createPeerHandlers(context, {
+			membership: () => tasks.membership!,
+			slots: () => tasks.slots!,
+			bundle: () => tasks.bundle!,
+			serve,
+			async forward(address, body, timeoutMs) {
+				const outcome = await mesh.request(address, body, timeoutMs);
+				return outcome.ok ? outcome.value : undefined;
+			},
+		}),
+	});
+
+	const catchUpWith = async (status: HostStatus): Promise<void> => {
+		if (status.bundleVersion > (currentBundle()?.version ?? 0)) {
+			await tasks.bundle?.fetchFrom(status.address);
+		}
+
+		if (status.hall === settings.hall && status.pairsVersion > (tasks.slots?.pairs().version ?? 0)) {
+			const outcome = await mesh.request(status.address, {type: 'pairs'}, fetchTimeoutMs);
+			const parsed = pairMapSchema.safeParse(outcome.ok ? outcome.value : undefined);
+			if (parsed.success) {
+				tasks.slots?.adopt(parsed.data);
+			}
+		}
+	};
+
+	const membership = startMembership(context, {
+		mesh,
+		address: settings.advertise ?? `${settings.listen.peers.ip}:${mesh.port}`,
+		versions: () => ({pairsVersion: tasks.slots?.pairs().version ?? 0, bundleVersion: currentBundle()?.version ?? 0}),
+		onHeard(status) {
+			void catchUpWith(status);
+		},
+	});
+	tasks.membership = membership;
+	const router = startRouter(context, {hostsInHall: () => membership.liveInHall().length});
+	const slots = startSlots(context, {mesh, membership});
+	tasks.slots = slots;
+	const bundle = startBundle(context, {
+		mesh,
+		liveInHall: membership.liveInHall,
+		onAdopted(adopted) {
+			router.configure(adopted.bundle);
+		},
+	});
+	tasks.bundle = bundle;
+	const drawer = startDrawer(context, {slots, bundle: currentBundle});
+	const fetchRights = createFetchRights(context, {slots, bundle: currentBundle, askSlot: () => tasks.askSlot!});
+	tasks.serve = createServeSlot(context, {slots, drawer, fetchRights});
+	const askSlot = createAskSlot(context, {
+		mesh, membership, slots, serve,
+	});
+	tasks.askSlot = askSlot;
+	const settler = createSettler(context, askSlot);
+	const recovery = startRecovery(context, {
+		slots, membership, router, keepMs,
+	});
+	const runJob = createRunJob(context, {
+		askSlot, router, settler, keepMs,
+	});
+	const gateway = await startGateway(context, {bundle: bundle.current, runJob});
+
+	// Hands every slot over. A lone host gives its rights back to the store instead.
+	const handOver = async (): Promise<void> => {
+		const deadline = clock.monotonic() + handoverMs;
+		while (slots.ownSlots().length > 0 && clock.monotonic() < deadline) {
+			const isAlone = membership.liveInHall().length === 0;
+			if (isAlone) {
+				await Promise.all(slots.ownSlots().map(async slot => drawer.giveBackAll(slot)));
+				return;
+			}
+
+			slots.wake();
+			await delay(handoverPauseMs);
+		}
+	};
+
+	const closeAll = async (): Promise<void> => {
+		await Promise.all([recovery.stop(), drawer.stop(), slots.stop(), bundle.stop(), router.stop(), membership.stop()]);
+		await Promise.all([gateway.close(), operators.close(), mesh.close()]);
+		await Promise.all([tracing.close(), metrics.close()]);
+	};
+
+	const runStop = async (): Promise<void> => {
+		log('info', 'stopping', {open_requests: gateway.open()});
+		membership.leave();
+		await gateway.drain();
+		await settler.drain(clock.monotonic() + settleDrainMs);
+		await handOver();
+		await closeAll();
+		log('info', 'stopped', {unsettled_runs: settler.open()});
+	};
+
+	let announceStopped: () => void = () => undefined;
+	const stopped = new Promise<void>(resolve => {
+		announceStopped = resolve;
+	});
+	let stopping: Promise<void> | undefined;
+	const stop = async (): Promise<void> => {
+		stopping ??= runStop().then(announceStopped);
+		await stopping;
+	};
+
+	const operators = await startOperators(context, {
+		slots, membership, bundle, router, gateway, askSlot, drain() {
+			void stop();
+		},
+	});
+	log('info', 'ready', {
+		incarnation: self,
+		callers: `${settings.listen.callers.ip}:${gateway.port}`,
+		peers: `${settings.listen.peers.ip}:${mesh.port}`,
+		operators: `${settings.listen.operators.ip}:${operators.port}`,
+	});
+	return {
+		callersPort: gateway.port, peersPort: mesh.port, operatorsPort: operators.port, stop, stopped,
+	};
+};
--- /dev/null
+++ b/packages/ledger/src/answer.ts
@@ -0,0 +1,6 @@
+/** A whole answer, kept so that a retry gets the same one. */
+export type Answer = {
+	readonly status: number;
+	readonly contentType: string;
+	readonly body: string;
+};
--- /dev/null
+++ b/packages/ledger/src/budget-rights.ts
@@ -0,0 +1,11 @@
+import type {HolderRights} from './holder-rights.js';
+
+/** One budget in the store. The sum of all grants never exceeds `limit`. */
+export type BudgetRights = {
+	readonly organisation: string;
+	/** Prepaid tokens: everything ever paid in. */
+	readonly limit: number;
+	/** The newest top-ups by identifier, so that a repeated one changes nothing. */
+	readonly topUps: readonly string[];
+	readonly holders: Readonly<Record<string, HolderRights>>;
+};
--- /dev/null
+++ b/packages/ledger/src/demand-view.ts
@@ -0,0 +1,13 @@
+/** What a hold-ahead policy decides from. Tokens, unless the name says otherwise. */
+export type DemandView = {
+	/** Tokens a second that this holder reserved lately. */
+	readonly tokensPerSecond: number;
+	/** What the holder may still reserve. */
+	readonly available: number;
+	/** What a waiting request lacks; 0 when none waits. */
+	readonly missing: number;
+	/** What the store has left to grant. */
+	readonly unallocated: number;
+	/** How many halls may ask for rights on this budget. */
+	readonly halls: number;
+};
--- /dev/null
+++ b/packages/ledger/src/draw-request.ts
@@ -0,0 +1,10 @@
+/** One budget in a holder's write to the store: what the holder knows, and what more it wants. */
+export type DrawRequest = {
+	readonly budget: string;
+	/** The holder's own total, as both of its hosts hold it. */
+	readonly granted: number;
+	readonly settled: number;
+	readonly billed: number;
+	/** Decides the draw once the rest in the store is known. */
+	readonly wants: (unallocated: number) => number;
+};
--- /dev/null
+++ b/packages/ledger/src/holder-rights.ts
@@ -0,0 +1,8 @@
+/** What the store records of one holder's part of a budget. Totals, in tokens. */
+export type HolderRights = {
+	/** The pair epoch that wrote this last; an older one must not write any more. */
+	readonly epoch: number;
+	readonly granted: number;
+	readonly settled: number;
+	readonly billed: number;
+};
--- /dev/null
+++ b/packages/ledger/src/lib/decide-give-back.ts
@@ -0,0 +1,17 @@
+import {accountOf} from '../account-of.js';
+import {available} from '../available.js';
+import type {Decision} from '../decision.js';
+import type {GiveBackRequest} from '../give-back-request.js';
+import type {Ledger} from '../ledger.js';
+
+/** Takes rights out of the accounts, so that the store may offer them elsewhere. Never more than is there. */
+export const decideGiveBack = (ledger: Ledger, request: GiveBackRequest): Decision => {
+	const ops = request.amounts
+		.map(({budget, amount}) => {
+			const account = accountOf(ledger, budget);
+			const possible = Math.min(amount, available(account), account.granted);
+			return {type: 'give_back' as const, budget, amount: possible};
+		})
+		.filter(({amount}) => amount > 0);
+	return {ops, reply: {type: 'done'}};
+};
--- /dev/null
+++ b/packages/ledger/src/lib/decide-settle.ts
@@ -0,0 +1,26 @@
+import {claimId} from '../claim-id.js';
+import type {Decision} from '../decision.js';
+import type {Ledger} from '../ledger.js';
+import type {SettleRequest} from '../settle-request.js';
+
+/** Records how a run ended. Only the first end of a run counts, and only the first bill of a claim. */
+export const decideSettle = (ledger: Ledger, request: SettleRequest): Decision => {
+	const id = claimId(request.budget, request.key);
+	const claim = ledger.claims.get(id);
+	const run = claim?.runs.find(({number, attempt}) => request.attempt === undefined ? number === request.run : attempt === request.attempt);
+	const isOpen = run?.state === 'running' || (run?.state === 'lost' && request.outcome !== 'lost');
+	if (!claim || !run || !isOpen) {
+		return {ops: [], reply: {type: 'settled', bill: claim?.bill}};
+	}
+
+	const served = request.outcome === 'finished' || request.outcome === 'failed' ? request.served : 0;
+	const ends = request.outcome === 'finished' || (request.final && request.outcome === 'failed');
+	const bill = ends && claim.bill === undefined ? served : undefined;
+	const answer = bill === undefined ? undefined : request.answer;
+	return {
+		ops: [{
+			type: 'settle', claim: id, run: run.number, outcome: request.outcome, served, bill, answer,
+		}],
+		reply: {type: 'settled', bill: claim.bill ?? bill},
+	};
+};
--- /dev/null
+++ b/packages/ledger/src/lib/empty-account.ts
@@ -0,0 +1,13 @@
+import {Map as ImmutableMap} from 'immutable';
+import type {Account} from '../account.js';
+
+/** An account with no rights. */
+export const emptyAccount: Account = {
+	granted: 0,
+	received: ImmutableMap(),
+	given: ImmutableMap(),
+	reserved: 0,
+	settled: 0,
+	billed: 0,
+	wasted: 0,
+};
--- /dev/null
+++ b/packages/ledger/src/lib/release-replies.ts
@@ -0,0 +1,9 @@
+import type {Replica} from '../replica.js';
+import type {ReplicaStep} from '../replica-step.js';
+
+/** Sends the replies whose entries are now on both hosts. */
+export const releaseReplies = (replica: Replica): ReplicaStep => {
+	const ready = replica.pending.takeWhile(({seq}) => seq <= replica.acked);
+	const effects = ready.map(({id, reply}) => ({type: 'reply' as const, id, reply})).toArray();
+	return {replica: {...replica, pending: replica.pending.skip(ready.size)}, effects};
+};
--- /dev/null
+++ b/packages/ledger/src/lib/step-message.ts
@@ -0,0 +1,92 @@
+import {List} from 'immutable';
+import {applyOp} from '../apply-op.js';
+import {fromPlainLedger} from '../from-plain-ledger.js';
+import type {ReplicaEffect} from '../replica-effect.js';
+import type {ReplicaMessage} from '../replica-message.js';
+import type {ReplicaStep} from '../replica-step.js';
+import type {Replica} from '../replica.js';
+import {disown} from './disown.js';
+import {releaseReplies} from './release-replies.js';
+import {sendSnapshot} from './send-snapshot.js';
+
+const unchanged = (replica: Replica): ReplicaStep => ({replica, effects: []});
+
+const ack = (replica: Replica, to: string): ReplicaEffect =>
+	({
+		type: 'send', to, message: {
+			type: 'ack', slot: replica.slot, epoch: replica.pair.epoch, seq: replica.seq,
+		},
+	});
+
+const stepAppend = (replica: Replica, from: string, message: ReplicaMessage & {type: 'append'}): ReplicaStep => {
+	const {slot, epoch, seq, ops} = message;
+	const isFromMyPrimary = replica.role === 'backup' && epoch === replica.pair.epoch && from === replica.pair.primary;
+	const mayLearn = epoch > replica.pair.epoch && replica.role !== 'sealed';
+	if (mayLearn || (isFromMyPrimary && (!replica.synced || seq > replica.seq + 1))) {
+		return {replica, effects: [{type: 'send', to: from, message: {type: 'behind', slot, epoch}}]};
+	}
+
+	if (!isFromMyPrimary) {
+		return unchanged(replica);
+	}
+
+	if (seq <= replica.seq) {
+		return {replica, effects: [ack(replica, from)]};
+	}
+
+	let {ledger} = replica;
+	for (const op of ops) {
+		ledger = applyOp(ledger, op);
+	}
+
+	const next: Replica = {...replica, ledger, seq};
+	return {replica: next, effects: [ack(next, from)]};
+};
+
+// A snapshot of a newer epoch may come before this host read that pair from the store.
+// Only a primary that the store confirmed sends one, so it is taken as news of the pair.
+const stepSnapshot = (replica: Replica, from: string, message: ReplicaMessage & {type: 'snapshot'}): ReplicaStep => {
+	const {pair, seq} = message;
+	const isNews = pair.epoch > replica.pair.epoch;
+	const isResync = pair.epoch === replica.pair.epoch && replica.role === 'backup' && (seq >= replica.seq || !replica.synced);
+	const isForMe = pair.backup === replica.self && pair.primary === from;
+	if (!isForMe || !(isNews || isResync)) {
+		return unchanged(replica);
+	}
+
+	const {effects} = disown(replica);
+	const next: Replica = {
+		...replica, pair, role: 'backup', ledger: fromPlainLedger(message.ledger), seq, acked: 0, synced: true, pending: List(),
+	};
+	return {replica: next, effects: [...effects, ack(next, from)]};
+};
+
+const stepAck = (replica: Replica, from: string, message: ReplicaMessage & {type: 'ack'}): ReplicaStep => {
+	const isFromMyBackup = replica.role === 'primary' && message.epoch === replica.pair.epoch && from === replica.pair.backup;
+	if (!isFromMyBackup || message.seq <= replica.acked) {
+		return unchanged(replica);
+	}
+
+	return releaseReplies({...replica, acked: message.seq});
+};
+
+/** Handles a message from the other host of the pair. */
+export const stepMessage = (replica: Replica, from: string, message: ReplicaMessage): ReplicaStep => {
+	switch (message.type) {
+		case 'append': {
+			return stepAppend(replica, from, message);
+		}
+
+		case 'ack': {
+			return stepAck(replica, from, message);
+		}
+
+		case 'behind': {
+			return message.epoch === replica.pair.epoch ? {replica, effects: sendSnapshot(replica)} : unchanged(replica);
+		}
+
+		case 'snapshot': {
+			return stepSnapshot(replica, from, message);
+		}
+	}
+};
--- /dev/null
+++ b/packages/ledger/src/lookup-request.ts
@@ -0,0 +1,6 @@
+/** Asks what is known of one request. Changes nothing. */
+export type LookupRequest = {
+	readonly type: 'lookup';
+	readonly budget: string;
+	readonly key: string;
+};
--- /dev/null
+++ b/packages/ledger/src/new-replica.ts
@@ -0,0 +1,16 @@
+import {List} from 'immutable';
+import {emptyLedger} from './empty-ledger.js';
+import type {Replica} from './replica.js';
+
+/** A replica before the host has any part in the slot. */
+export const newReplica = (self: string, slot: number): Replica => ({
+	self,
+	slot,
+	pair: {epoch: 0, generation: 0},
+	role: 'retired',
+	ledger: emptyLedger(''),
+	seq: 0,
+	acked: 0,
+	synced: false,
+	pending: List(),
+});
--- /dev/null
+++ b/packages/ledger/src/plain-ledger.ts
@@ -0,0 +1,13 @@
+import type {Account} from './account.js';
+import type {Claim} from './claim.js';
+
+/** A ledger as plain data, for the wire. */
+export type PlainLedger = {
+	readonly holder: string;
+	readonly completeSince: number;
+	readonly accounts: ReadonlyArray<readonly [string, Omit<Account, 'received' | 'given'> & {
+		readonly received: ReadonlyArray<readonly [string, number]>;
+		readonly given: ReadonlyArray<readonly [string, number]>;
+	}]>;
+	readonly claims: readonly Claim[];
+};
--- /dev/null
+++ b/packages/ledger/src/ran-state-of.ts
@@ -0,0 +1,12 @@
+import type {RunState} from '@deckwheel/core';
+import type {Claim} from './claim.js';
+
+/** Whether a request ran, as far as its claim tells. */
+export const ranStateOf = (claim: Claim | undefined): RunState => {
+	const states = new Set((claim?.runs ?? []).map(({state}) => state));
+	if (states.has('finished') || states.has('failed')) {
+		return 'ran';
+	}
+
+	return states.has('lost') || states.has('running') ? 'unknown' : 'not_run';
+};
--- /dev/null
+++ b/packages/ledger/src/receive-request.ts
@@ -0,0 +1,7 @@
+/** Rights arrive from another holder, as the total it ever gave. */
+export type ReceiveRequest = {
+	readonly type: 'receive';
+	readonly budget: string;
+	readonly from: string;
+	readonly total: number;
+};
--- /dev/null
+++ b/packages/ledger/src/replica-effect.ts
@@ -0,0 +1,7 @@
+import type {ReplicaMessage} from './replica-message.js';
+import type {SlotReply} from './slot-reply.js';
+
+/** What a replica wants done. */
+export type ReplicaEffect =
+	| {readonly type: 'send'; readonly to: string; readonly message: ReplicaMessage}
+	| {readonly type: 'reply'; readonly id: number; readonly reply: SlotReply};
--- /dev/null
+++ b/packages/ledger/src/replica-event.ts
@@ -0,0 +1,14 @@
+import type {Pair} from './pair.js';
+import type {ReplicaMessage} from './replica-message.js';
+import type {SlotRequest} from './slot-request.js';
+
+/** What can happen to a replica. */
+export type ReplicaEvent =
+	| {readonly type: 'request'; readonly id: number; readonly request: SlotRequest}
+	| {readonly type: 'message'; readonly from: string; readonly message: ReplicaMessage}
+	/** The store confirmed this pair. */
+	| {readonly type: 'configure'; readonly pair: Pair; readonly holder: string}
+	/** This host is about to ask the store for another pair. */
+	| {readonly type: 'seal'}
+	/** No acknowledgement came for a while, or the link is new: send everything again. */
+	| {readonly type: 'resync'};
--- /dev/null
+++ b/packages/ledger/src/to-plain-ledger.ts
@@ -0,0 +1,11 @@
+import type {Ledger} from './ledger.js';
+import type {PlainLedger} from './plain-ledger.js';
+
+/** Turns a ledger into plain data for the wire. */
+export const toPlainLedger = (ledger: Ledger): PlainLedger => ({
+	holder: ledger.holder,
+	completeSince: ledger.completeSince,
+	accounts: [...ledger.accounts].map(([budget, account]) =>
+		[budget, {...account, received: [...account.received], given: [...account.given]}]),
+	claims: [...ledger.claims.values()],
+});
--- /dev/null
+++ b/packages/mesh/src/lib/dial-link.ts
@@ -0,0 +1,117 @@
+import type {Buffer} from 'node:buffer';
+import {WebSocket} from 'ws';
+import {fail, succeed, type Outcome} from '@deckwheel/core';
+import type {LinkError} from '../link-error.js';
+import type {MeshOptions} from '../mesh-options.js';
+import {codec} from './codec.js';
+import {isEqualProof} from './is-equal-proof.js';
+import type {Link} from './link.js';
+import {maxFrameBytes} from './max-frame-bytes.js';
+import {newNonce} from './new-nonce.js';
+import {prove} from './prove.js';
+
+/** A link that is not up by then counts as unreachable. */
+const dialTimeoutMs = 2000;
+
+/** What may wait unsent on one link; beyond it, the link is given up and dialled anew. */
+const maxBufferedBytes = 32_000_000;
+
+type Waiter = (outcome: Outcome<unknown, LinkError>) => void;
+
+/** Opens a link to a peer. Frames given before the handshake is done wait for it. */
+export const dialLink = (address: string, options: MeshOptions, onClose: () => void): Link => {
+	const {self, secret} = options;
+	const socket = new WebSocket(`ws://${address}`, {maxPayload: maxFrameBytes, perMessageDeflate: false});
+	const clientNonce = newNonce();
+	const waiters = new Map<number, Waiter>();
+	let backlog: Buffer[] = [];
+	let serverNonce = '';
+	let isUp = false;
+	let isClosed = false;
+	let nextId = 1;
+	const timer = setTimeout(() => {
+		socket.terminate();
+	}, dialTimeoutMs);
+
+	const transmit = (data: Buffer): void => {
+		if (!isUp) {
+			backlog.push(data);
+			return;
+		}
+
+		if (socket.bufferedAmount > maxBufferedBytes) {
+			socket.terminate();
+			return;
+		}
+
+		socket.send(data);
+	};
+
+	const open = (): void => {
+		isUp = true;
+		clearTimeout(timer);
+		for (const data of backlog) {
+			socket.send(data);
+		}
+
+		backlog = [];
+	};
+
+	const settle = (id: number, outcome: Outcome<unknown, LinkError>): void => {
+		const waiter = waiters.get(id);
+		waiters.delete(id);
+		waiter?.(outcome);
+	};
+
+	socket.on('message', (data: Buffer) => {
+		const frame = codec.decode(data);
+		if (frame?.type === 'hello') {
+			serverNonce = frame.nonce;
+			socket.send(codec.encode({
+				type: 'prove', version: 1, identity: self, nonce: clientNonce, proof: prove(secret, 'client', serverNonce, clientNonce, self),
+			}));
+		} else if (frame?.type === 'welcome' && isEqualProof(frame.proof, prove(secret, 'server', serverNonce, clientNonce, frame.identity))) {
+			open();
+		} else if (frame?.type === 'reply' && isUp) {
+			settle(frame.id, succeed(frame.body));
+		} else {
+			socket.close(1002, 'unexpected frame');
+		}
+	});
+	socket.on('error', () => {
+		socket.terminate();
+	});
+	socket.on('close', () => {
+		isClosed = true;
+		clearTimeout(timer);
+		// Before the handshake nothing left this host, so the peer cannot have acted.
+		for (const id of waiters.keys()) {
+			settle(id, fail(isUp ? 'unknown' : 'unreachable'));
+		}
+
+		onClose();
+	});
+
+	return {
+		isClosed: () => isClosed,
+		send(body) {
+			transmit(codec.encode({type: 'message', body}));
+		},
+		async request(body, timeoutMs) {
+			const id = nextId++;
+			return new Promise(resolve => {
+				const giveUp = setTimeout(() => {
+					settle(id, fail('unknown'));
+				}, timeoutMs);
+				waiters.set(id, outcome => {
+					clearTimeout(giveUp);
+					resolve(outcome);
+				});
+				transmit(codec.encode({type: 'request', id, body}));
+			});
+		},
+		close() {
+			socket.terminate();
+		},
+	};
+};
--- /dev/null
+++ b/packages/mesh/src/lib/link.ts
@@ -0,0 +1,10 @@
+import type {Outcome} from '@deckwheel/core';
+import type {LinkError} from '../link-error.js';
+
+/** An outgoing link to one peer. */
+export type Link = {
+	readonly isClosed: () => boolean;
+	readonly send: (body: unknown) => void;
+	readonly request: (body: unknown, timeoutMs: number) => Promise<Outcome<unknown, LinkError>>;
+	readonly close: () => void;
+};
--- /dev/null
+++ b/packages/mesh/src/mesh-handlers.ts
@@ -0,0 +1,7 @@
+import type {Identity} from './identity.js';
+
+/** What a host does with what its peers send. Bodies are unchecked: the handlers check them. */
+export type MeshHandlers = {
+	readonly onRequest: (from: Identity, body: unknown) => Promise<unknown>;
+	readonly onMessage: (from: Identity, body: unknown) => void;
+};
--- /dev/null
+++ b/packages/routing/src/endpoint-event.ts
@@ -0,0 +1,13 @@
+import type {EndpointInfo} from './endpoint-info.js';
+
+/** What changes the picture that a host has of its endpoints. */
+export type EndpointEvent =
+	/** A bundle came into force. */
+	| {readonly type: 'configured'; readonly endpoints: readonly EndpointInfo[]}
+	| {readonly type: 'started'; readonly endpoint: string}
+	| {readonly type: 'succeeded'; readonly endpoint: string; readonly durationMs: number; readonly outputTokens: number}
+	/** The endpoint failed or could not be reached. */
+	| {readonly type: 'failed'; readonly endpoint: string}
+	/** The request ended early for a reason that says nothing about the endpoint. */
+	| {readonly type: 'abandoned'; readonly endpoint: string}
+	| {readonly type: 'reported'; readonly endpoint: string; readonly total: number};
--- /dev/null
+++ b/packages/routing/src/endpoint-info.ts
@@ -0,0 +1,9 @@
+/** What the bundle says of an endpoint. */
+export type EndpointInfo = {
+	readonly id: string;
+	readonly hall: string;
+	readonly serves: readonly string[];
+	/** Requests that it runs side by side. */
+	readonly slots: number;
+	readonly isLeaving: boolean;
+};
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,18 @@
+export {chooseEndpoint} from './choose-endpoint.js';
+export {emptyWaitingRoom} from './empty-waiting-room.js';
+export type {EndpointEvent} from './endpoint-event.js';
+export type {EndpointInfo} from './endpoint-info.js';
+export type {EndpointState} from './endpoint-state.js';
+export type {EndpointTable} from './endpoint-table.js';
+export {enterWaitingRoom} from './enter-waiting-room.js';
+export {expireWaitingRoom} from './expire-waiting-room.js';
+export {leaveWaitingRoom} from './leave-waiting-room.js';
+export type {Priority} from './priority.js';
+export {retryAfter} from './retry-after.js';
+export type {RetryBudget} from './retry-budget.js';
+export type {RouteChoice} from './route-choice.js';
+export type {RouteRequest} from './route-request.js';
+export {stepEndpoints} from './step-endpoints.js';
+export {stepRetryBudget} from './step-retry-budget.js';
+export type {WaitingRequest} from './waiting-request.js';
+export type {WaitingRoom} from './waiting-room.js';
--- /dev/null
+++ b/packages/routing/src/leave-waiting-room.ts
@@ -0,0 +1,73 @@
+import {smooth} from './lib/smooth.js';
+import type {Priority} from './priority.js';
+import type {WaitingRequest} from './waiting-request.js';
+import type {WaitingRoom} from './waiting-room.js';
+
+/** The next request to start, if any may. */
+type Exit = {readonly room: WaitingRoom; readonly next?: WaitingRequest};
+
+/** How often each priority is served when all wait. Slow work goes on under any load of quick work. */
+const turns: Readonly<Record<Priority, number>> = {quick: 16, normal: 4, slow: 1};
+
+/** A longer gap means that nobody waited, which says nothing of the rate. */
+const longestGapMs = 1000;
+const priorities = ['quick', 'normal', 'slow'] as const;
+
+const pickPriority = (room: WaitingRoom, ready: readonly WaitingRequest[]) => {
+	const present = priorities.filter(priority => ready.some(request => request.priority === priority));
+	const total = present.reduce((sum, priority) => sum + turns[priority], 0);
+	const credit = {...room.credit};
+	for (const priority of present) {
+		credit[priority] += turns[priority];
+	}
+
+	const chosen = present.reduce((a, b) => credit[b] > credit[a] ? b : a);
+	credit[chosen] -= total;
+	return {chosen, credit};
+};
+
+const servedBy = (room: WaitingRoom, organisation: string): number => room.served.get(organisation) ?? 0;
+
+const pickRequest = (room: WaitingRoom, ready: readonly WaitingRequest[]): WaitingRequest =>
+	ready.reduce((a, b) => {
+		const difference = servedBy(room, b.organisation) - servedBy(room, a.organisation);
+		return difference < 0 || (difference === 0 && b.startBy < a.startBy) ? b : a;
+	});
+
+// An organisation that was away must not come back with a claim on all the service it missed.
+const chargeOrganisation = (room: WaitingRoom, request: WaitingRequest): ReadonlyMap<string, number> => {
+	const present = new Set(room.waiting.map(({organisation}) => organisation));
+	const lowest = Math.min(...[...present].map(organisation => servedBy(room, organisation)));
+	const kept = [...room.served].filter(([organisation]) => present.has(organisation));
+	return new Map([...kept, [request.organisation, Math.max(lowest, servedBy(room, request.organisation)) + (1 / request.weight)]]);
+};
+
+/**
+Takes the next request out of the queue: by priority in turns, then by fair share
+of the organisations, then the one that must start first.
+
+@param hasRoom Whether an endpoint can take the request now.
+@param now Monotonic ms.
+*/
+export const leaveWaitingRoom = (room: WaitingRoom, hasRoom: (request: WaitingRequest) => boolean, now: number): Exit => {
+	const ready = room.waiting.filter(request => hasRoom(request));
+	if (ready.length === 0) {
+		return {room};
+	}
+
+	const {chosen, credit} = pickPriority(room, ready);
+	const next = pickRequest(room, ready.filter(({priority}) => priority === chosen));
+	const waiting = room.waiting.filter(({id}) => id !== next.id);
+	const sinceLast = Math.min(longestGapMs, now - room.lastStartAt);
+	return {
+		next,
+		room: {
+			...room,
+			waiting,
+			credit,
+			served: chargeOrganisation(room, next),
+			msPerStart: smooth(room.msPerStart, sinceLast),
+			lastStartAt: now,
+		},
+	};
+};
--- /dev/null
+++ b/packages/routing/src/lib/smooth.ts
@@ -0,0 +1,4 @@
+const weight = 0.2;
+
+/** An exponentially smoothed average: recent samples count most. */
+export const smooth = (average: number, sample: number): number => average + (weight * (sample - average));
--- /dev/null
+++ b/packages/routing/src/load-report.ts
@@ -0,0 +1,9 @@
+/** What an endpoint last said of its load. It lags. */
+export type LoadReport = {
+	/** Requests that run or wait there, from all hosts. */
+	readonly total: number;
+	/** This host's own requests there at the time of the report. */
+	readonly ownThen: number;
+	/** Monotonic ms at which it was received. */
+	readonly at: number;
+};
--- /dev/null
+++ b/packages/routing/src/priority.ts
@@ -0,0 +1,2 @@
+/** How urgent a request is. */
+export type Priority = 'quick' | 'normal' | 'slow';
--- /dev/null
+++ b/packages/routing/src/route-request.ts
@@ -0,0 +1,19 @@
+import type {Priority} from './priority.js';
+
+/** What the choice of an endpoint depends on. */
+export type RouteRequest = {
+	/** The model or service that is asked for. */
+	readonly target: string;
+	/** The hall that the request came in at. */
+	readonly hall: string;
+	readonly priority: Priority;
+	/** Wall-clock-independent time left until the deadline, as a monotonic ms instant. */
+	readonly deadline: number;
+	/** Prompt tokens that each endpoint is believed to have cached. */
+	readonly cachedTokens: (endpoint: string) => number;
+	readonly promptTokens: number;
+	/** The endpoint that served this session last. */
+	readonly stickyTo?: string;
+	/** Endpoints that were tried already. */
+	readonly tried: readonly string[];
+};
--- /dev/null
+++ b/packages/routing/src/step-endpoints.ts
@@ -0,0 +1,87 @@
+import type {EndpointEvent} from './endpoint-event.js';
+import type {EndpointInfo} from './endpoint-info.js';
+import type {EndpointState} from './endpoint-state.js';
+import type {EndpointTable} from './endpoint-table.js';
+import {smooth} from './lib/smooth.js';
+
+/** Failures in a row after which an endpoint is left alone for a while. */
+const failuresBeforeEjection = 3;
+const firstEjectionMs = 1000;
+const longestEjectionMs = 30_000;
+
+/** What is assumed of an endpoint that has not answered yet. */
+const assumedServiceMs = 1000;
+const assumedMsPerToken = 20;
+
+const newState = (info: EndpointInfo): EndpointState => ({
+	info,
+	inFlight: 0,
+	serviceMs: assumedServiceMs,
+	msPerToken: assumedMsPerToken,
+	failures: 0,
+	ejectedUntil: 0,
+});
+
+const ejectionEnd = (failures: number, now: number): number => {
+	if (failures < failuresBeforeEjection) {
+		return 0;
+	}
+
+	const doublings = failures - failuresBeforeEjection;
+	return now + Math.min(longestEjectionMs, firstEjectionMs * (2 ** doublings));
+};
+
+const afterSuccess = (state: EndpointState, event: EndpointEvent & {type: 'succeeded'}): EndpointState => ({
+	...state,
+	inFlight: state.inFlight - 1,
+	serviceMs: smooth(state.serviceMs, event.durationMs),
+	msPerToken: event.outputTokens > 0 ? smooth(state.msPerToken, event.durationMs / event.outputTokens) : state.msPerToken,
+	failures: 0,
+	ejectedUntil: 0,
+});
+
+const afterFailure = (state: EndpointState, now: number): EndpointState => {
+	const failures = state.failures + 1;
+	return {
+		...state, inFlight: state.inFlight - 1, failures, ejectedUntil: ejectionEnd(failures, now),
+	};
+};
+
+const stepOne = (state: EndpointState, event: Exclude<EndpointEvent, {type: 'configured'}>, now: number): EndpointState => {
+	switch (event.type) {
+		case 'started': {
+			return {...state, inFlight: state.inFlight + 1};
+		}
+
+		case 'succeeded': {
+			return afterSuccess(state, event);
+		}
+
+		case 'failed': {
+			return afterFailure(state, now);
+		}
+
+		case 'abandoned': {
+			return {...state, inFlight: state.inFlight - 1};
+		}
+
+		case 'reported': {
+			return {...state, report: {total: event.total, ownThen: state.inFlight, at: now}};
+		}
+	}
+};
+
+/**
+Moves the table of endpoints on by one event.
+
+@param now Monotonic ms.
+*/
+export const stepEndpoints = (table: EndpointTable, event: EndpointEvent, now: number): EndpointTable => {
+	if (event.type === 'configured') {
+		return new Map(event.endpoints.map(info => [info.id, {...(table.get(info.id) ?? newState(info)), info}]));
+	}
+
+	const state = table.get(event.endpoint);
+	// The endpoint may have left the bundle while a request was open there.
+	return state ? new Map(table).set(event.endpoint, stepOne(state, event, now)) : table;
+};
--- /dev/null
+++ b/packages/routing/src/step-retry-budget.ts
@@ -0,0 +1,14 @@
+import type {RetryBudget} from './retry-budget.js';
+
+/** Retries allowed for each request. */
+const creditPerRequest = 0.1;
+const mostCredit = 10;
+
+/** Notes a request, or takes one retry out of the budget. `isAllowed` tells whether the retry may be made. */
+export const stepRetryBudget = ({credit}: RetryBudget, event: 'request' | 'retry'): {readonly budget: RetryBudget; readonly isAllowed: boolean} => {
+	if (event === 'request') {
+		return {budget: {credit: Math.min(mostCredit, credit + creditPerRequest)}, isAllowed: true};
+	}
+
+	return credit >= 1 ? {budget: {credit: credit - 1}, isAllowed: true} : {budget: {credit}, isAllowed: false};
+};
--- /dev/null
+++ b/packages/stand-ins/src/start-relay.ts
@@ -0,0 +1,64 @@
+import {once} from 'node:events';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
+import type {RunningRelay} from './running-relay.js';
+
+/**
+Starts a relay in front of a TCP address, to cut a link in tests.
+
+`refuse` closes every connection at once; `stall` keeps them open and passes nothing on.
+*/
+export const startRelay = async (targetPort: number): Promise<RunningRelay> => {
+	const sockets = new Set<Socket>();
+	let mode: 'pass' | 'refuse' | 'stall' = 'pass';
+
+	const join = (from: Socket, to: Socket): void => {
+		sockets.add(from);
+		from.on('data', data => {
+			if (mode === 'pass') {
+				to.write(data);
+			}
+		});
+		from.on('error', () => {
+			from.destroy();
+		});
+		from.on('close', () => {
+			sockets.delete(from);
+			to.destroy();
+		});
+	};
+
+	const server = createServer(client => {
+		if (mode === 'refuse') {
+			client.destroy();
+			return;
+		}
+
+		const target = connect(targetPort, '127.0.0.1');
+		join(client, target);
+		join(target, client);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const dropAll = (): void => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	};
+
+	return {
+		port: (server.address() as AddressInfo).port,
+		setMode(next) {
+			mode = next;
+			if (next !== 'stall') {
+				dropAll();
+			}
+		},
+		async close() {
+			dropAll();
+			server.close();
+			await once(server, 'close');
+		},
+	};
+};
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,8 @@
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{
+		ignores: ['**/dist/**'],
+	},
+];
+
+export default config;
