Process tests: deaths, freezes, planned stops, cuts, outages; faster refusals in a cut

Cause: in a cut, each refused request waited up to 0.8 s for a hall that had not answered before; a draw whose answer was lost refused its request, though reading the store again would have settled it. Change: a hall that did not answer is not asked for 2 s; an unknown write is settled by the next one at once.

--- a/packages/daemon/src/lib/create-fetch-rights.ts
+++ b/packages/daemon/src/lib/create-fetch-rights.ts
@@ -4,7 +4,10 @@
 import type {Context} from './context.js';
 import type {SlotsTask} from './slots-task.js';
 
-const askTimeoutMs = 800;
+const askTimeoutMs = 400;
+
+/** A hall that did not answer is not asked again for this long, so that a cut delays few refusals. */
+const avoidMs = 2000;
 
 /** What came of asking other halls. */
 type Fetched = {readonly received: number; readonly allAnswered: boolean};
@@ -17,12 +20,15 @@
 
 /** Creates the function that asks the other halls for rights on a budget. */
 export const createFetchRights = ({settings, clock}: Context, {slots, bundle, askSlot}: Options) => {
+	const avoidUntil = new Map<string, number>();
+
 	const askHall = async (hall: string, slot: number, budget: string, tokens: number): Promise<number | undefined> => {
 		const {holder} = slots.replica(slot)!.ledger;
 		const outcome = await askSlot()(hall, slot, {
 			type: 'want', budget, holder, tokens,
 		}, clock.monotonic() + askTimeoutMs);
 		if (!outcome.ok || outcome.value.type !== 'given') {
+			avoidUntil.set(hall, clock.monotonic() + avoidMs);
 			return undefined;
 		}
 
@@ -40,7 +46,8 @@
 		let allAnswered = true;
 		// One after the other, so that no more is collected than the request needs.
 		for (const hall of rankByRendezvous(budget, halls)) {
-			const part = await askHall(hall, slot, budget, tokens - received);
+			const isAvoided = (avoidUntil.get(hall) ?? 0) > clock.monotonic();
+			const part = isAvoided ? undefined : await askHall(hall, slot, budget, tokens - received);
 			received += part ?? 0;
 			allAnswered &&= part !== undefined;
 			if (received >= tokens) {
--- a/packages/daemon/src/lib/start-drawer.ts
+++ b/packages/daemon/src/lib/start-drawer.ts
@@ -150,7 +150,8 @@
 		metrics.count('rights.write', {outcome: outcome.ok ? 'ok' : outcome.error});
 		if (!outcome.ok) {
 			objects.delete(slot);
-			return outcome.error === 'conflict' ? 'again' : undefined;
+			// After a lost answer the store is read again: the next write settles what this one did.
+			return outcome.error === 'unavailable' ? undefined : 'again';
 		}
 
 		objects.set(slot, {version: outcome.value.version, rights: plan.rights, readAt: clock.monotonic()});
--- /dev/null
+++ b/packages/lab/src/lib/eventually.ts
@@ -0,0 +1,15 @@
+import {setTimeout as delay} from 'node:timers/promises';
+
+const pollMs = 40;
+
+/** Waits until a check gives something, and returns it. The test runner's own limit ends a wait in vain. */
+export const eventually = async <T>(check: () => Promise<T | undefined | false>): Promise<T> => {
+	while (true) {
+		const result = await check();
+		if (result !== undefined && result !== false) {
+			return result;
+		}
+
+		await delay(pollMs);
+	}
+};
--- a/packages/lab/src/lib/fleet.ts
+++ b/packages/lab/src/lib/fleet.ts
@@ -25,6 +25,8 @@
 	readonly spawn: (host: string, hall: string, changes?: Record<string, unknown>) => Promise<EntryProcess>;
 	/** Tells the platform's list of hosts. */
 	readonly listHosts: (entries: readonly EntryProcess[]) => Promise<void>;
+	/** Cuts all hosts off from their peers, or joins them again. */
+	readonly setLinks: (mode: 'pass' | 'refuse' | 'stall') => void;
 	/** Sets faults of a stand-in over its control door. */
 	readonly setFaults: (standIn: RunningStandIn, faults: Record<string, unknown>) => Promise<void>;
 	/** Resolves when every host has the bundle and every slot has its pair. */
--- a/packages/lab/src/lib/start-fleet.ts
+++ b/packages/lab/src/lib/start-fleet.ts
@@ -7,7 +7,7 @@
 import {slotOfBudget, type RightsObject} from '@deckwheel/ledger';
 import {connectPlatform, type Platform} from '@deckwheel/platform';
 import {
-	startEngine, startService, startStore, type RunningStandIn,
+	startEngine, startRelay, startService, startStore, type RunningRelay, type RunningStandIn,
 } from '@deckwheel/stand-ins';
 import got from 'got';
 import type {EntryProcess} from './entry-process.js';
@@ -73,7 +73,9 @@
 	await putBudgets(platform, options.tokens ?? 1_000_000);
 
 	const spawned: EntryProcess[] = [];
+	const relays: RunningRelay[] = [];
 	const spawn = async (host: string, hall: string, changes: Record<string, unknown> = {}): Promise<EntryProcess> => {
+		const relay = options.hasRelays ? await startRelay() : undefined;
 		const entry = await spawnEntry(folder, {
 			host,
 			hall,
@@ -85,11 +87,18 @@
 			slots,
 			flushMs: 300,
 			heartbeatMs: 150,
+			...(relay && {advertise: `127.0.0.1:${relay.port}`}),
 			...options.settings,
 			...changes,
 		} as {host: string; hall: string});
 		spawned.push(entry);
-		return entry;
+		if (!relay) {
+			return entry;
+		}
+
+		relay.aimAt(Number(entry.peers.split(':')[1]));
+		relays.push(relay);
+		return {...entry, peers: `127.0.0.1:${relay.port}`};
 	};
 
 	const listHosts = async (entries: readonly EntryProcess[]): Promise<void> => {
@@ -141,6 +150,11 @@
 		spawn,
 		listHosts,
 		settled,
+		setLinks(mode) {
+			for (const relay of relays) {
+				relay.setMode(mode);
+			}
+		},
 		async setFaults(standIn, faults) {
 			await got.put(`${standIn.url}/control/faults`, {json: faults});
 		},
@@ -151,7 +165,7 @@
 			}
 
 			await Promise.all(spawned.map(async ({exited}) => exited));
-			await Promise.all([store, service, ...Object.values(engines)].map(async standIn => standIn.close()));
+			await Promise.all([store, service, ...relays, ...Object.values(engines)].map(async standIn => standIn.close()));
 			await rm(folder, {recursive: true});
 		},
 	};
--- a/packages/stand-ins/src/running-relay.ts
+++ b/packages/stand-ins/src/running-relay.ts
@@ -1,6 +1,8 @@
 /** A relay that listens. */
 export type RunningRelay = {
 	readonly port: number;
+	/** Sets the port that connections are passed on to. */
+	readonly aimAt: (port: number) => void;
 	readonly setMode: (mode: 'pass' | 'refuse' | 'stall') => void;
 	readonly close: () => Promise<void>;
 };
--- a/packages/stand-ins/src/start-relay.ts
+++ b/packages/stand-ins/src/start-relay.ts
@@ -9,9 +9,10 @@
 
 `refuse` closes every connection at once; `stall` keeps them open and passes nothing on.
 */
-export const startRelay = async (targetPort: number): Promise<RunningRelay> => {
+export const startRelay = async (): Promise<RunningRelay> => {
 	const sockets = new Set<Socket>();
 	let mode: 'pass' | 'refuse' | 'stall' = 'pass';
+	let targetPort = 0;
 
 	const join = (from: Socket, to: Socket): void => {
 		sockets.add(from);
@@ -49,6 +50,9 @@
 
 	return {
 		port: (server.address() as AddressInfo).port,
+		aimAt(port) {
+			targetPort = port;
+		},
 		setMode(next) {
 			mode = next;
 			if (next !== 'stall') {
