A draw whose answer was lost is taken up again; a silent hall is refused at once

Cause: after a lost answer the next draw planned exactly what the store already held, saw nothing to write, and so never took the grant up: every later request was refused with rights_unavailable. Ruled out: the store's conditional update. Change: what the store holds, as just read, counts as confirmed, since nothing older can land after the version moved on; the differential world does the same.

--- a/packages/daemon/src/lib/create-ask-slot.ts
+++ b/packages/daemon/src/lib/create-ask-slot.ts
@@ -55,6 +55,11 @@
 	return async (hall, slot, request, deadline): Promise<Outcome<SlotReply, 'unreachable'>> => {
 		let attempt = 0;
 		while (true) {
+			// A hall of which nobody was heard lately is cut off: the caller learns it at once.
+			if (hall !== settings.hall && membership.addressesIn(hall).length === 0) {
+				return fail('unreachable');
+			}
+
 			const timeoutMs = Math.min(tryTimeoutMs, deadline - clock.monotonic());
 			if (timeoutMs <= 0) {
 				return fail('unreachable');
--- a/packages/daemon/src/lib/start-drawer.ts
+++ b/packages/daemon/src/lib/start-drawer.ts
@@ -2,6 +2,7 @@
 	accountOf, available, emptyLedger, holdAheadByDemand, planDraw, transferred, type DrawRequest, type HoldAhead, type RightsObject,
 } from '@deckwheel/ledger';
 import type {Bundle} from '@deckwheel/bundle';
+import type {StoreError} from '@deckwheel/platform';
 import type {Context} from './context.js';
 import {createDemandMeter} from './create-demand-meter.js';
 import type {DrawOutcome} from './draw-outcome.js';
@@ -120,6 +121,26 @@
 		}
 	};
 
+	const put = async (slot: number, rights: RightsObject, version: number): Promise<StoreError | undefined> => {
+		const outcome = await platform.put(`rights/${slot}`, rights, version);
+		metrics.count('rights.write', {outcome: outcome.ok ? 'ok' : outcome.error});
+		if (!outcome.ok) {
+			objects.delete(slot);
+			return outcome.error;
+		}
+
+		objects.set(slot, {version: outcome.value.version, rights, readAt: clock.monotonic()});
+		return undefined;
+	};
+
+	const adoptGrants = async (slot: number, grants: ReadonlyArray<{readonly budget: string; readonly granted: number}>): Promise<void> => {
+		const ledger = slots.replica(slot)?.ledger ?? emptyLedger('');
+		const changed = grants.filter(({budget, granted}) => granted !== accountOf(ledger, budget).granted);
+		if (changed.length > 0) {
+			await slots.submit(slot, {type: 'grant', grants: changed});
+		}
+	};
+
 	const writeOnce = async (slot: number): Promise<Flush | 'again' | undefined> => {
 		if (isStale(slot) && !await readObject(slot)) {
 			return undefined;
@@ -140,27 +161,19 @@
 			return undefined;
 		}
 
-		const text = JSON.stringify(plan.rights);
-		if (text === JSON.stringify(rights)) {
-			dropNeeds(asked);
-			return {rest: plan.rest, unknown: plan.unknown};
-		}
-
-		const outcome = await platform.put(`rights/${slot}`, plan.rights, version);
-		metrics.count('rights.write', {outcome: outcome.ok ? 'ok' : outcome.error});
-		if (!outcome.ok) {
-			objects.delete(slot);
-			// After a lost answer the store is read again: the next write settles what this one did.
-			return outcome.error === 'unavailable' ? undefined : 'again';
+		// An earlier write may have taken effect and lost its answer: then the store, as just read,
+		// holds what this one would write. Nothing older can land any more, since the version moved on.
+		const isThere = JSON.stringify(plan.rights) === JSON.stringify(rights);
+		if (!isThere) {
+			const error = await put(slot, plan.rights, version);
+			if (error !== undefined) {
+				// After a lost answer the store is read again: the next write settles what this one did.
+				return error === 'unavailable' ? undefined : 'again';
+			}
 		}
 
-		objects.set(slot, {version: outcome.value.version, rights: plan.rights, readAt: clock.monotonic()});
 		dropNeeds(asked);
-		const changed = plan.grants.filter(({budget, granted}) => granted !== accountOf(slots.replica(slot)!.ledger, budget).granted);
-		if (changed.length > 0) {
-			await slots.submit(slot, {type: 'grant', grants: changed});
-		}
-
+		await adoptGrants(slot, plan.grants);
 		return {rest: plan.rest, unknown: plan.unknown};
 	};
 
--- a/packages/daemon/src/lib/start-membership.ts
+++ b/packages/daemon/src/lib/start-membership.ts
@@ -170,7 +170,7 @@
 			...inHall().filter(known => isLive(known)).map(known => known.status!.incarnation),
 		],
 		addressesIn: hall => others()
-			.filter(known => known.hall === hall)
+			.filter(known => known.hall === hall && known.status !== undefined && silenceMs(known) < goneAfterMs())
 			.sort((a, b) => b.heardAt - a.heardAt)
 			.map(known => known.address),
 		leave() {
--- a/packages/ledger/src/test/lib/create-world.ts
+++ b/packages/ledger/src/test/lib/create-world.ts
@@ -153,6 +153,12 @@
 			return;
 		}
 
+		// As the daemon does: what the store holds already needs no write.
+		if (JSON.stringify(plan.rights) === JSON.stringify(rights.value)) {
+			ask(host, {type: 'grant', grants: plan.grants}, () => undefined);
+			return;
+		}
+
 		const apply = (): boolean => {
 			if (rights.version !== version) {
 				return false;
