--- /dev/null
+++ b/packages/cli/src/commands/budget-show.ts
@@ -0,0 +1,62 @@
+import {Args} from '@oclif/core';
+import {slotOfBudget, unallocated, type RightsObject} from '@deckwheel/ledger';
+import {askHost} from '../lib/ask-host.js';
+import {defineCommand} from '../lib/define-command.js';
+import {printTable} from '../lib/print-table.js';
+import {storeProblem} from '../lib/store-problem.js';
+
+type HallView = {
+	readonly role: string;
+	readonly holder?: string;
+	readonly granted: number;
+	readonly reserved: number;
+	readonly settled: number;
+	readonly billed: number;
+	readonly wasted: number;
+	readonly available: number;
+};
+
+/** `deckwheel budget show BUDGET` */
+export const budgetShow = defineCommand({
+	description: 'Show a budget: its limit, what each holder has, spent and reserved, and what is stranded.',
+	args: {budget: Args.string({required: true})},
+	async run({args, config, platform}) {
+		const budget = args.budget!;
+		const object = await platform.get(`rights/${slotOfBudget(budget, config.slots)}`);
+		if (!object.ok) {
+			return {ok: false, error: storeProblem[object.error]};
+		}
+
+		const rights = (object.value.value as RightsObject).budgets[budget];
+		if (!rights) {
+			return {ok: false, error: `There is no budget "${budget}".`};
+		}
+
+		const answers = await Promise.all(config.hosts.map(async host => askHost<HallView>(host, `/budgets/${budget}`)));
+		const live = answers.flatMap(answer => answer.ok && answer.value.role === 'primary' ? [answer.value] : []);
+		const rows = Object.entries(rights.holders).map(([holder, stored]) => {
+			const now = live.find(view => view.holder === holder);
+			const isCurrent = now !== undefined;
+			const rest = stored.granted + stored.transferred - stored.settled;
+			return {
+				holder,
+				granted: now?.granted ?? stored.granted,
+				reserved: now?.reserved,
+				settled: now?.settled ?? stored.settled,
+				billed: now?.billed ?? stored.billed,
+				wasted: now?.wasted,
+				available: now?.available,
+				stranded: isCurrent ? 0 : rest,
+				why: isCurrent ? '' : 'no primary of this holder answered: it is cut off, or both its hosts were lost',
+			};
+		});
+		const summary = `budget=${budget} organisation=${rights.organisation} limit=${rights.limit} unallocated=${unallocated(rights)}`;
+		return {
+			ok: true,
+			data: {
+				budget, organisation: rights.organisation, limit: rights.limit, unallocated: unallocated(rights), holders: rows,
+			},
+			text: rows.length === 0 ? summary : `${summary}\n${printTable(rows)}`,
+		};
+	},
+});
--- /dev/null
+++ b/packages/cli/src/commands/host-drain.ts
@@ -0,0 +1,13 @@
+import {Args} from '@oclif/core';
+import {askHost} from '../lib/ask-host.js';
+import {defineCommand} from '../lib/define-command.js';
+
+/** `deckwheel host drain URL` */
+export const hostDrain = defineCommand({
+	description: 'Begin a planned stop of a host: no new work, open requests end, rights are handed over, it exits.',
+	args: {url: Args.string({required: true, description: 'the host\'s door for operators'})},
+	async run({args}) {
+		const answer = await askHost(args.url!, '/drain', 'POST');
+		return answer.ok ? {ok: true, data: answer.value, text: 'The host is leaving.'} : answer;
+	},
+});
--- /dev/null
+++ b/packages/cli/src/lib/ask-host.ts
@@ -0,0 +1,26 @@
+import {fail, succeed, type Outcome} from '@deckwheel/core';
+import got from 'got';
+import {operatorToken} from './operator-token.js';
+
+const timeoutMs = 5000;
+
+type ErrorBody = {readonly error?: {readonly message?: string}};
+
+/** Asks a host's door for operators. The error is one line for the operator to read. */
+export const askHost = async <T>(host: string, path: string, method: 'GET' | 'POST' = 'GET'): Promise<Outcome<T, string>> => {
+	try {
+		const response = await got(`${host}${path}`, {
+			method,
+			headers: {authorization: `Bearer ${operatorToken()}`},
+			responseType: 'json',
+			throwHttpErrors: false,
+			retry: {limit: 0},
+			timeout: {request: timeoutMs},
+		});
+		return response.ok
+			? succeed(response.body as T)
+			: fail((response.body as ErrorBody).error?.message ?? `the host answered with status ${response.statusCode}`);
+	} catch (error) {
+		return fail((error as Error).message);
+	}
+};
