--- a/packages/daemon/src/lib/rights-object-schema.ts
+++ b/packages/daemon/src/lib/rights-object-schema.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 
 const holderSchema = z.object({
-	epoch: z.number(), granted: z.number(), transferred: z.number(), settled: z.number(), billed: z.number(),
+	epoch: z.number(), granted: z.number(), transferred: z.number(), rate: z.number(), settled: z.number(), billed: z.number(),
 });
 
 const budgetSchema = z.object({
--- a/packages/daemon/src/lib/start-drawer.ts
+++ b/packages/daemon/src/lib/start-drawer.ts
@@ -1,5 +1,5 @@
 import {
-	accountOf, available, emptyLedger, holdAheadByDemand, planDraw, transferred, type DrawRequest, type HoldAhead, type RightsObject,
+	accountOf, available, emptyLedger, holdAheadByDemand, planDraw, transferred, type DrawRequest, type HoldAhead, type RightsObject, type StoreView,
 } from '@deckwheel/ledger';
 import type {Bundle} from '@deckwheel/bundle';
 import type {StoreError} from '@deckwheel/platform';
@@ -82,12 +82,12 @@
 			const account = accountOf(ledger, budget);
 			const {granted, settled, billed} = account;
 			const missing = needs.get(budget) ?? 0;
-			const wants = (unallocated: number): number =>
+			const wants = (store: StoreView): number =>
 				policy()({
-					tokensPerSecond: meter.rate(budget), available: available(account), missing, unallocated, halls,
+					tokensPerSecond: meter.rate(budget), available: available(account), missing, halls, ...store,
 				});
 			return {
-				budget, granted, transferred: transferred(account), settled, billed, wants,
+				budget, granted, transferred: transferred(account), rate: meter.rate(budget), settled, billed, wants,
 			};
 		});
 	};
--- a/packages/ledger/src/demand-view.ts
+++ b/packages/ledger/src/demand-view.ts
@@ -8,6 +8,10 @@
 	readonly missing: number;
 	/** What the store has left to grant. */
 	readonly unallocated: number;
+	/** What no holder has spent yet, as the store knows it: the rest there, and what all holders hold. */
+	readonly remaining: number;
+	/** This holder's part of the demand of all holders, 0 to 1. */
+	readonly demandShare: number;
 	/** How many halls may ask for rights on this budget. */
 	readonly halls: number;
 };
--- a/packages/ledger/src/draw-request.ts
+++ b/packages/ledger/src/draw-request.ts
@@ -1,3 +1,5 @@
+import type {StoreView} from './store-view.js';
+
 /** One budget in a holder's write to the store: what the holder knows, and what more it wants. */
 export type DrawRequest = {
 	readonly budget: string;
@@ -5,7 +7,9 @@
 	readonly granted: number;
 	readonly transferred: number;
 	readonly settled: number;
+	/** Tokens a second reserved lately. */
+	readonly rate: number;
 	readonly billed: number;
-	/** Decides the draw once the rest in the store is known. */
-	readonly wants: (unallocated: number) => number;
+	/** Decides the draw once the store's side is known. */
+	readonly wants: (store: StoreView) => number;
 };
--- a/packages/ledger/src/holder-rights.ts
+++ b/packages/ledger/src/holder-rights.ts
@@ -5,6 +5,8 @@
 	readonly granted: number;
 	/** Received from other holders, less what was given to them. */
 	readonly transferred: number;
+	/** Tokens a second that the holder reserved lately, roughly. */
+	readonly rate: number;
 	readonly settled: number;
 	readonly billed: number;
 };
--- a/packages/ledger/src/test/lib/create-world.ts
+++ b/packages/ledger/src/test/lib/create-world.ts
@@ -145,7 +145,7 @@
 
 		const account = replica.ledger.accounts.get(budget);
 		const known = {
-			budget, granted: account?.granted ?? 0, transferred: account ? transferred(account) : 0, settled: account?.settled ?? 0, billed: account?.billed ?? 0,
+			budget, granted: account?.granted ?? 0, transferred: account ? transferred(account) : 0, rate: 0, settled: account?.settled ?? 0, billed: account?.billed ?? 0,
 		};
 		const {version} = rights;
 		const plan = planDraw(rights.value, replica.ledger.holder, replica.pair.epoch, [{...known, wants: () => wanted}]);
--- a/packages/ledger/src/test/plan-draw.test.ts
+++ b/packages/ledger/src/test/plan-draw.test.ts
@@ -14,11 +14,11 @@
 });
 
 const holder = (granted: number, changes = {}) => ({
-	epoch: 2, granted, transferred: 0, settled: 0, billed: 0, ...changes,
+	epoch: 2, granted, transferred: 0, rate: 0, settled: 0, billed: 0, ...changes,
 });
 
 const draw = (changes: Partial<DrawRequest> = {}): DrawRequest => ({
-	budget: 'b', granted: 0, transferred: 0, settled: 0, billed: 0, wants: () => 30, ...changes,
+	budget: 'b', granted: 0, transferred: 0, rate: 0, settled: 0, billed: 0, wants: () => 30, ...changes,
 });
 
 test('a draw is cut to what the store has left', t => {
