--- a/packages/daemon/src/lib/create-ask-slot.ts
+++ b/packages/daemon/src/lib/create-ask-slot.ts
@@ -21,6 +21,8 @@
 	readonly serve: (slot: number, request: PeerSlotRequest) => Promise<SlotReply>;
 };
 
+type Question = {readonly slot: number; readonly request: PeerSlotRequest; readonly timeoutMs: number};
+
 const isFinal = (reply: SlotReply | undefined): reply is SlotReply =>
 	reply !== undefined && reply.type !== 'not_owner';
 
@@ -28,28 +30,31 @@
 export const createAskSlot = ({settings, self, clock}: Context, options: Options): AskSlot => {
 	const {mesh, membership, slots, serve} = options;
 
-	const send = async (address: string, slot: number, hops: number, request: PeerSlotRequest, timeoutMs: number): Promise<SlotReply | undefined> => {
-		const outcome = await mesh.request(address, {
+	const send = async (address: string, question: Question, hops: number): Promise<SlotReply | undefined> => {
+		const {slot, request, timeoutMs} = question;
+		const body = {
 			type: 'slot', slot, hops, request, trace: traceHeaders(),
-		}, timeoutMs);
+		};
+		const outcome = await mesh.request(address, body, timeoutMs);
 		return outcome.ok ? outcome.value as SlotReply : undefined;
 	};
 
-	const askOwnHall = async (slot: number, request: PeerSlotRequest, timeoutMs: number): Promise<SlotReply | undefined> => {
+	const askOwnHall = async (question: Question): Promise<SlotReply | undefined> => {
+		const {slot, request} = question;
 		const primary = slots.pairOf(slot)?.primary;
 		if (primary === self) {
 			return serve(slot, request);
 		}
 
 		const address = primary === undefined ? undefined : membership.addressOf(primary);
-		return address === undefined ? undefined : send(address, slot, 0, request, timeoutMs);
+		return address === undefined ? undefined : send(address, question, 0);
 	};
 
 	// Any host of the other hall passes the request on to the slot's primary.
-	const askOtherHall = async (hall: string, slot: number, request: PeerSlotRequest, timeoutMs: number, attempt: number): Promise<SlotReply | undefined> => {
+	const askOtherHall = async (hall: string, question: Question, attempt: number): Promise<SlotReply | undefined> => {
 		const addresses = membership.addressesIn(hall);
 		const address = addresses[attempt % Math.max(1, addresses.length)];
-		return address === undefined ? undefined : send(address, slot, 1, request, timeoutMs);
+		return address === undefined ? undefined : send(address, question, 1);
 	};
 
 	return async (hall, slot, request, deadline): Promise<Outcome<SlotReply, 'unreachable'>> => {
@@ -65,9 +70,10 @@
 				return fail('unreachable');
 			}
 
+			const question = {slot, request, timeoutMs};
 			const reply = hall === settings.hall
-				? await askOwnHall(slot, request, timeoutMs)
-				: await askOtherHall(hall, slot, request, timeoutMs, attempt);
+				? await askOwnHall(question)
+				: await askOtherHall(hall, question, attempt);
 			if (isFinal(reply)) {
 				return succeed(reply);
 			}
--- a/packages/daemon/src/lib/start-router.ts
+++ b/packages/daemon/src/lib/start-router.ts
@@ -4,7 +4,8 @@
 	fail, succeed, type Outcome, type Refusal,
 } from '@deckwheel/core';
 import {
-	chooseEndpoint, emptyWaitingRoom, enterWaitingRoom, expireWaitingRoom, leaveWaitingRoom, retryAfter, stepEndpoints, stepRetryBudget, type EndpointEvent, type EndpointTable, type RetryBudget, type RouteChoice, type WaitingRequest, type WaitingRoom,
+	chooseEndpoint, emptyWaitingRoom, enterWaitingRoom, expireWaitingRoom, leaveWaitingRoom, rateByCost, rateByInFlight, rateByTurn, retryAfter, stepEndpoints, stepRetryBudget,
+	type EndpointEvent, type EndpointTable, type RetryBudget, type RouteChoice, type WaitingRequest, type WaitingRoom,
 } from '@deckwheel/routing';
 import got from 'got';
 import {LRUCache} from 'lru-cache';
@@ -27,6 +28,8 @@
 const loadSchema = z.object({running: z.number(), queued: z.number(), isLeaving: z.boolean().optional()});
 const cacheEventsSchema = z.object({next: z.number(), blocks: z.array(z.number())});
 
+const ratings = {cost: rateByCost, round_robin: rateByTurn, least_in_flight: rateByInFlight} as const;
+
 type Waiter = {
 	readonly req: PlaceRequest;
 	readonly resolve: (outcome: Outcome<Place, Refusal>) => void;
@@ -65,7 +68,7 @@
 		promptTokens: request.promptTokens,
 		stickyTo: request.session === undefined ? undefined : sessions.get(request.session),
 		tried: [...request.tried, ...leaving],
-	}, clock.monotonic());
+	}, clock.monotonic(), ratings[settings.routing]);
 
 	const urlOf = (endpoint: string): string | undefined => bundle?.endpoints.find(({id}) => id === endpoint)?.url;
 
--- a/packages/daemon/src/settings-schema.ts
+++ b/packages/daemon/src/settings-schema.ts
@@ -32,6 +32,8 @@
 	flushMs: z.number().int().min(50).max(600_000).default(2000),
 	/** Least time between two heartbeats to a peer. */
 	heartbeatMs: z.number().int().min(50).max(60_000).default(500),
+	/** How endpoints are chosen. All but `cost` are baselines for measurements. */
+	routing: z.enum(['cost', 'round_robin', 'least_in_flight']).default('cost'),
 	telemetry: z.strictObject({
 		statsd: z.strictObject({ip: z.ipv4(), port: z.number().int().min(1).max(65_535)}).optional(),
 		spans: z.discriminatedUnion('kind', [
--- a/packages/lab/src/experiment/run-scenario.ts
+++ b/packages/lab/src/experiment/run-scenario.ts
@@ -56,10 +56,16 @@
 		known.settled += arrival.served;
 	};
 
-	for (; now < scenario.seconds; now++) {
-		for (const {hall, host} of scenario.deaths.filter(({at}) => at === now)) {
-			policy.die(hall, host);
+	const letHostsDie = (): void => {
+		for (const {at, hall, host} of scenario.deaths) {
+			if (at === now) {
+				policy.die(hall, host);
+			}
 		}
+	};
+
+	for (; now < scenario.seconds; now++) {
+		letHostsDie();
 
 		policy.tick();
 		for (const arrival of endings.get(now) ?? []) {
--- a/packages/lab/src/lib/fleet-options.ts
+++ b/packages/lab/src/lib/fleet-options.ts
@@ -5,6 +5,8 @@
 	/** Number of hosts by hall. */
 	readonly halls: Readonly<Record<string, number>>;
 	readonly engine?: EngineOptions;
+	/** Engines of each hall, in place of one that is set up by `engine`. */
+	readonly engines?: readonly EngineOptions[];
 	/** Prepaid tokens of the budget. */
 	readonly tokens?: number;
 	/** Changes to each daemon's settings. */
--- a/packages/lab/src/lib/make-bundle.ts
+++ b/packages/lab/src/lib/make-bundle.ts
@@ -34,8 +34,8 @@
 			],
 		}],
 		endpoints: [
-			...parts.halls.map(hall => ({
-				id: `engine-${hall}`, hall, kind: 'model', url: parts.engineUrls[hall], serves: ['assistant'], slots: parts.engineSlots, checksSendBy: true,
+			...Object.entries(parts.engineUrls).map(([name, url]) => ({
+				id: `engine-${name}`, hall: name.split('.')[0], kind: 'model', url, serves: ['assistant'], slots: parts.engineSlots, checksSendBy: true,
 			})),
 			{
 				id: 'records-1', hall: parts.halls[0], kind: 'service', url: parts.serviceUrl, serves: ['records'], slots: 50,
--- a/packages/lab/src/lib/start-fleet.ts
+++ b/packages/lab/src/lib/start-fleet.ts
@@ -51,17 +51,19 @@
 	const halls = Object.keys(options.halls);
 	const engines: Record<string, RunningStandIn> = {};
 	for (const hall of halls) {
-		engines[hall] = await startEngine(options.engine);
+		for (const [index, engine] of (options.engines ?? [options.engine ?? {}]).entries()) {
+			engines[index === 0 ? hall : `${hall}.${index + 1}`] = await startEngine(engine);
+		}
 	}
 
 	const service = await startService();
 	const bundle = makeBundle({
 		halls,
-		engineUrls: Object.fromEntries(halls.map(hall => [hall, engines[hall]!.url])),
+		engineUrls: Object.fromEntries(Object.entries(engines).map(([name, {url}]) => [name, url])),
 		serviceUrl: service.url,
 		apiKey,
 		otherApiKey,
-		engineSlots: options.engine?.slots ?? 8,
+		engineSlots: (options.engines?.[0] ?? options.engine)?.slots ?? 8,
 		limits: options.limits ?? {},
 	});
 	const sign = (content: Bundle): SignedBundle => {
--- a/packages/lab/src/test/cut.test.ts
+++ b/packages/lab/src/test/cut.test.ts
@@ -126,7 +126,10 @@
 	t.teardown(fleet.close);
 	const second = fleet.sign({...fleet.bundle, version: 2});
 	await fleet.platform.put('bundle/head', second, 1);
-	await eventually(async () => (await Promise.all(fleet.entries.map(async entry => versionAt(fleet, entry)))).every(version => version === 2));
+	await eventually(async () => {
+		const reached = await Promise.all(fleet.entries.map(async entry => versionAt(fleet, entry)));
+		return reached.every(version => version === 2);
+	});
 
 	// An older one in the platform's store changes nothing.
 	await fleet.platform.put('bundle/head', fleet.sign(fleet.bundle), 2);
--- a/packages/lab/src/test/operators.test.ts
+++ b/packages/lab/src/test/operators.test.ts
@@ -9,7 +9,7 @@
 import {
 	approveDraft, authorDraft, rollDraft, topUpBudget,
 } from '@deckwheel/cli';
-import {checkBundle, type Bundle} from '@deckwheel/bundle';
+import {checkBundle} from '@deckwheel/bundle';
 import {slotOfBudget, type RightsObject} from '@deckwheel/ledger';
 import {connectPlatform} from '@deckwheel/platform';
 import {startStore} from '@deckwheel/stand-ins';
@@ -70,10 +70,12 @@
 test('a skipped version, an unapproved draft and an approval by the author are refused', async t => {
 	const {store, platform, keys, prepare} = await setUp();
 	t.teardown(store.close);
-	t.false((await rollDraft(platform, await prepare(2, 'too high'))).ok);
+	const skipped = await rollDraft(platform, await prepare(2, 'too high'));
+	t.false(skipped.ok);
 	const draft = await authorDraft(platform, draftOf(1, 'new'), 'ada', keys.author);
 	const id = draft.ok ? draft.value : '';
-	t.false((await rollDraft(platform, id)).ok);
+	const unapproved = await rollDraft(platform, id);
+	t.false(unapproved.ok);
 	t.deepEqual(await approveDraft(platform, id, 'ada', keys.author), {ok: false, error: 'The author cannot approve. Ask somebody else.'});
 });
 
@@ -118,7 +120,11 @@
 		const text = await readFile(new URL(`../../../../examples/${name}/bundle.json`, import.meta.url), 'utf8');
 		const checked = checkBundle(JSON.parse(text));
 		t.true(checked.ok);
-		const bundle = checked.ok ? checked.value : {} as Bundle;
+		if (!checked.ok) {
+			return;
+		}
+
+		const bundle = checked.value;
 		t.is(bundle.halls.length, 3);
 		t.is(bundle.organisations.length, 10);
 		t.is(bundle.endpoints.filter(({kind}) => kind === 'model').length, 8);
@@ -137,6 +143,6 @@
 	const error = await t.throwsAsync<Error & {code: number; stderr: string}>(run(process.execPath, [main, '--settings', path]));
 	t.is(error.code, 2);
 	for (const fault of ['host:', 'listen.callers.ip:', 'listen.callers.port:', 'listen.peers:', 'platform.url:', 'secret:', 'extra']) {
-		t.true(error.stderr.includes(fault), fault);
+		t.true(error.stderr.includes(fault), `not named: ${fault}`);
 	}
 });
--- a/packages/lab/src/test/whole-path.test.ts
+++ b/packages/lab/src/test/whole-path.test.ts
@@ -84,6 +84,14 @@
 
 const chat = {model: 'assistant', messages: [{role: 'user', content: 'hello'}]};
 
+const post = async (body: string, headers: Record<string, string>) =>
+	got.post(`${fleet.entries[0]!.callers}/v1/chat/completions`, {
+		body,
+		headers: {authorization: `Bearer ${fleet.apiKey}`, 'content-type': 'application/json', ...headers},
+		throwHttpErrors: false,
+		retry: {limit: 0},
+	});
+
 const badRequests: ReadonlyArray<readonly [title: string, status: number, body: string, headers: Record<string, string>]> = [
 	['malformed JSON', 400, '{"model":', {}],
 	['no messages', 400, JSON.stringify({model: 'assistant', messages: []}), {}],
@@ -101,12 +109,7 @@
 
 for (const [title, status, body, headers] of badRequests) {
 	test.serial(`refused with a clear error: ${title}`, async t => {
-		const response = await got.post(`${fleet.entries[0]!.callers}/v1/chat/completions`, {
-			body,
-			headers: {authorization: `Bearer ${fleet.apiKey}`, 'content-type': 'application/json', ...headers},
-			throwHttpErrors: false,
-			retry: {limit: 0},
-		});
+		const response = await post(body, headers);
 		t.is(response.statusCode, status);
 		const {error} = JSON.parse(response.body) as {error: {code: string; message: string; ran: string}};
 		t.truthy(error.code);
--- a/packages/ledger/src/apply-op.ts
+++ b/packages/ledger/src/apply-op.ts
@@ -46,7 +46,8 @@
 
 // What a run cost moves from `reserved` to `settled`; the difference becomes available again.
 // A lost run keeps its whole reservation, since it may still be running.
-const chargeRun = (ledger: Ledger, claim: Claim, run: Run, served: number, bill: number): Ledger => {
+const chargeRun = (ledger: Ledger, claim: Claim, run: Run, cost: {readonly served: number; readonly bill: number}): Ledger => {
+	const {served, bill} = cost;
 	const account = accountOf(ledger, claim.budget);
 	return withAccount(ledger, claim.budget, {
 		reserved: account.reserved - run.reserved,
@@ -63,7 +64,7 @@
 	assertInvariant(op.bill === undefined || claim.bill === undefined, 'A claim was billed twice.');
 	const ended = withRun(claim, {...run, state: op.outcome, served: op.served});
 	const billed: Claim = op.bill === undefined ? ended : {...ended, bill: op.bill, answer: op.answer};
-	const charged = op.outcome === 'lost' ? ledger : chargeRun(ledger, claim, run, op.served, op.bill ?? 0);
+	const charged = op.outcome === 'lost' ? ledger : chargeRun(ledger, claim, run, {served: op.served, bill: op.bill ?? 0});
 	return withClaim(charged, op.claim, billed);
 };
 
@@ -72,7 +73,7 @@
 	const run = claim.runs.find(({number}) => number === op.run);
 	assertInvariant(run !== undefined && (run.state === 'running' || run.state === 'lost'), 'A run that ended was stranded.');
 	const stranded: Run = {...run, state: 'failed', served: run.reserved};
-	return withClaim(chargeRun(ledger, claim, run, run.reserved, 0), op.claim, withRun(claim, stranded));
+	return withClaim(chargeRun(ledger, claim, run, {served: run.reserved, bill: 0}), op.claim, withRun(claim, stranded));
 };
 
 const applyGiveBack = (ledger: Ledger, op: LedgerOp & {type: 'give_back'}): Ledger => {
--- a/packages/mesh/src/lib/dial-link.ts
+++ b/packages/mesh/src/lib/dial-link.ts
@@ -67,9 +67,9 @@
 		if (frame?.type === 'hello') {
 			serverNonce = frame.nonce;
 			socket.send(codec.encode({
-				type: 'prove', version: 1, identity: self, nonce: clientNonce, proof: prove(secret, 'client', serverNonce, clientNonce, self),
+				type: 'prove', version: 1, identity: self, nonce: clientNonce, proof: prove(secret, 'client', {server: serverNonce, client: clientNonce}, self),
 			}));
-		} else if (frame?.type === 'welcome' && isEqualProof(frame.proof, prove(secret, 'server', serverNonce, clientNonce, frame.identity))) {
+		} else if (frame?.type === 'welcome' && isEqualProof(frame.proof, prove(secret, 'server', {server: serverNonce, client: clientNonce}, frame.identity))) {
 			open();
 		} else if (frame?.type === 'reply' && isUp) {
 			settle(frame.id, succeed(frame.body));
--- a/packages/mesh/src/lib/serve-link.ts
+++ b/packages/mesh/src/lib/serve-link.ts
@@ -19,14 +19,14 @@
 	}, handshakeTimeoutMs);
 
 	const admit = (frame: {identity: Identity; nonce: string; proof: string}): void => {
-		if (!isEqualProof(frame.proof, prove(secret, 'client', nonce, frame.nonce, frame.identity))) {
+		if (!isEqualProof(frame.proof, prove(secret, 'client', {server: nonce, client: frame.nonce}, frame.identity))) {
 			socket.close(1008, 'bad proof');
 			return;
 		}
 
 		peer = frame.identity;
 		clearTimeout(timer);
-		socket.send(codec.encode({type: 'welcome', identity: self, proof: prove(secret, 'server', nonce, frame.nonce, self)}));
+		socket.send(codec.encode({type: 'welcome', identity: self, proof: prove(secret, 'server', {server: nonce, client: frame.nonce}, self)}));
 	};
 
 	const answer = async (from: Identity, id: number, body: unknown): Promise<void> => {
--- a/packages/routing/src/endpoint-state.ts
+++ b/packages/routing/src/endpoint-state.ts
@@ -6,6 +6,8 @@
 	readonly info: EndpointInfo;
 	/** This host's own open requests there: the one figure that does not lag. */
 	readonly inFlight: number;
+	/** Requests that this host ever sent there. */
+	readonly started: number;
 	readonly report?: LoadReport;
 	/** Smoothed time a request takes there, in ms. */
 	readonly serviceMs: number;
--- a/packages/routing/src/step-endpoints.ts
+++ b/packages/routing/src/step-endpoints.ts
@@ -16,6 +16,7 @@
 const newState = (info: EndpointInfo): EndpointState => ({
 	info,
 	inFlight: 0,
+	started: 0,
 	serviceMs: assumedServiceMs,
 	msPerToken: assumedMsPerToken,
 	failures: 0,
@@ -50,7 +51,7 @@
 const stepOne = (state: EndpointState, event: Exclude<EndpointEvent, {type: 'configured'}>, now: number): EndpointState => {
 	switch (event.type) {
 		case 'started': {
-			return {...state, inFlight: state.inFlight + 1};
+			return {...state, inFlight: state.inFlight + 1, started: state.started + 1};
 		}
 
 		case 'succeeded': {
