--- a/packages/daemon/src/lib/create-peer-handlers.ts
+++ b/packages/daemon/src/lib/create-peer-handlers.ts
@@ -13,7 +13,9 @@
 
 const maxHops = 2;
 const forwardTimeoutMs = 2500;
-const maxKnownHosts = 200;
+
+/** Hosts that an answer to a heartbeat tells of. Each answer tells of others, so that all get around. */
+const toldHosts = 3;
 
 type Options = {
 	readonly membership: () => MembershipTask;
@@ -26,6 +28,7 @@
 /** Creates the handlers for what peers send. Whatever does not fit its schema is dropped and counted. */
 export const createPeerHandlers = ({settings, self, log, metrics, tracing}: Context, options: Options): MeshHandlers => {
 	const {membership, slots, bundle, serve, forward} = options;
+	let told = 0;
 
 	const serveSlot = async ({slot, hops, request, trace}: PeerRequest & {type: 'slot'}): Promise<unknown> => {
 		if (slot >= settings.slots) {
@@ -53,7 +56,9 @@
 			return undefined;
 		}
 
-		const known = membership().hosts().slice(0, maxKnownHosts).map(({host, hall, address}) => ({host, hall, address}));
+		const hosts = membership().hosts();
+		const known = Array.from({length: Math.min(toldHosts, hosts.length)}, () => hosts[told++ % hosts.length]!)
+			.map(({host, hall, address}) => ({host, hall, address}));
 		return {status: membership().heard(status), known};
 	};
 
--- a/packages/daemon/src/lib/start-router.ts
+++ b/packages/daemon/src/lib/start-router.ts
@@ -5,7 +5,7 @@
 } from '@deckwheel/core';
 import {
 	chooseEndpoint, emptyWaitingRoom, enterWaitingRoom, expireWaitingRoom, leaveWaitingRoom, rateByCost, rateByInFlight, rateByTurn, retryAfter, stepEndpoints, stepRetryBudget,
-	type EndpointEvent, type EndpointTable, type RetryBudget, type RouteChoice, type WaitingRequest, type WaitingRoom,
+	type EndpointEvent, type EndpointTable, type Priority, type RetryBudget, type RouteChoice, type WaitingRequest, type WaitingRoom,
 } from '@deckwheel/routing';
 import got from 'got';
 import {LRUCache} from 'lru-cache';
@@ -22,6 +22,8 @@
 /** Each host in the hall slows the polls of load reports by this much, so that an endpoint's load from them stays bounded. */
 const pollMsPerHost = 25;
 const pollTimeoutMs = 1000;
+/** How much endpoint time the share of quick work is judged by, in ms. */
+const shareMemoryMs = 20_000;
 const maxSessions = 10_000;
 const noEndpointRetrySeconds = 2;
 
@@ -49,6 +51,8 @@
 	let room: WaitingRoom = emptyWaitingRoom;
 	let retryBudget: RetryBudget = {credit: 5};
 	let nextId = 1;
+	/** The part of the endpoints' time that quick requests have been taking. */
+	let quickShare = 0;
 
 	const step = (event: EndpointEvent): void => {
 		const before = event.type === 'failed' ? table.get(event.endpoint)?.ejectedUntil : undefined;
@@ -66,12 +70,18 @@
 		deadline: request.deadline,
 		cachedTokens: endpoint => beliefs.cachedTokens(endpoint, request.prefixBlocks),
 		promptTokens: request.promptTokens,
+		quickShare,
 		stickyTo: request.session === undefined ? undefined : sessions.get(request.session),
 		tried: [...request.tried, ...leaving],
 	}, clock.monotonic(), ratings[settings.routing]);
 
 	const urlOf = (endpoint: string): string | undefined => bundle?.endpoints.find(({id}) => id === endpoint)?.url;
 
+	const noteShare = (priority: Priority, ms: number): void => {
+		const weight = Math.min(1, ms / shareMemoryMs);
+		quickShare += weight * ((priority === 'quick' ? 1 : 0) - quickShare);
+	};
+
 	const take = (request: PlaceRequest, {endpoint, reason}: RouteChoice): Place => {
 		const startedAt = clock.monotonic();
 		step({type: 'started', endpoint});
@@ -85,6 +95,7 @@
 			url: urlOf(endpoint)!,
 			reason,
 			succeeded(outputTokens) {
+				noteShare(request.priority, clock.monotonic() - startedAt);
 				step({
 					type: 'succeeded', endpoint, durationMs: clock.monotonic() - startedAt, outputTokens,
 				});
@@ -158,7 +169,6 @@
 			id, target, organisation, weight, priority, startBy: deadline,
 		}, limit, clock.monotonic());
 		room = entry.room;
-		turnAway(entry.displaced ? [entry.displaced] : []);
 		if (!entry.isAdmitted) {
 			return overloaded();
 		}
--- a/packages/lab/src/load.ts
+++ b/packages/lab/src/load.ts
@@ -8,11 +8,15 @@
 import type {Sample} from './load/sample.js';
 import {sendTimed} from './load/send-timed.js';
 
-const {values} = parseArgs({options: {
-	seconds: {type: 'string', default: '6'},
-	seed: {type: 'string', default: '1'},
-	out: {type: 'string'},
-}});
+const {values} = parseArgs({
+	options: {
+		seconds: {type: 'string', default: '6'},
+		seed: {type: 'string', default: '1'},
+		loads: {type: 'string', default: '0.5,0.9,1.5'},
+		routing: {type: 'string', default: 'round_robin,least_in_flight,cost'},
+		out: {type: 'string'},
+	},
+});
 const seconds = Number(values.seconds);
 const seed = Number(values.seed);
 const report: Array<Record<string, unknown>> = [];
@@ -101,9 +105,10 @@
 		seconds,
 		seed,
 	});
-	const took = (performance.now() - startedAt) / 1000;
+	const endsAt = startedAt + (seconds * 1000);
 	const refused = samples.filter(({status}) => status === 429);
-	const tokens = samples.map(sample => sample.isWhole ? sample.tokens : 0).reduce((a, b) => a + b, 0);
+	// Only what came while the load was on: afterwards the engines run empty.
+	const inTime = samples.filter(({isWhole}) => isWhole).flatMap(({tokenTimes}) => tokenTimes.filter(time => time < endsAt));
 	show({
 		measure: 'routing',
 		policy: routing,
@@ -113,7 +118,7 @@
 		...describe(samples, 'slow'),
 		refused: refused.length,
 		refusal_p99_ms: percentiles(refused.map(({totalMs}) => totalMs)).p99,
-		goodput_share: tokens / took / capacity,
+		goodput_share: inTime.length / seconds / capacity,
 	});
 	await fleet.close();
 };
@@ -121,8 +126,8 @@
 await measurePath();
 const capacity = await measureCapacity();
 show({measure: 'capacity of the engines', tokens_per_second: capacity});
-for (const load of [0.5, 0.9, 1.5]) {
-	for (const routing of ['round_robin', 'least_in_flight', 'cost']) {
+for (const load of values.loads.split(',').map(Number)) {
+	for (const routing of values.routing.split(',')) {
 		await measureRouting(routing, load, capacity);
 	}
 }
@@ -131,4 +136,3 @@
 	await writeFile(values.out, `${JSON.stringify(report, undefined, '\t')}\n`);
 }
 
-process.exit();
--- a/packages/lab/src/load/sample.ts
+++ b/packages/lab/src/load/sample.ts
@@ -9,4 +9,6 @@
 	readonly betweenMs?: number;
 	readonly totalMs: number;
 	readonly tokens: number;
+	/** When each token came, by the process's monotonic clock. */
+	readonly tokenTimes: readonly number[];
 };
--- a/packages/lab/src/load/send-timed.ts
+++ b/packages/lab/src/load/send-timed.ts
@@ -53,5 +53,6 @@
 		betweenMs: times.length > 1 ? (times.at(-1)! - first!) / (times.length - 1) : undefined,
 		totalMs: performance.now() - startedAt,
 		tokens: times.length,
+		tokenTimes: times,
 	};
 };
--- a/packages/ledger/src/plan-pair.ts
+++ b/packages/ledger/src/plan-pair.ts
@@ -45,9 +45,13 @@
 // Nobody holds the ledger any more: the best-ranked host starts a new generation.
 const planNewGeneration = (slot: number, pair: Pair, view: PairView): Pair | undefined => {
 	const members = [pair.primary, pair.backup].filter(host => host !== undefined);
-	const areLost = members.every(host => view.isLost(host));
+	// Asked first, since ranking costs time for each host of the hall.
+	if (!members.every(host => view.isLost(host))) {
+		return undefined;
+	}
+
 	const [first, second] = rankByRendezvous(String(slot), view.live);
-	return areLost && first === view.self
+	return first === view.self
 		? {
 			epoch: pair.epoch + 1, generation: pair.generation + 1, primary: first, backup: second,
 		}
--- a/packages/routing/src/enter-waiting-room.ts
+++ b/packages/routing/src/enter-waiting-room.ts
@@ -1,41 +1,22 @@
+import {expectedStart} from './lib/expected-start.js';
+import type {Priority} from './priority.js';
 import type {WaitingRequest} from './waiting-request.js';
 import type {WaitingRoom} from './waiting-room.js';
 
 /** What became of a request that wanted to wait. */
-type Entry = {
-	readonly room: WaitingRoom;
-	readonly isAdmitted: boolean;
-	/** A request that gave up its place to a more urgent one. */
-	readonly displaced?: WaitingRequest;
-};
-
-const order = {quick: 0, normal: 1, slow: 2} as const;
-
-// The last in line: the least urgent, and among these the one that came last.
-const lastInLine = (waiting: readonly WaitingRequest[]): WaitingRequest | undefined =>
-	[...waiting].reverse().sort((a, b) => order[b.priority] - order[a.priority])[0];
+type Entry = {readonly room: WaitingRoom; readonly isAdmitted: boolean};
 
 /**
-Lets a request wait, if it can start in time and there is a place.
-
-In a full room, a more urgent request takes the place of the least urgent one, which is refused at once.
+The part of the places that each priority may fill. Places are kept for urgent work, so
+that nobody who waits has to be turned away for a more urgent request that comes later.
 */
-export const enterWaitingRoom = (room: WaitingRoom, request: WaitingRequest, limit: number, now: number): Entry => {
-	const ahead = room.waiting.filter(({priority}) => order[priority] <= order[request.priority]).length;
-	const expectedStart = now + (ahead * room.msPerStart);
-	if (expectedStart > request.startBy) {
-		return {room, isAdmitted: false};
-	}
-
-	if (room.waiting.length < limit) {
-		return {room: {...room, waiting: [...room.waiting, request]}, isAdmitted: true};
-	}
+const shareOfPlaces: Readonly<Record<Priority, number>> = {quick: 1, normal: 0.75, slow: 0.5};
 
-	const last = lastInLine(room.waiting);
-	if (!last || order[last.priority] <= order[request.priority]) {
-		return {room, isAdmitted: false};
-	}
-
-	const waiting = [...room.waiting.filter(({id}) => id !== last.id), request];
-	return {room: {...room, waiting}, isAdmitted: true, displaced: last};
+/** Lets a request wait, if it can start in time and there is a place. Otherwise it is to be refused at once. */
+export const enterWaitingRoom = (room: WaitingRoom, request: WaitingRequest, limit: number, now: number): Entry => {
+	const isFull = room.waiting.length >= limit * shareOfPlaces[request.priority];
+	const isTooLate = expectedStart(room, request, now) > request.startBy;
+	return isFull || isTooLate
+		? {room, isAdmitted: false}
+		: {room: {...room, waiting: [...room.waiting, request]}, isAdmitted: true};
 };
--- /dev/null
+++ b/packages/routing/src/lib/expected-start.ts
@@ -0,0 +1,10 @@
+import type {WaitingRequest} from '../waiting-request.js';
+import type {WaitingRoom} from '../waiting-room.js';
+
+const order = {quick: 0, normal: 1, slow: 2} as const;
+
+/** When a request will start, judged by those before it and the rate at which requests start. Monotonic ms. */
+export const expectedStart = ({waiting, msPerStart}: WaitingRoom, request: WaitingRequest, now: number): number => {
+	const ahead = waiting.filter(({id, priority}) => order[priority] < order[request.priority] || (priority === request.priority && id < request.id));
+	return now + (ahead.length * msPerStart);
+};
--- a/packages/routing/src/rate-by-cost.ts
+++ b/packages/routing/src/rate-by-cost.ts
@@ -1,14 +1,23 @@
 import {estimateLoad} from './lib/estimate-load.js';
-import type {Priority} from './priority.js';
 import type {RateEndpoint} from './rate-endpoint.js';
+import type {RouteRequest} from './route-request.js';
 
 /** Costs in ms that are added to the expected wait when endpoints are compared. */
 const otherHallMs = 20;
 const movedSessionMs = 50;
-const msPerUncachedToken = 0.5;
+const msPerUncachedToken = 0.1;
 
-/** How far above its slots an endpoint is filled, by priority: engines honour priorities, so quick work may queue there. */
-const overfill: Readonly<Record<Priority, number>> = {quick: 0.5, normal: 0.125, slow: 0};
+/** How far above its slots an endpoint is filled with quick work: engines honour priorities, so it may queue there. */
+const quickOverfill = 0.5;
+
+/** Less urgent work may queue at an endpoint by this part of its slots: reports lag, and a slot must not wait for one. */
+const slackShare = 0.25;
+
+// Less urgent work leaves free somewhat fewer slots than quick work has been using.
+const roomFor = (slots: number, {priority, quickShare}: RouteRequest): number =>
+	priority === 'quick'
+		? slots * (1 + quickOverfill)
+		: Math.max(1, slots + Math.ceil(slots * slackShare) - Math.floor(slots * quickShare));
 
 /** Weighs queue, prompt cache, hall, session and pace. This is what ships. */
 export const rateByCost: RateEndpoint = (state, request, now) => {
@@ -25,7 +34,7 @@
 		endpoint: info.id,
 		waitMs,
 		cost,
-		hasRoom: load < info.slots * (1 + overfill[request.priority]),
+		hasRoom: load < roomFor(info.slots, request),
 		reason: `cost_ms=${cost.toFixed(1)} wait_ms=${waitMs.toFixed(1)} load=${load}/${info.slots} cached=${cached}/${request.promptTokens} hall_ms=${hallMs} move_ms=${moveMs}`,
 	};
 };
--- a/packages/routing/src/route-request.ts
+++ b/packages/routing/src/route-request.ts
@@ -9,6 +9,8 @@
 	readonly priority: Priority;
 	/** Wall-clock-independent time left until the deadline, as a monotonic ms instant. */
 	readonly deadline: number;
+	/** The part of this host's work that has been quick lately, 0 to 1. */
+	readonly quickShare: number;
 	/** Prompt tokens that each endpoint is believed to have cached. */
 	readonly cachedTokens: (endpoint: string) => number;
 	readonly promptTokens: number;
