--- a/packages/daemon/src/lib/start-membership.ts
+++ b/packages/daemon/src/lib/start-membership.ts
@@ -25,6 +25,10 @@
 /** A host that this one never heard of may serve well: this one may be new, or badly connected. */
 const neverHeardLostMs = 15_000;
 const listEveryMs = 3000;
+
+/** Hosts of a hall that read the list in each such time, between them. The others learn of hosts from their peers. */
+const readersPerTurn = 2;
+const lonelyListMs = 1000;
 const heartbeatTimeoutMs = 1000;
 const maxRemoteHosts = 3;
 
@@ -55,7 +59,6 @@
 	const {mesh, address, versions, onHeard} = options;
 	let membership: Membership = {hosts: new Map(), steppedAt: clock.monotonic()};
 	let state: HostStatus['state'] = 'live';
-	let listedAt = -Infinity;
 	const unknownSince = new Map<string, number>();
 
 	const step = (event: MembershipEvent): void => {
@@ -99,11 +102,6 @@
 	};
 
 	const readList = async (): Promise<void> => {
-		if (clock.monotonic() - listedAt < listEveryMs) {
-			return;
-		}
-
-		listedAt = clock.monotonic();
 		const outcome = await platform.hosts();
 		if (outcome.ok) {
 			step({type: 'listed', hosts: outcome.value.filter(({host}) => host !== settings.host)});
@@ -139,7 +137,7 @@
 	};
 
 	step({type: 'told', hosts: settings.peers.filter(({host}) => host !== settings.host)});
-	const listing = repeat(readList, () => listEveryMs);
+	const listing = repeat(readList, () => others().length === 0 ? lonelyListMs : listEveryMs * Math.max(1, (inHall().length + 1) / readersPerTurn));
 	const beating = repeat(async () => {
 		step({type: 'tick'});
 		// Not awaited together with the pause: one stalled peer must not slow the others down.
--- a/packages/daemon/src/lib/start-router.ts
+++ b/packages/daemon/src/lib/start-router.ts
@@ -18,7 +18,11 @@
 import type {RouterTask} from './router-task.js';
 
 const pumpEveryMs = 20;
-const leastPollMs = 100;
+const idlePumpMs = 500;
+const leastPollMs = 250;
+
+/** Cache events are read once in so many polls of the load. */
+const pollsPerCacheRead = 8;
 /** Each host in the hall slows the polls of load reports by this much, so that an endpoint's load from them stays bounded. */
 const pollMsPerHost = 25;
 const pollTimeoutMs = 1000;
@@ -51,6 +55,7 @@
 	let room: WaitingRoom = emptyWaitingRoom;
 	let retryBudget: RetryBudget = {credit: 5};
 	let nextId = 1;
+	let polls = 0;
 	/** The part of the endpoints' time that quick requests have been taking. */
 	let quickShare = 0;
 
@@ -173,6 +178,7 @@
 			return overloaded();
 		}
 
+		pumping.wake();
 		return new Promise(resolve => {
 			waiters.set(id, {req: request, resolve});
 		});
@@ -210,13 +216,14 @@
 	const polling = repeat(async () => {
 		const polled = (bundle?.endpoints ?? []).filter(({id, kind, hall}) =>
 			kind === 'model' && (hall === settings.hall || (table.get(id)?.inFlight ?? 0) > 0));
-		await Promise.all(polled.flatMap(({id, url}) => [pollLoad(id, url), pollCache(id, url)]));
+		const isCacheTurn = polls++ % pollsPerCacheRead === 0;
+		await Promise.all(polled.flatMap(({id, url}) => [pollLoad(id, url), ...(isCacheTurn ? [pollCache(id, url)] : [])]));
 	}, () => Math.max(leastPollMs, hostsInHall() * pollMsPerHost));
 
 	const pumping = repeat(async () => {
 		pump();
 		await delay(0);
-	}, () => pumpEveryMs);
+	}, () => room.waiting.length > 0 ? pumpEveryMs : idlePumpMs);
 
 	return {
 		configure(next) {
