--- a/packages/daemon/src/lib/slots-task.ts
+++ b/packages/daemon/src/lib/slots-task.ts
@@ -10,6 +10,8 @@
 	readonly onMessage: (from: string, message: ReplicaMessage) => void;
 	readonly pairs: () => PairMap;
 	readonly pairOf: (slot: number) => Pair | undefined;
+	/** Names of the hosts that share a pair with this one. */
+	readonly partners: () => ReadonlySet<string>;
 	readonly replica: (slot: number) => Replica | undefined;
 	/** Slots whose primary this host is. */
 	readonly ownSlots: () => readonly number[];
--- a/packages/daemon/src/lib/start-membership.ts
+++ b/packages/daemon/src/lib/start-membership.ts
@@ -15,8 +15,8 @@
 const missedBeforeDoubt = 2.5;
 const leastSilenceMs = 1500;
 
-/** Each further host in the hall slows all heartbeats by this much, so that their sum stays bounded. */
-const heartbeatMsPerHost = 20;
+/** Hosts of the hall that get a heartbeat each time, in turn, besides the partners in pairs: so the cost does not grow with the hall. */
+const beatenInTurn = 8;
 
 /** A host that was heard of, and now is silent for this long, is believed to have lost its memory. */
 const leastLostMs = 5000;
@@ -49,6 +49,8 @@
 	readonly mesh: Mesh;
 	readonly address: string;
 	readonly versions: () => {readonly pairsVersion: number; readonly bundleVersion: number};
+	/** Names of the hosts that share a pair with this one. */
+	readonly partners: () => ReadonlySet<string>;
 	/** Called after each heartbeat with what the peer said. */
 	readonly onHeard: (status: HostStatus) => void;
 };
@@ -56,9 +58,12 @@
 /** Starts the task that finds out which hosts there are, by settings, the platform's list, and heartbeats. */
 export const startMembership = (context: Context, options: Options): MembershipTask => {
 	const {settings, self, clock, platform, log} = context;
-	const {mesh, address, versions, onHeard} = options;
+	const {
+		mesh, address, versions, partners, onHeard,
+	} = options;
 	let membership: Membership = {hosts: new Map(), steppedAt: clock.monotonic()};
 	let state: HostStatus['state'] = 'live';
+	let turn = 0;
 	const unknownSince = new Map<string, number>();
 
 	const step = (event: MembershipEvent): void => {
@@ -67,17 +72,20 @@
 
 	const others = (): readonly KnownHost[] => [...membership.hosts.values()].filter(({host}) => host !== settings.host);
 	const inHall = (): readonly KnownHost[] => others().filter(({hall}) => hall === settings.hall);
-	const intervalMs = (): number => Math.max(settings.heartbeatMs, inHall().length * heartbeatMsPerHost);
+	const rotationMs = (): number => settings.heartbeatMs * Math.max(1, Math.ceil(inHall().length / beatenInTurn));
+
+	// Partners hear of each other at every beat, all others once a rotation.
+	const intervalFor = (host: string): number => partners().has(host) ? settings.heartbeatMs : rotationMs();
 	const silenceMs = ({heardAt}: KnownHost): number => clock.monotonic() - heardAt;
-	const goneAfterMs = (): number => Math.max(leastSilenceMs, missedBeforeGone * intervalMs());
-	const doubtAfterMs = (): number => Math.max(leastSilenceMs, missedBeforeDoubt * intervalMs());
+	const goneAfterMs = (host: string): number => Math.max(leastSilenceMs, missedBeforeGone * intervalFor(host));
+	const doubtAfterMs = (host: string): number => Math.max(leastSilenceMs, missedBeforeDoubt * intervalFor(host));
 
 	const status = (): HostStatus => ({
 		host: settings.host, incarnation: self, hall: settings.hall, address, state, ...versions(),
 	});
 
 	const isLive = (known: KnownHost): boolean =>
-		known.status?.state === 'live' && !known.isListedLeaving && silenceMs(known) < doubtAfterMs();
+		known.status?.state === 'live' && !known.isListedLeaving && silenceMs(known) < doubtAfterMs(known.host);
 
 	// Of each other hall, a few hosts are enough: they learn the rest from their own.
 	const remoteTargets = (): readonly KnownHost[] => {
@@ -89,6 +97,12 @@
 		return [...byHall.values()].flatMap(hosts => hosts.sort((a, b) => b.heardAt - a.heardAt).slice(0, maxRemoteHosts));
 	};
 
+	const hallTargets = (): readonly KnownHost[] => {
+		const hosts = inHall();
+		const inTurn = Array.from({length: Math.min(beatenInTurn, hosts.length)}, () => hosts[turn++ % hosts.length]!);
+		return [...new Set([...hosts.filter(({host}) => partners().has(host)), ...inTurn])];
+	};
+
 	const beat = async (known: KnownHost): Promise<void> => {
 		const outcome = await mesh.request(known.address, {type: 'heartbeat', status: status()}, heartbeatTimeoutMs);
 		const reply = heartbeatReplySchema.safeParse(outcome.ok ? outcome.value : undefined);
@@ -115,25 +129,26 @@
 		return now - since;
 	};
 
-	const lostAfterMs = (): number => Math.max(leastLostMs, missedBeforeLost * intervalMs());
+	const lostAfterMs = (host: string): number => Math.max(leastLostMs, missedBeforeLost * intervalFor(host));
 
-	const isSilent = (incarnation: string, afterMs: number, neverHeardAfterMs: number): boolean => {
+	const isSilent = (incarnation: string, afterMs: (host: string) => number, neverHeardAfterMs = afterMs): boolean => {
 		if (incarnation === self) {
 			return false;
 		}
 
 		const host = hostOfIncarnation(incarnation);
 		if (host === settings.host) {
+			// An earlier life of this very host.
 			return true;
 		}
 
 		const known = membership.hosts.get(host);
 		if (!known?.status) {
-			return unknownForMs(host) > neverHeardAfterMs;
+			return unknownForMs(host) > neverHeardAfterMs(host);
 		}
 
 		const isReplaced = known.status.incarnation > incarnation;
-		return isReplaced || silenceMs(known) > afterMs;
+		return isReplaced || silenceMs(known) > afterMs(host);
 	};
 
 	step({type: 'told', hosts: settings.peers.filter(({host}) => host !== settings.host)});
@@ -141,8 +156,8 @@
 	const beating = repeat(async () => {
 		step({type: 'tick'});
 		// Not awaited together with the pause: one stalled peer must not slow the others down.
-		void Promise.all([...inHall(), ...remoteTargets()].map(async known => beat(known)));
-	}, intervalMs);
+		void Promise.all([...hallTargets(), ...remoteTargets()].map(async known => beat(known)));
+	}, () => settings.heartbeatMs);
 
 	return {
 		status,
@@ -161,14 +176,14 @@
 			const known = membership.hosts.get(hostOfIncarnation(incarnation));
 			return known?.status?.incarnation === incarnation ? known.address : undefined;
 		},
-		isGone: incarnation => isSilent(incarnation, goneAfterMs(), goneAfterMs()),
-		isLost: incarnation => isSilent(incarnation, lostAfterMs(), neverHeardLostMs),
+		isGone: incarnation => isSilent(incarnation, goneAfterMs),
+		isLost: incarnation => isSilent(incarnation, lostAfterMs, () => neverHeardLostMs),
 		liveInHall: () => [
 			...(state === 'live' ? [self] : []),
 			...inHall().filter(known => isLive(known)).map(known => known.status!.incarnation),
 		],
 		addressesIn: hall => others()
-			.filter(known => known.hall === hall && known.status !== undefined && silenceMs(known) < goneAfterMs())
+			.filter(known => known.hall === hall && known.status !== undefined && silenceMs(known) < goneAfterMs(known.host))
 			.sort((a, b) => b.heardAt - a.heardAt)
 			.map(known => known.address),
 		leave() {
--- a/packages/daemon/src/lib/start-slots.ts
+++ b/packages/daemon/src/lib/start-slots.ts
@@ -3,6 +3,7 @@
 } from '@deckwheel/ledger';
 import type {Mesh} from '@deckwheel/mesh';
 import type {Context} from './context.js';
+import {hostOfIncarnation} from './host-of-incarnation.js';
 import type {MembershipTask} from './membership-task.js';
 import {pairMapSchema} from './pair-map-schema.js';
 import {repeat} from './repeat.js';
@@ -33,6 +34,7 @@
 	const waiters = new Map<number, (reply: SlotReply) => void>();
 	const unackedSince = new Map<number, number>();
 	let map: PairMap = {version: 0, pairs: Array.from({length: settings.slots}, () => emptyPair)};
+	let partnersNow: ReadonlySet<string> = new Set();
 	let nextId = 1;
 	/** Whether the store was read, so that an empty map means that there is none. */
 	let isMapRead = false;
@@ -92,6 +94,7 @@
 		}
 
 		map = next;
+		partnersNow = partners();
 		for (const [slot, pair] of next.pairs.entries()) {
 			configure(slot, pair);
 		}
@@ -179,6 +182,14 @@
 		}
 	}, () => planEveryMs);
 
+	const partners = (): ReadonlySet<string> => {
+		const members = map.pairs
+			.map(({primary, backup}) => [primary, backup])
+			.filter(pair => pair.includes(self))
+			.flat();
+		return new Set(members.flatMap(member => member === undefined || member === self ? [] : [hostOfIncarnation(member)]));
+	};
+
 	return {
 		async submit(slot, request) {
 			const id = nextId++;
@@ -196,6 +207,7 @@
 		},
 		pairs: () => map,
 		pairOf: slot => map.pairs[slot],
+		partners: () => partnersNow,
 		replica: slot => replicas.get(slot),
 		ownSlots: () => [...replicas.values()].filter(({role}) => role === 'primary').map(({slot}) => slot),
 		adopt,
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -32,6 +32,7 @@
 import type {Daemon} from './daemon.js';
 import type {Settings} from './settings.js';
 
+const noPartners: ReadonlySet<string> = new Set();
 const fetchTimeoutMs = 2000;
 const handoverMs = 10_000;
 const handoverPauseMs = 50;
@@ -96,6 +97,7 @@
 		mesh,
 		address: settings.advertise ?? `${settings.listen.peers.ip}:${mesh.port}`,
 		versions: () => ({pairsVersion: tasks.slots?.pairs().version ?? 0, bundleVersion: currentBundle()?.version ?? 0}),
+		partners: () => tasks.slots?.partners() ?? noPartners,
 		onHeard(status) {
 			void catchUpWith(status);
 		},
