--- a/packages/bundle/src/adopt-bundle.ts
+++ b/packages/bundle/src/adopt-bundle.ts
@@ -1,4 +1,6 @@
-import {fail, succeed, type Outcome} from '@deckwheel/core';
+import {
+	fail, succeed, type Outcome, parseJson,
+} from '@deckwheel/core';
 import type {AdoptedBundle} from './adopted-bundle.js';
 import {checkBundle} from './check-bundle.js';
 import type {SignedBundle} from './signed-bundle.js';
@@ -8,14 +10,6 @@
 /** Why a bundle was not adopted. */
 type Rejection = 'not_newer' | 'bad_signature' | 'same_signer' | 'bad_content';
 
-const parseJson = (text: string): unknown => {
-	try {
-		return JSON.parse(text);
-	} catch {
-		return undefined;
-	}
-};
-
 const isSamePerson = ({author, approval}: SignedBundle, trusted: readonly TrustedKey[]): boolean => {
 	const keyOf = (signer: string | undefined) => trusted.filter(({id}) => id === signer).map(({publicKey}) => publicKey);
 	const authorKeys = keyOf(author.signer);
--- a/packages/cli/src/author-draft.ts
+++ b/packages/cli/src/author-draft.ts
@@ -1,17 +1,11 @@
 import {checkBundle, signText} from '@deckwheel/bundle';
-import {fail, succeed, type Outcome} from '@deckwheel/core';
+import {
+	fail, succeed, type Outcome, parseJson,
+} from '@deckwheel/core';
 import type {Platform} from '@deckwheel/platform';
 import {draftId} from './lib/draft-id.js';
 import {storeProblem} from './lib/store-problem.js';
 
-const parseJson = (text: string): unknown => {
-	try {
-		return JSON.parse(text);
-	} catch {
-		return undefined;
-	}
-};
-
 /** Checks and signs a bundle as its author, and stores it as a draft. Safe to repeat. */
 export const authorDraft = async (platform: Platform, text: string, signer: string, privateKey: string): Promise<Outcome<string, string>> => {
 	const checked = checkBundle(parseJson(text));
--- a/packages/cli/src/commands/bundle-check.ts
+++ b/packages/cli/src/commands/bundle-check.ts
@@ -1,16 +1,9 @@
 import {readFile} from 'node:fs/promises';
 import {Args} from '@oclif/core';
 import {checkBundle} from '@deckwheel/bundle';
+import {parseJson} from '@deckwheel/core';
 import {defineCommand} from '../lib/define-command.js';
 
-const parseJson = (text: string): unknown => {
-	try {
-		return JSON.parse(text);
-	} catch {
-		return undefined;
-	}
-};
-
 /** `deckwheel bundle check FILE` */
 export const bundleCheck = defineCommand({
 	description: 'Check a bundle file, without the platform.',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export {InvariantError} from './invariant-error.js';
 export type {Ok} from './ok.js';
 export type {Outcome} from './outcome.js';
+export {parseJson} from './parse-json.js';
 export {prefixBlocks} from './prefix-blocks.js';
 export {rankByRendezvous} from './rank-by-rendezvous.js';
 export type {Refusal} from './refusal.js';
--- a/packages/daemon/src/lib/read-engine-stream.ts
+++ b/packages/daemon/src/lib/read-engine-stream.ts
@@ -1,8 +1,9 @@
 import type {IncomingMessage} from 'node:http';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
-import got, {RequestError, TimeoutError} from 'got';
+import got from 'got';
 import {z} from 'zod';
 import type {EngineEnd} from './engine-end.js';
+import {isNeverSent} from './is-never-sent.js';
 
 /** An engine that sends nothing for this long counts as lost, in ms. */
 const silenceMs = 30_000;
@@ -23,9 +24,6 @@
 	readonly signal?: AbortSignal;
 };
 
-/** Connection errors that prove that the request never reached the engine. */
-const neverSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 const toText = ({id, data}: EventSourceMessage): string => `${id === undefined ? '' : `id: ${id}\n`}data: ${data}\n\n`;
 
 const parseEnd = (data: string): EngineEnd | undefined => {
@@ -52,10 +50,6 @@
 	return response.statusCode === 404 ? {type: 'no_such_stream'} : {type: 'lost'};
 };
 
-const isNeverSent = (error: unknown): boolean =>
-	(error instanceof RequestError && neverSentCodes.has(error.code))
-	|| (error instanceof TimeoutError && error.event === 'connect');
-
 /** Calls an engine and passes its events on until its stream ends. Never throws. */
 export const readEngineStream = async ({method, url, headers, body, onEvent, signal}: EngineCall): Promise<EngineEnd> => {
 	let end: EngineEnd | undefined;
--- a/packages/daemon/src/lib/service-job.ts
+++ b/packages/daemon/src/lib/service-job.ts
@@ -1,7 +1,8 @@
 import type {Answer} from '@deckwheel/ledger';
-import got, {RequestError, TimeoutError, type Method} from 'got';
+import got, {type Method} from 'got';
 import type {Caller} from './caller.js';
 import {fingerprint} from './fingerprint.js';
+import {isNeverSent} from './is-never-sent.js';
 import type {Job} from './job.js';
 import type {RequestOptions} from './request-options.js';
 import type {RunEnd} from './run-end.js';
@@ -10,8 +11,6 @@
 import {traceHeaders} from './trace-headers.js';
 
 const connectMs = 1000;
-const neverSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 type Sources = {
 	readonly service: string;
 	readonly call: ServiceCall;
@@ -25,10 +24,6 @@
 	readonly deliver: (answer: Answer) => void;
 };
 
-const isNeverSent = (error: unknown): boolean =>
-	(error instanceof RequestError && neverSentCodes.has(error.code))
-	|| (error instanceof TimeoutError && error.event === 'connect');
-
 /** Builds the job for a call to a plain service. */
 export const serviceJob = (sources: Sources): Job => {
 	const {service, call, method, path, contentType, body, caller, options, deliver} = sources;
--- a/packages/daemon/src/lib/start-gateway.ts
+++ b/packages/daemon/src/lib/start-gateway.ts
@@ -2,7 +2,7 @@
 import {context as traceContext, propagation, SpanStatusCode} from '@opentelemetry/api';
 import Router from '@koa/router';
 import type {AdoptedBundle} from '@deckwheel/bundle';
-import type {Refusal} from '@deckwheel/core';
+import {parseJson, type Refusal} from '@deckwheel/core';
 import type {Answer} from '@deckwheel/ledger';
 import Koa, {type Context as KoaContext, type Next} from 'koa';
 import type {Caller} from './caller.js';
@@ -54,14 +54,6 @@
 };
 const badRequest = (message: string): Refusal => ({code: 'bad_request', message, ran: 'not_run'});
 
-const parseJson = (text: string): unknown => {
-	try {
-		return JSON.parse(text);
-	} catch {
-		return undefined;
-	}
-};
-
 // A key that the caller presents may name a request that ran. Before its record was read, 'not run' would be a guess.
 const beforeRecall = (ctx: KoaContext, refusal: Refusal): Refusal =>
 	ctx.get('idempotency-key') === '' || refusal.code === 'bad_request' ? refusal : {...refusal, ran: 'unknown'};
--- a/packages/ledger/src/test/lib/create-world.ts
+++ b/packages/ledger/src/test/lib/create-world.ts
@@ -12,6 +12,7 @@
 import {stepReplica} from '../../step-replica.js';
 import {transferred} from '../../transferred.js';
 import {unallocated} from '../../unallocated.js';
+import type {StepName} from './step-name.js';
 
 const budget = 'b';
 const hallNames = ['x', 'y'] as const;
@@ -234,156 +235,151 @@
 
 	const pick = <T>(items: readonly T[], index: number): T | undefined => items.length === 0 ? undefined : items[index % items.length];
 
-	/** Carries out one step, picked by three numbers. */
-	const act = (kind: number, a: number, b: number): void => {
-		const host = pick(hosts, a)!;
-		const link = pick([...links.keys()].filter(name => links.get(name)!.length > 0), a);
-		switch (kind) {
-			case 0:
-			case 1:
-			case 2: {
-				// A message arrives.
-				const target = link && find(link.split('>')[1]!);
-				const message = link && links.get(link)!.shift();
-				if (target && !target.isDead && message) {
-					step(target, {type: 'message', from: link.split('>')[0]!, message});
-				}
-
-				break;
-			}
-
-			case 3: {
-				// A link breaks, with all that was on it.
-				if (link) {
-					links.set(link, []);
-				}
-
-				break;
-			}
+	const pickLink = (index: number): string | undefined =>
+		pick([...links.keys()].filter(name => links.get(name)!.length > 0), index);
 
-			case 4:
-			case 5: {
-				const key = String(b % keyCount);
-				const home = hosts.filter(({hall, isDead}) => hall === homeOf(key) && !isDead);
-				const target = pick(home, a);
-				if (target) {
-					claim(target, key);
-				}
+	const pickLive = (index: number, hall?: string): Host | undefined =>
+		pick(hosts.filter(host => !host.isDead && (hall === undefined || host.hall === hall)), index);
 
-				break;
-			}
-
-			case 6: {
-				const run = pick(engineRuns, b);
-				const target = run && pick(hosts.filter(({hall, isDead}) => hall === run.hall && !isDead), a);
-				if (target) {
-					settle(target, run, 1 + (b % worstCase));
-				}
-
-				break;
-			}
-
-			case 7: {
-				if (!host.isDead) {
-					draw(host, b % 60);
-				}
-
-				break;
-			}
-
-			case 8:
-			case 9: {
-				// A store write takes effect. Its answer arrives, or is lost.
-				const index = writes.length === 0 ? -1 : a % writes.length;
-				const [done] = index === -1 ? [] : writes.splice(index, 1);
-				const isOk = done?.apply() ?? false;
-				const writer = done && find(done.by.split(' ')[1]!);
-				if (done && writer && !writer.isDead && b % 3 !== 0) {
-					done.onAnswer(isOk);
-				}
-
-				break;
-			}
+	const deliver = (link: string): void => {
+		const [from, to] = link.split('>');
+		const message = links.get(link)!.shift()!;
+		const target = find(to!);
+		if (target && !target.isDead) {
+			step(target, {type: 'message', from: from!, message});
+		}
+	};
 
-			case 10: {
-				if (!host.isDead) {
-					propose(host, () => b % 2 === 0, b % 5 === 0);
-				}
+	// A store write takes effect. Its answer arrives, or is lost.
+	const finishWrite = (index: number, isAnswered: boolean): void => {
+		const [done] = writes.splice(index % Math.max(1, writes.length), 1);
+		const isOk = done?.apply() ?? false;
+		const writer = done && find(done.by.split(' ')[1]!);
+		if (done && writer && !writer.isDead && isAnswered) {
+			done.onAnswer(isOk);
+		}
+	};
 
-				break;
-			}
+	const restart = (host: Host): void => {
+		host.id = `${host.id.split('~')[0]}~${++restarts}`;
+		host.isDead = false;
+		host.replica = newReplica(host.id, 0);
+	};
 
-			case 11: {
-				if (!host.isDead) {
-					adopt(host, pairs.get(host.hall)!.pair);
-				}
+	// Another hall asks for rights; the reply may arrive late, twice, or never.
+	const want = (host: Host, tokens: number): void => {
+		const asker = hosts.find(other => other.hall !== host.hall && other.replica.role === 'primary' && !other.isDead);
+		if (!asker) {
+			return;
+		}
 
-				break;
+		const {holder} = asker.replica.ledger;
+		ask(host, {
+			type: 'want', budget, holder, tokens,
+		}, reply => {
+			if (reply.type === 'given') {
+				transfers.push({to: holder, reply});
 			}
+		});
+	};
 
-			case 12: {
-				// A host dies, and comes back empty.
-				if (b % 4 === 0) {
-					host.isDead = true;
-				}
-
-				break;
-			}
+	const receive = (index: number): void => {
+		const transfer = pick(transfers, index);
+		const target = hosts.find(other => other.replica.ledger.holder === transfer?.to && other.replica.role === 'primary' && !other.isDead);
+		if (transfer && target) {
+			ask(target, {
+				type: 'receive', budget, from: transfer.reply.from, total: transfer.reply.total,
+			}, () => undefined);
+		}
+	};
 
-			case 13: {
-				if (host.isDead) {
-					host.id = `${host.id.split('~')[0]}~${++restarts}`;
-					host.isDead = false;
-					host.replica = newReplica(host.id, 0);
-				}
+	const withLive = (index: number, work: (host: Host) => void): void => {
+		const host = pickLive(index);
+		if (host) {
+			work(host);
+		}
+	};
 
-				break;
+	/** Every step that the test may pick, by name; two numbers say which host, message or key it concerns. */
+	const steps: Readonly<Record<StepName, (a: number, b: number) => void>> = {
+		deliver(a) {
+			const link = pickLink(a);
+			if (link) {
+				deliver(link);
 			}
-
-			case 14: {
-				if (!host.isDead) {
-					step(host, {type: 'resync'});
-				}
-
-				break;
+		},
+		breakLink(a) {
+			const link = pickLink(a);
+			if (link) {
+				links.set(link, []);
 			}
-
-			case 15: {
-				if (!host.isDead) {
-					giveBack(host, b % 20);
-				}
-
-				break;
+		},
+		claim(a, b) {
+			const key = String(b % keyCount);
+			const target = pickLive(a, homeOf(key));
+			if (target) {
+				claim(target, key);
 			}
-
-			case 16: {
-				// Another hall asks for rights; the reply may arrive late, twice, or never.
-				const asker = hosts.find(other => other.hall !== host.hall && other.replica.role === 'primary' && !other.isDead);
-				if (asker && !host.isDead) {
-					const {holder} = asker.replica.ledger;
-					ask(host, {
-						type: 'want', budget, holder, tokens: b % 30,
-					}, reply => {
-						if (reply.type === 'given') {
-							transfers.push({to: holder, reply});
-						}
-					});
-				}
-
-				break;
+		},
+		settle(a, b) {
+			const run = pick(engineRuns, b);
+			const target = run && pickLive(a, run.hall);
+			if (target) {
+				settle(target, run, 1 + (b % worstCase));
 			}
-
-			default: {
-				const transfer = pick(transfers, a);
-				const target = hosts.find(other => other.replica.ledger.holder === transfer?.to && other.replica.role === 'primary' && !other.isDead);
-				if (transfer && target) {
-					ask(target, {
-						type: 'receive', budget, from: transfer.reply.from, total: transfer.reply.total,
-					}, () => undefined);
-				}
+		},
+		draw(a, b) {
+			withLive(a, host => {
+				draw(host, b % 60);
+			});
+		},
+		finishWrite(a, b) {
+			finishWrite(a, b % 3 !== 0);
+		},
+		propose(a, b) {
+			withLive(a, host => {
+				propose(host, () => b % 2 === 0, b % 5 === 0);
+			});
+		},
+		learnPair(a) {
+			withLive(a, host => {
+				adopt(host, pairs.get(host.hall)!.pair);
+			});
+		},
+		die(a, b) {
+			withLive(a, host => {
+				host.isDead = b % 4 === 0;
+			});
+		},
+		restart(a) {
+			const dead = pick(hosts.filter(({isDead}) => isDead), a);
+			if (dead) {
+				restart(dead);
 			}
-		}
+		},
+		resync(a) {
+			withLive(a, host => {
+				step(host, {type: 'resync'});
+			});
+		},
+		giveBack(a, b) {
+			withLive(a, host => {
+				giveBack(host, b % 20);
+			});
+		},
+		want(a, b) {
+			withLive(a, host => {
+				want(host, b % 30);
+			});
+		},
+		receive(a) {
+			receive(a);
+		},
+	};
 
+	/** Carries out one step and checks what must always hold. */
+	const act = (name: StepName, a: number, b: number): void => {
+		steps[name](a, b);
 		check();
 	};
 
--- a/packages/ledger/src/test/step-replica.test.ts
+++ b/packages/ledger/src/test/step-replica.test.ts
@@ -4,12 +4,16 @@
 import {newReplica} from '../new-replica.js';
 import {stepReplica} from '../step-replica.js';
 import {createWorld} from './lib/create-world.js';
+import type {StepName} from './lib/step-name.js';
 
 const seed = Number(process.env.SEED ?? 20_261_202);
 
 // How often each kind of step is picked: messages mostly arrive, hosts seldom die.
-const weights = [12, 12, 12, 1, 8, 8, 6, 5, 5, 5, 3, 4, 2, 2, 3, 2, 3, 3];
-const kind = fc.constantFrom(...weights.flatMap((weight, step) => Array.from({length: weight}, () => step)));
+const weights: Readonly<Record<StepName, number>> = {
+	deliver: 36, claim: 16, finishWrite: 10, settle: 6, draw: 5, learnPair: 4, propose: 3, resync: 3, want: 3, receive: 3, die: 2, restart: 2, giveBack: 2, breakLink: 1,
+};
+const kind = fc.constantFrom(...Object.entries(weights).flatMap(([name, weight]) =>
+	Array.from({length: weight}, () => name as StepName)));
 const steps = fc.array(fc.tuple(kind, fc.nat(1000), fc.nat(1000)), {minLength: 100, maxLength: 500, size: 'max'});
 
 test('rights, runs and bills hold whatever arrives, is lost, dies or is believed', t => {
@@ -17,8 +21,8 @@
 	let runs = 0;
 	fc.assert(fc.property(steps, sequence => {
 		const world = createWorld();
-		for (const [kind, a, b] of sequence) {
-			world.act(kind, a, b);
+		for (const [name, a, b] of sequence) {
+			world.act(name, a, b);
 			if (world.faults.length > 0) {
 				throw new Error(world.faults.join('; '));
 			}
