--- a/packages/lab/src/test/operators.test.ts
+++ b/packages/lab/src/test/operators.test.ts
@@ -19,7 +19,7 @@
 import {testKeys} from '../lib/test-keys.js';
 
 const run = promisify(execFile);
-const tool = fileURLToPath(new URL('../../../cli/bin/run.js', import.meta.url));
+const tool = fileURLToPath(import.meta.resolve('@deckwheel/cli/main'));
 
 const draftOf = (version: number, note: string): string => JSON.stringify({
 	version,
