A cut-off or new host does not take the others for lost

Cause, found by reading: a host that reached the store but none of its peers would have begun new generations for all slots of its hall after 5 s (15 s if new): rights stranded, claims forgotten.

--- a/packages/daemon/src/lib/start-membership.ts
+++ b/packages/daemon/src/lib/start-membership.ts
@@ -1,6 +1,7 @@
 import type {Mesh} from '@deckwheel/mesh';
 import {z} from 'zod';
 import type {Context} from './context.js';
+import {isBelievedLost} from './is-believed-lost.js';
 import {hostOfIncarnation} from './host-of-incarnation.js';
 import type {HostStatus} from './host-status.js';
 import type {KnownHost} from './known-host.js';
@@ -21,9 +22,6 @@
 /** A host that was heard of, and now is silent for this long, is believed to have lost its memory. */
 const leastLostMs = 5000;
 const missedBeforeLost = 8;
-
-/** A host that this one never heard of may serve well: this one may be new, or badly connected. */
-const neverHeardLostMs = 15_000;
 const listEveryMs = 3000;
 
 /** Hosts of a hall that read the list in each such time, between them. The others learn of hosts from their peers. */
@@ -64,6 +62,8 @@
 	let membership: Membership = {hosts: new Map(), steppedAt: clock.monotonic()};
 	let state: HostStatus['state'] = 'live';
 	let turn = 0;
+	/** Hosts on the platform's list, when it was last read. */
+	let listed: ReadonlySet<string> | undefined;
 	const unknownSince = new Map<string, number>();
 
 	const step = (event: MembershipEvent): void => {
@@ -118,6 +118,7 @@
 	const readList = async (): Promise<void> => {
 		const outcome = await platform.hosts();
 		if (outcome.ok) {
+			listed = new Set(outcome.value.filter(({state: listedState}) => listedState === 'live').map(({host}) => host));
 			step({type: 'listed', hosts: outcome.value.filter(({host}) => host !== settings.host)});
 		}
 	};
@@ -131,24 +132,32 @@
 
 	const lostAfterMs = (host: string): number => Math.max(leastLostMs, missedBeforeLost * intervalFor(host));
 
-	const isSilent = (incarnation: string, afterMs: (host: string) => number, neverHeardAfterMs = afterMs): boolean => {
-		if (incarnation === self) {
-			return false;
-		}
-
+	const isReplaced = (incarnation: string): boolean => {
 		const host = hostOfIncarnation(incarnation);
-		if (host === settings.host) {
-			// An earlier life of this very host.
-			return true;
-		}
+		// An earlier life of this very host is over for sure.
+		return host === settings.host || (membership.hosts.get(host)?.status?.incarnation ?? '') > incarnation;
+	};
 
+	const silentMs = (host: string): number => {
 		const known = membership.hosts.get(host);
-		if (!known?.status) {
-			return unknownForMs(host) > neverHeardAfterMs(host);
-		}
+		return known?.status ? silenceMs(known) : unknownForMs(host);
+	};
 
-		const isReplaced = known.status.incarnation > incarnation;
-		return isReplaced || silenceMs(known) > afterMs(host);
+	const isGone = (incarnation: string): boolean => {
+		const host = hostOfIncarnation(incarnation);
+		return incarnation !== self && (isReplaced(incarnation) || silentMs(host) > goneAfterMs(host));
+	};
+
+	const isLost = (incarnation: string): boolean => {
+		const host = hostOfIncarnation(incarnation);
+		return incarnation !== self && isBelievedLost({
+			isReplaced: isReplaced(incarnation),
+			wasHeard: membership.hosts.get(host)?.status !== undefined,
+			silentMs: silentMs(host),
+			lostAfterMs: lostAfterMs(host),
+			isListed: listed?.has(host) ?? true,
+			hearsOthers: inHall().some(known => isLive(known)),
+		});
 	};
 
 	step({type: 'told', hosts: settings.peers.filter(({host}) => host !== settings.host)});
@@ -176,8 +185,8 @@
 			const known = membership.hosts.get(hostOfIncarnation(incarnation));
 			return known?.status?.incarnation === incarnation ? known.address : undefined;
 		},
-		isGone: incarnation => isSilent(incarnation, goneAfterMs),
-		isLost: incarnation => isSilent(incarnation, lostAfterMs, () => neverHeardLostMs),
+		isGone,
+		isLost,
 		liveInHall: () => [
 			...(state === 'live' ? [self] : []),
 			...inHall().filter(known => isLive(known)).map(known => known.status!.incarnation),
--- a/packages/lab/src/test/host-death.test.ts
+++ b/packages/lab/src/test/host-death.test.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import test from 'ava';
+import {slotOfBudget, unallocated, type RightsObject} from '@deckwheel/ledger';
 import got from 'got';
 import {askOperators} from '../lib/ask-operators.js';
 import type {BudgetView} from '../lib/budget-view.js';
@@ -7,6 +8,7 @@
 import type {EntryProcess} from '../lib/entry-process.js';
 import {eventually} from '../lib/eventually.js';
 import type {Fleet} from '../lib/fleet.js';
+import type {HostView} from '../lib/host-view.js';
 import {sendChat} from '../lib/send-chat.js';
 import {sendUntilAnswered} from '../lib/send-until-answered.js';
 import {startFleet} from '../lib/start-fleet.js';
@@ -132,3 +134,37 @@
 	t.true(answer.isWhole);
 	t.is(await leaving!.exited, 0);
 });
+
+test('both hosts of a pair die: nothing is spent or run twice, and the third host goes on', async t => {
+	const tokens = 5000;
+	const fleet = await startFleet({halls: {'hall-a': 3}, tokens});
+	t.teardown(fleet.close);
+	const call = {
+		prompt: 'A tariff check.', apiKey: fleet.apiKey, headers: {'idempotency-key': randomUUID(), 'x-not-repeatable': 'true'},
+	};
+	const answer = await sendUntilAnswered(fleet.entries, call);
+	const status = await askOperators<HostView>(fleet.entries[0]!, '/status', fleet.operatorToken);
+	const slot = status.slots[slotOfBudget(fleet.budget, status.slots.length)]!;
+	const members = [slot.primary, slot.backup].map(member => member!.split('~')[0]);
+	const survivor = fleet.entries.find(({host}) => !members.includes(host))!;
+	const dead = fleet.entries.filter(entry => entry !== survivor);
+	for (const {child} of dead) {
+		child.kill('SIGKILL');
+	}
+
+	await fleet.listHosts([survivor]);
+	const fresh = await sendUntilAnswered([survivor], {prompt: 'A new question.', apiKey: fleet.apiKey});
+	t.true(fresh.isWhole);
+	const retry = await sendChat(survivor.callers, call);
+	t.like(retry, {status: 409, error: {code: 'outcome_unknown', ran: 'unknown'}});
+	const runs = await engineRuns(fleet.engines);
+	t.is(runs.length, 2);
+
+	// What the dead pair held stays charged: the sum of all grants is within the limit.
+	const object = await fleet.platform.get(`rights/${slot.slot}`);
+	const rights = object.ok ? (object.value.value as RightsObject).budgets[fleet.budget]! : undefined;
+	t.true(Object.keys(rights?.holders ?? {}).length === 2);
+	t.true(rights !== undefined && unallocated(rights) >= 0);
+	t.true(await allServed(fleet) <= tokens);
+	t.true(answer.isWhole);
+});
