--- a/packages/lab/src/test/host-death.test.ts
+++ b/packages/lab/src/test/host-death.test.ts
@@ -145,8 +145,8 @@
 	const answer = await sendUntilAnswered(fleet.entries, call);
 	const status = await askOperators<HostView>(fleet.entries[0]!, '/status', fleet.operatorToken);
 	const slot = status.slots[slotOfBudget(fleet.budget, status.slots.length)]!;
-	const members = [slot.primary, slot.backup].map(member => member!.split('~')[0]);
-	const survivor = fleet.entries.find(({host}) => !members.includes(host))!;
+	const members = new Set([slot.primary, slot.backup].map(member => member!.split('~')[0]));
+	const survivor = fleet.entries.find(({host}) => !members.has(host))!;
 	const dead = fleet.entries.filter(entry => entry !== survivor);
 	for (const {child} of dead) {
 		child.kill('SIGKILL');
