--- /dev/null
+++ b/packages/routing/src/test/waiting-room.test.ts
@@ -0,0 +1,49 @@
+import test from 'ava';
+import {emptyWaitingRoom} from '../empty-waiting-room.js';
+import {enterWaitingRoom} from '../enter-waiting-room.js';
+import {expireWaitingRoom} from '../expire-waiting-room.js';
+import {leaveWaitingRoom} from '../leave-waiting-room.js';
+import type {WaitingRequest} from '../waiting-request.js';
+import type {WaitingRoom} from '../waiting-room.js';
+
+const waiting = (id: number, changes: Partial<WaitingRequest> = {}): WaitingRequest => ({
+	id, target: 'm', organisation: 'o', weight: 1, priority: 'normal', startBy: 10_000, ...changes,
+});
+
+const roomOf = (...requests: readonly WaitingRequest[]): WaitingRoom => ({...emptyWaitingRoom, waiting: requests});
+
+const startAll = (room: WaitingRoom): readonly WaitingRequest[] => {
+	const {next, room: rest} = leaveWaitingRoom(room, () => true, 1);
+	return next ? [next, ...startAll(rest)] : [];
+};
+
+test('slow work may fill half of the places, so that quick work never has to turn it away', t => {
+	const full = roomOf(...Array.from({length: 5}, (_, id) => waiting(id, {priority: 'slow'})));
+	t.false(enterWaitingRoom(full, waiting(9, {priority: 'slow'}), 10, 0).isAdmitted);
+	t.true(enterWaitingRoom(full, waiting(9, {priority: 'quick'}), 10, 0).isAdmitted);
+});
+
+test('a request that cannot start in time is refused at once', t => {
+	const room = {...roomOf(waiting(1), waiting(2)), msPerStart: 100};
+	t.false(enterWaitingRoom(room, waiting(3, {startBy: 150}), 10, 0).isAdmitted);
+	t.true(enterWaitingRoom(room, waiting(3, {startBy: 250}), 10, 0).isAdmitted);
+});
+
+test('a waiting request is refused as soon as it shows that it will be late', t => {
+	const room = {...roomOf(waiting(1), waiting(2, {startBy: 150})), msPerStart: 200};
+	t.deepEqual(expireWaitingRoom(room, 0).expired.map(({id}) => id), [2]);
+});
+
+test('quick work goes first, and slow work still gets its turns', t => {
+	const quick = Array.from({length: 40}, (_, id) => waiting(id, {priority: 'quick'}));
+	const order = startAll(roomOf(waiting(100, {priority: 'slow'}), ...quick)).map(({priority}) => priority);
+	t.is(order[0], 'quick');
+	t.true(order.indexOf('slow') > 5);
+	t.true(order.indexOf('slow') < 40);
+});
+
+test('an organisation with many requests does not starve another', t => {
+	const many = Array.from({length: 20}, (_, id) => waiting(id, {organisation: 'many'}));
+	const order = startAll(roomOf(...many, waiting(50, {organisation: 'few'}))).map(({organisation}) => organisation);
+	t.true(order.indexOf('few') <= 2);
+});
