No second key after a run whose outcome is unknown; one schema for signed bundles

Cause, found by reading the change again: a request with a key issued here was claimed in another hall whenever its refusal was claim_unavailable, also after a run that was lost: it could run twice, and be billed under both keys. Ruled out for what may not be repeated: such a request is never retried after a lost run. Change: only a refusal that says not_run is claimed elsewhere.

--- a/packages/cli/src/lib/signed-bundle-of.ts
+++ b/packages/cli/src/lib/signed-bundle-of.ts
@@ -1,11 +1,7 @@
-import type {SignedBundle} from '@deckwheel/bundle';
-import {z} from 'zod';
-
-const signature = z.object({signer: z.string(), value: z.string()});
-const schema = z.object({text: z.string(), author: signature, approval: signature.optional()});
+import {signedBundleSchema, type SignedBundle} from '@deckwheel/bundle';
 
 /** Reads a signed bundle out of the store; `undefined` when it is none. */
 export const signedBundleOf = (value: unknown): SignedBundle | undefined => {
-	const parsed = schema.safeParse(value);
+	const parsed = signedBundleSchema.safeParse(value);
 	return parsed.success ? parsed.data : undefined;
 };
--- a/packages/daemon/src/lib/start-bundle.ts
+++ b/packages/daemon/src/lib/start-bundle.ts
@@ -1,10 +1,11 @@
-import {adoptBundle, type AdoptedBundle, type SignedBundle} from '@deckwheel/bundle';
+import {
+	adoptBundle, signedBundleSchema, type AdoptedBundle, type SignedBundle,
+} from '@deckwheel/bundle';
 import {rankByRendezvous} from '@deckwheel/core';
 import type {Mesh} from '@deckwheel/mesh';
 import type {BundleTask} from './bundle-task.js';
 import type {Context} from './context.js';
 import {repeat} from './repeat.js';
-import {signedBundleSchema} from './signed-bundle-schema.js';
 
 const headKey = 'bundle/head';
 
--- a/packages/daemon/src/lib/start-gateway.ts
+++ b/packages/daemon/src/lib/start-gateway.ts
@@ -108,13 +108,15 @@
 			: body.error;
 	};
 
-	// A key that was issued just now is nobody's yet. If the hall that should claim it cannot,
-	// nothing was sent, and a key of another hall serves as well.
+	// A key that was issued just now is nobody's yet. If the hall that should claim it cannot, and
+	// nothing was sent, a key of another hall serves as well. After a run whose outcome is unknown
+	// it would not: the request could be run, and billed, under both keys.
 	const workAtSomeHome = async (ctx: KoaContext, visit: Visit, work: Work): Promise<Refusal | undefined> => {
 		const {caller, options} = visit;
 		ctx.set('X-Request-Key', options.key.text);
 		const first = await work(ctx, visit);
-		if (first?.code !== 'claim_unavailable' || options.isKeyPresented) {
+		const isUntouched = first?.code === 'claim_unavailable' && first.ran === 'not_run';
+		if (!isUntouched || options.isKeyPresented) {
 			return first;
 		}
 
