Rights lent between hosts; a reset answer is not whole

Change 2: an error on a request destroys its answer with that error. Test failed first. Change 3: the reply names the lender. Test failed first.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 const config = {
-	files: ['packages/*/dist/test/**/*.test.js'],
+	files: ['packages/*/dist/test/**/*.test.js', 'platform/dist/test/**/*.test.js'],
 	timeout: '120s',
 	workerThreads: false,
 	concurrency: 4,
--- a/packages/entry/src/entry-options.ts
+++ b/packages/entry/src/entry-options.ts
@@ -1,6 +1,7 @@
 import type {Bounds} from './bounds.js';
 import type {HeaderNames} from './header-names.js';
 import type {Log} from './log.js';
+import type {PeerDirectory} from './peer-directory.js';
 import type {RightsStore} from './rights-store.js';
 
 /** What an entry host needs to start. */
@@ -8,9 +9,10 @@
 	readonly host: string;
 	readonly hall: string;
 	/** Addresses as `ip:port`. */
-	readonly listen: {readonly callers: string; readonly ready: string};
+	readonly listen: {readonly callers: string; readonly ready: string; readonly peers: string};
 	readonly bounds: Bounds;
 	readonly headers: HeaderNames;
 	readonly rightsStore: RightsStore;
+	readonly peers: PeerDirectory;
 	readonly log: Log;
 };
--- /dev/null
+++ b/packages/entry/src/lib/account-event.ts
@@ -0,0 +1,12 @@
+/** What changes a host's rights on a budget. Amounts are tokens. */
+export type AccountEvent =
+	| {readonly type: 'reserved'; readonly tokens: number}
+	| {readonly type: 'settled'; readonly reserved: number; readonly used: number}
+	/** The store confirmed this total, or rights are on their way back to it. */
+	| {readonly type: 'granted'; readonly total: number}
+	/** A peer asked for rights. */
+	| {readonly type: 'lent'; readonly to: string; readonly tokens: number}
+	/** A peer told what it gave in total. */
+	| {readonly type: 'received'; readonly from: string; readonly total: number}
+	| {readonly type: 'demanded'; readonly tokensPerSecond: number}
+	| {readonly type: 'faded'; readonly share: number};
--- a/packages/entry/src/lib/answer-refusal.ts
+++ b/packages/entry/src/lib/answer-refusal.ts
@@ -9,7 +9,11 @@
 		return;
 	}
 
-	const body = JSON.stringify({error: {code, message, ran, retry_after_seconds: retryAfterSeconds}});
+	const body = JSON.stringify({
+		error: {
+			code, message, ran, retry_after_seconds: retryAfterSeconds,
+		},
+	});
 	const retryAfter = retryAfterSeconds === undefined ? [] : ['Retry-After', String(retryAfterSeconds)];
 	res.writeHead(status, [...idHeader, 'Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body)), ...retryAfter]);
 	res.end(body);
--- a/packages/entry/src/lib/create-connection-pool.ts
+++ b/packages/entry/src/lib/create-connection-pool.ts
@@ -33,9 +33,13 @@
 	};
 
 	const takeIdle = (endpoint: string): Socket | undefined => {
-		const kept = idle.get(endpoint);
-		while (kept && kept.length > 0) {
-			const {socket, idleSince} = kept.pop()!;
+		for (;;) {
+			const kept = idle.get(endpoint)?.pop();
+			if (!kept) {
+				return undefined;
+			}
+
+			const {socket, idleSince} = kept;
 			socket.removeAllListeners('data');
 			if (!socket.destroyed && socket.writable && socket.readableLength === 0 && now() - idleSince < maxIdleMs) {
 				return socket;
@@ -43,8 +47,6 @@
 
 			socket.destroy();
 		}
-
-		return undefined;
 	};
 
 	const keep = (endpoint: string, socket: Socket): void => {
--- a/packages/entry/src/lib/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/create-endpoint-chooser.ts
@@ -1,5 +1,7 @@
 import {rankByRendezvous} from '@deckwheel/core';
-import {chooseEndpoint, rateByAffinity, stepEndpoints, type EndpointTable} from '@deckwheel/routing';
+import {
+	chooseEndpoint, rateByAffinity, stepEndpoints, type EndpointTable,
+} from '@deckwheel/routing';
 import type {ListedEndpoint} from '../listed-endpoint.js';
 import {createPrefixBeliefs} from './create-prefix-beliefs.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -1,15 +1,21 @@
 import {
-	holdAheadByRate, planDraw, slotOfBudget, unallocated, viewStore, type BudgetRights, type DrawRequest,
+	holdAheadByRate, planDraw, slotOfBudget, unallocated, viewStore, type BudgetRights, type DrawRequest, type HolderRights,
 } from '@deckwheel/ledger';
 import type {FleetConfig} from '../fleet-config.js';
 import type {Log} from '../log.js';
 import type {RightsStore} from '../rights-store.js';
 import type {StoredRights} from '../stored-rights.js';
+import type {AccountEvent} from './account-event.js';
+import {availableRights} from './available-rights.js';
+import {emptyHostAccount} from './empty-host-account.js';
 import type {HostAccount} from './host-account.js';
+import type {Lenders} from './lenders.js';
 import {planRights} from './plan-rights.js';
 import {prepareRights} from './prepare-rights.js';
 import type {ReserveOutcome} from './reserve-outcome.js';
 import type {RightsKeeper} from './rights-keeper.js';
+import {stepAccount} from './step-account.js';
+import {transferredRights} from './transferred-rights.js';
 
 /** Objects among which budgets are spread. All hosts must agree on it. */
 const slotCount = 4;
@@ -22,14 +28,16 @@
 /** What is known of the store's side is used for this long before it is looked at again. */
 const viewTrustMs = 2500;
 
+/** How long a request waits for the store before peers are asked as well, in ms. */
+const storePatienceMs = 60;
+
+/** Seconds of its demand that a host asks of a peer beyond what it lacks. */
+const borrowSeconds = 1;
+
 /** Seconds over which demand is averaged. */
 const rateMemorySeconds = 5;
 
-const holdAhead = holdAheadByRate({shareOfRest: 0.4, horizonSeconds: 14, idleShare: 0.3});
-
-const emptyAccount: HostAccount = {
-	granted: 0, reserved: 0, settled: 0, rate: 0,
-};
+const holdAhead = holdAheadByRate({shareOfRest: 0.6, horizonSeconds: 14, idleShare: 0.3});
 
 type Waiter = {
 	readonly budget: string;
@@ -44,16 +52,18 @@
 	/** The name of this life of the host. */
 	readonly holder: string;
 	readonly store: RightsStore;
+	readonly lenders: Lenders;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
 /** Starts the task that holds this host's rights and moves them to and from the store, one write at a time for each slot. */
-export const createRightsKeeper = ({host, holder, store, log, now}: Options): RightsKeeper => {
+export const createRightsKeeper = ({host, holder, store, lenders, log, now}: Options): RightsKeeper => {
 	const accounts = new Map<string, HostAccount>();
 	const known = new Map<number, Known>();
 	const busy = new Map<number, Promise<boolean>>();
+	const borrowing = new Map<string, Promise<void>>();
 	let waiters: readonly Waiter[] = [];
 	let limits: ReadonlyMap<string, number> = new Map();
 	let version = 0;
@@ -61,14 +71,10 @@
 	let isRetiring = false;
 	let isStoreUp = true;
 
-	const accountOf = (budget: string): HostAccount => accounts.get(budget) ?? emptyAccount;
-	const availableOf = (budget: string): number => {
-		const {granted, reserved, settled} = accountOf(budget);
-		return granted - reserved - settled;
-	};
-
-	const update = (budget: string, change: Partial<HostAccount>): void => {
-		accounts.set(budget, {...accountOf(budget), ...change});
+	const accountOf = (budget: string): HostAccount => accounts.get(budget) ?? emptyHostAccount;
+	const availableOf = (budget: string): number => availableRights(accountOf(budget));
+	const step = (budget: string, event: AccountEvent): void => {
+		accounts.set(budget, stepAccount(accountOf(budget), event));
 	};
 
 	const slotOf = (budget: string): number => slotOfBudget(budget, slotCount);
@@ -88,11 +94,12 @@
 	};
 
 	const drawRequestOf = (budget: string, rights: BudgetRights): DrawRequest => {
-		const {granted, settled, rate} = accountOf(budget);
+		const account = accountOf(budget);
+		const {granted, settled, rate} = account;
 		return {
 			budget,
 			granted,
-			transferred: 0,
+			transferred: transferredRights(account),
 			settled,
 			rate,
 			billed: settled,
@@ -142,9 +149,11 @@
 			known.set(slot, {...outcome.value, readAt: now()});
 			for (const {budget, granted} of plan.grants) {
 				const drawn = granted - accountOf(budget).granted;
-				update(budget, {granted});
+				step(budget, {type: 'granted', total: granted});
 				if (drawn > 0) {
-					log('rights_drawn', {budget, tokens: drawn, granted, rest: plan.rest.get(budget)});
+					log('rights_drawn', {
+						budget, tokens: drawn, granted, rest: plan.rest.get(budget),
+					});
 				}
 			}
 
@@ -178,7 +187,7 @@
 		waiters = waiters.filter(waiter => !concerned.includes(waiter));
 		for (const {budget, tokens, resolve} of concerned) {
 			if (availableOf(budget) >= tokens) {
-				update(budget, {reserved: accountOf(budget).reserved + tokens});
+				step(budget, {type: 'reserved', tokens});
 				resolve('reserved');
 			} else {
 				const rights = rightsOf(budget);
@@ -203,6 +212,63 @@
 		serveWaiters(planned, isDone);
 	};
 
+	const take = (budget: string, tokens: number): boolean => {
+		const isEnough = availableOf(budget) >= tokens;
+		if (isEnough) {
+			step(budget, {type: 'reserved', tokens});
+		}
+
+		return isEnough;
+	};
+
+	const drawFor = async (budget: string, tokens: number, waitMs: number): Promise<ReserveOutcome> => new Promise(resolve => {
+		const waiter: Waiter = {
+			budget,
+			tokens,
+			resolve(outcome) {
+				clearTimeout(giveUp);
+				resolve(outcome);
+			},
+		};
+		const giveUp = setTimeout(() => {
+			waiters = waiters.filter(entry => entry !== waiter);
+			resolve('unavailable');
+		}, waitMs);
+		waiters = [...waiters, waiter];
+		const flushForWaiter = async (): Promise<void> => {
+			// A write that is under way was planned without this request.
+			await busy.get(slotOf(budget));
+			if (waiters.includes(waiter)) {
+				await flush(slotOf(budget));
+			}
+		};
+
+		void flushForWaiter();
+	});
+
+	// What a holder is believed to have left, from the store's record of it.
+	const holdersByRights = (budget: string): readonly string[] => {
+		const left = ({granted, transferred, settled}: HolderRights): number => granted + transferred - settled;
+		return Object.entries(rightsOf(budget)?.holders ?? {})
+			.filter(([name]) => name !== holder)
+			.sort(([, a], [, b]) => left(b) - left(a))
+			.map(([name]) => name);
+	};
+
+	const borrow = async (budget: string, tokens: number): Promise<void> => {
+		const running = borrowing.get(budget);
+		if (running) {
+			await running;
+			return;
+		}
+
+		const wanted = tokens - availableOf(budget) + (accountOf(budget).rate * borrowSeconds);
+		const turn = lenders.borrow(budget, Math.ceil(wanted), holdersByRights(budget), () => availableOf(budget) >= tokens);
+		borrowing.set(budget, turn);
+		await turn;
+		borrowing.delete(budget);
+	};
+
 	const planBudget = (budget: string): 'keep' | 'write' => {
 		const rights = rightsOf(budget);
 		const account = accountOf(budget);
@@ -222,7 +288,7 @@
 		});
 		if (plan.type === 'give_back') {
 			// Rights leave this host before the store hears of it.
-			update(budget, {granted: account.granted - plan.tokens});
+			step(budget, {type: 'granted', total: account.granted - plan.tokens});
 			log('rights_given_back', {budget, tokens: plan.tokens});
 		}
 
@@ -231,8 +297,8 @@
 
 	const fadeRates = (): void => {
 		const kept = Math.exp(-tickMs / 1000 / rateMemorySeconds);
-		for (const [budget, account] of accounts) {
-			accounts.set(budget, {...account, rate: account.rate < 1 ? 0 : account.rate * kept});
+		for (const budget of accounts.keys()) {
+			step(budget, {type: 'faded', share: kept});
 		}
 	};
 
@@ -258,49 +324,43 @@
 				.map(({name, limit}) => [name, limit!]));
 		},
 		async reserve(budget, tokens, waitMs) {
-			const account = accountOf(budget);
-			update(budget, {rate: account.rate + (tokens / rateMemorySeconds)});
-			if (availableOf(budget) >= tokens) {
-				update(budget, {reserved: account.reserved + tokens});
+			step(budget, {type: 'demanded', tokensPerSecond: tokens / rateMemorySeconds});
+			if (take(budget, tokens)) {
 				return 'reserved';
 			}
 
-			if (now() < storeRetryAt || isRetiring) {
-				return 'unavailable';
+			const giveUpAt = now() + waitMs;
+			const fromStore = now() < storeRetryAt || isRetiring ? 'unavailable' : await drawFor(budget, tokens, Math.min(waitMs, storePatienceMs));
+			if (fromStore === 'reserved' || isRetiring) {
+				return fromStore;
 			}
 
-			return new Promise(resolve => {
-				const waiter: Waiter = {
-					budget,
-					tokens,
-					resolve(outcome) {
-						clearTimeout(giveUp);
-						resolve(outcome);
-					},
-				};
-				const giveUp = setTimeout(() => {
-					waiters = waiters.filter(entry => entry !== waiter);
-					resolve('unavailable');
-				}, waitMs);
-				waiters = [...waiters, waiter];
-				void (async () => {
-					// A write that is under way was planned without this request.
-					await busy.get(slotOf(budget));
-					if (waiters.includes(waiter)) {
-						await flush(slotOf(budget));
-					}
-				})();
-			});
+			await borrow(budget, tokens);
+			return now() < giveUpAt + storePatienceMs && take(budget, tokens) ? 'reserved' : fromStore;
 		},
 		settle(budget, reserved, used) {
-			const account = accountOf(budget);
-			update(budget, {reserved: account.reserved - reserved, settled: account.settled + used});
+			step(budget, {type: 'settled', reserved, used});
+		},
+		lend(to, budget, tokens) {
+			if (!isRetiring) {
+				step(budget, {type: 'lent', to, tokens});
+			}
+
+			const total = accountOf(budget).given.get(to) ?? 0;
+			log('rights_lent', {
+				to, budget, asked: tokens, total,
+			});
+			return total;
+		},
+		receive(budget, from, total) {
+			const before = availableOf(budget);
+			step(budget, {type: 'received', from, total});
+			log('rights_borrowed', {from, budget, tokens: availableOf(budget) - before});
 		},
 		async retire() {
 			isRetiring = true;
 			for (const budget of accounts.keys()) {
-				const {reserved, settled} = accountOf(budget);
-				update(budget, {granted: reserved + settled});
+				step(budget, {type: 'granted', total: accountOf(budget).granted - availableOf(budget)});
 			}
 
 			const slots = new Set([...accounts.keys()].map(budget => slotOf(budget)));
--- a/packages/entry/src/lib/event-scanner.ts
+++ b/packages/entry/src/lib/event-scanner.ts
@@ -1,7 +1,7 @@
 /** What has been read of a stream of server-sent events so far. */
 export type EventScanner = {
 	/** Bytes after the last whole event. */
-	readonly rest: Buffer;
+	readonly rest: Uint8Array;
 	/** The id of the last whole event. */
 	readonly lastId: string | undefined;
 	/** Whole events. */
--- a/packages/entry/src/lib/forwarded-headers.ts
+++ b/packages/entry/src/lib/forwarded-headers.ts
@@ -17,7 +17,13 @@
 /** The headers that an endpoint gets: the caller's, less what concerns this hop, with what this host adds. */
 export const forwardedHeaders = ({raw, names, endpoint, organisation, timeLeftMs, bodyBytes, lastEventId, hasBody}: Inputs): readonly string[] => {
 	const dropped = new Set([
-		...names.reserved, names.apiKey, names.organisation, names.deadline, names.expectedEndpoint, 'content-length', 'expect',
+		...names.reserved,
+		names.apiKey,
+		names.organisation,
+		names.deadline,
+		names.expectedEndpoint,
+		'content-length',
+		'expect',
 		...(lastEventId === undefined ? [] : [names.lastEventId]),
 	]);
 	const headers = copyHeaders(raw, dropped);
--- a/packages/entry/src/lib/plan-rights.ts
+++ b/packages/entry/src/lib/plan-rights.ts
@@ -1,4 +1,5 @@
 import type {HoldAhead, StoreView} from '@deckwheel/ledger';
+import {availableRights} from './available-rights.js';
 import type {HostAccount} from './host-account.js';
 
 /** A draw is made when less than this part of the target is left, so that the store is not called for trifles. */
@@ -28,7 +29,7 @@
 
 /** Decides whether a host's rights on a budget should grow or shrink. */
 export const planRights = ({account, store, holders, holdAhead, isOverGranted}: Inputs): RightsPlan => {
-	const available = account.granted - account.reserved - account.settled;
+	const available = availableRights(account);
 	if (isOverGranted) {
 		return available > 0 ? {type: 'give_back', tokens: available} : {type: 'keep'};
 	}
--- a/packages/entry/src/lib/prepare-rights.ts
+++ b/packages/entry/src/lib/prepare-rights.ts
@@ -36,7 +36,11 @@
 	}
 
 	const kept = Object.entries(holders).filter(([name]) => !ended.includes(name) && name !== retiredHolder);
-	const retired = ended.map(name => holders[name]!).reduce((sum, entry) => merge(sum, entry), holders[retiredHolder] ?? noRights);
+	let retired = holders[retiredHolder] ?? noRights;
+	for (const name of ended) {
+		retired = merge(retired, holders[name]!);
+	}
+
 	return Object.fromEntries([...kept, [retiredHolder, retired]]);
 };
 
--- a/packages/entry/src/lib/read-body.ts
+++ b/packages/entry/src/lib/read-body.ts
@@ -5,15 +5,15 @@
 type BodyProblem = 'too_large' | 'caller_left';
 
 /** Reads a caller's body whole, up to a limit. */
-export const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Buffer | BodyProblem> => new Promise(resolve => {
+export const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Uint8Array | BodyProblem> => new Promise(resolve => {
 	if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
 		resolve('too_large');
 		return;
 	}
 
-	const chunks: Buffer[] = [];
+	const chunks: Uint8Array[] = [];
 	let size = 0;
-	req.on('data', (chunk: Buffer) => {
+	req.on('data', (chunk: Uint8Array) => {
 		size += chunk.length;
 		if (size > maxBytes) {
 			resolve('too_large');
--- a/packages/entry/src/lib/relay-stream.ts
+++ b/packages/entry/src/lib/relay-stream.ts
@@ -21,7 +21,7 @@
 		upstream.resume();
 	};
 
-	upstream.on('data', (chunk: Buffer) => {
+	upstream.on('data', (chunk: Uint8Array) => {
 		const scan = scanEvents(scanner, chunk);
 		scanner = scan.scanner;
 		if (scan.whole.length > 0) {
--- a/packages/entry/src/lib/scan-events.ts
+++ b/packages/entry/src/lib/scan-events.ts
@@ -3,11 +3,11 @@
 
 const idField = /^id: ?(.*)$/m;
 
-type Scan = {readonly scanner: EventScanner; /** Bytes of the events that became whole. */ readonly whole: Buffer};
+type Scan = {readonly scanner: EventScanner; /** Bytes of the events that became whole. */ readonly whole: Uint8Array};
 
 /** Takes in the next bytes of a stream and tells which of them make whole events. Events end with an empty line. */
-export const scanEvents = ({rest, lastId, count}: EventScanner, chunk: Buffer): Scan => {
-	const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+export const scanEvents = ({rest, lastId, count}: EventScanner, chunk: Uint8Array): Scan => {
+	const bytes = Buffer.concat([rest, chunk]);
 	const end = bytes.lastIndexOf('\n\n');
 	if (end === -1) {
 		return {scanner: {rest: bytes, lastId, count}, whole: Buffer.alloc(0)};
--- a/packages/entry/src/lib/send-attempt.ts
+++ b/packages/entry/src/lib/send-attempt.ts
@@ -27,6 +27,7 @@
 export const sendAttempt = async (attempt: Attempt, pool: ConnectionPool, names: HeaderNames): Promise<AttemptResult> => new Promise(resolve => {
 	const {endpoint, id, method, path, headers, body, signal} = attempt;
 	let isConnected = false;
+	let answer: IncomingMessage | undefined;
 	const req = sendRequest({
 		method,
 		path,
@@ -51,11 +52,14 @@
 	});
 	req.on('response', response => {
 		// A connection may break later on; whoever reads the answer hears of it.
-		response.on('error', () => {});
+		response.on('error', () => undefined);
+		answer = response;
 		resolve(judge(response, id, names));
 	});
 	req.on('error', error => {
 		clearTimeout(connectTimer);
+		// An answer without a length would else end as if whole, though its connection was reset.
+		answer?.destroy(error);
 		const reason = (error as NodeJS.ErrnoException).code ?? error.message;
 		resolve(isConnected ? {type: 'lost', reason} : {type: 'unsent', reason});
 	});
--- a/packages/entry/src/lib/step-retry-window.ts
+++ b/packages/entry/src/lib/step-retry-window.ts
@@ -23,18 +23,16 @@
 /**
 Notes a request, or takes one repeat out of what the service may get.
 
-Each host keeps to its own part without asking: the ratio of its own requests, and its part of the slack.
+Each host keeps to its own part without asking: the ratio of its own requests. The slack is nobody's, so it is left.
 Repeats of up to two windows count against the requests of one, so that no sliding window holds too many.
-
-@param hosts How many hosts share the slack.
 */
-export const stepRetryWindow = (before: RetryWindow | undefined, event: 'request' | 'repeat', {retryRatio, retryWindowMs, retrySlack}: Bounds, hosts: number, now: number): Step => {
+export const stepRetryWindow = (before: RetryWindow | undefined, event: 'request' | 'repeat', {retryRatio, retryWindowMs}: Bounds, now: number): Step => {
 	const window = moveOn(before ?? {...emptyWindow, since: now}, retryWindowMs, now);
 	if (event === 'request') {
 		return {window: {...window, requests: window.requests + 1}, isAllowed: true};
 	}
 
-	const allowed = (retryRatio * Math.max(window.requests, window.earlierRequests)) + (retrySlack / hosts / 2);
+	const allowed = retryRatio * Math.max(window.requests, window.earlierRequests);
 	const isAllowed = window.repeats + window.earlierRepeats + 1 <= allowed;
 	return {window: isAllowed ? {...window, repeats: window.repeats + 1} : window, isAllowed};
 };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -5,11 +5,13 @@
 import type {FleetConfig} from './fleet-config.js';
 import {createConnectionPool} from './lib/create-connection-pool.js';
 import {createEndpointChooser} from './lib/create-endpoint-chooser.js';
+import {createLenders} from './lib/create-lenders.js';
 import {createRightsKeeper} from './lib/create-rights-keeper.js';
 import type {EntryContext} from './lib/entry-context.js';
 import {listenAt} from './lib/listen-at.js';
 import type {RetryWindow} from './lib/retry-window.js';
 import {serveRequest} from './lib/serve-request.js';
+import {startPeerLinks} from './lib/start-peer-links.js';
 import {stepRetryWindow} from './lib/step-retry-window.js';
 
 /** Callers' heads are bounded here once; the configuration's own bound is lower. */
@@ -23,13 +25,28 @@
 const handBackMs = 1000;
 
 /** Starts an entry host. It is ready once it has a configuration and a list of endpoints. */
-export const startEntry = async ({host, hall, listen, bounds, headers: names, rightsStore, log}: EntryOptions): Promise<Entry> => {
+export const startEntry = async ({host, hall, listen, bounds, headers: names, rightsStore, peers, log}: EntryOptions): Promise<Entry> => {
 	const now = (): number => performance.now();
 	const holder = `${host}#${Date.now().toString(36)}${Math.floor(Math.random() * 46_656).toString(36)}`;
 	const chooser = createEndpointChooser(hall, now);
 	const pool = createConnectionPool(now);
+	const lenders = createLenders({
+		mesh: () => links.mesh(),
+		peerOf: name => links.peerOf(name),
+		onLoan(budget, from, total) {
+			rights.receive(budget, from, total);
+		},
+	});
 	const rights = createRightsKeeper({
-		host, holder, store: rightsStore, log, now,
+		host, holder, store: rightsStore, lenders, log, now,
+	});
+	const links = startPeerLinks({
+		self: {holder, address: listen.peers},
+		hall,
+		directory: peers,
+		lend: (to, budget, tokens) => rights.lend(to, budget, tokens),
+		log,
+		now,
 	});
 	const windows = new Map<string, RetryWindow>();
 	let config: FleetConfig | undefined;
@@ -38,7 +55,7 @@
 	let open = 0;
 
 	const stepWindow = (service: string, event: 'request' | 'repeat'): boolean => {
-		const {window, isAllowed} = stepRetryWindow(windows.get(service), event, bounds, Number.POSITIVE_INFINITY, now());
+		const {window, isAllowed} = stepRetryWindow(windows.get(service), event, bounds, now());
 		windows.set(service, window);
 		return isAllowed;
 	};
@@ -118,6 +135,7 @@
 			await hasEnded(signalledAt + bounds.stopGraceMs - handBackMs);
 			await rights.retire();
 			rights.close();
+			await links.close();
 			log('stopped', {open});
 		},
 	};
--- /dev/null
+++ b/packages/entry/src/test/create-lenders.test.ts
@@ -0,0 +1,27 @@
+import test from 'ava';
+import {succeed} from '@deckwheel/core';
+import type {Mesh} from '@deckwheel/mesh';
+import {createLenders} from '../lib/create-lenders.js';
+import {emptyHostAccount} from '../lib/empty-host-account.js';
+import {stepAccount} from '../lib/step-account.js';
+import {transferredRights} from '../lib/transferred-rights.js';
+
+test('a host that restarted is asked under both its names, and its loan counts once', async t => {
+	// Both names lead to one address, where only the newer life answers.
+	const mesh: Mesh = {
+		port: 0,
+		request: async () => succeed({lender: 'edge-1#new', total: 50}),
+		send: () => undefined,
+		close: async () => undefined,
+	};
+	let account = emptyHostAccount;
+	const lenders = createLenders({
+		mesh: () => mesh,
+		peerOf: holder => ({holder, address: '127.0.0.1:1'}),
+		onLoan(_budget, from, total) {
+			account = stepAccount(account, {type: 'received', from, total});
+		},
+	});
+	await lenders.borrow('budget', 100, ['edge-1#old', 'edge-1#new'], () => false);
+	t.is(transferredRights(account), 50);
+});
--- /dev/null
+++ b/packages/entry/src/test/lib/header-names.ts
@@ -0,0 +1,17 @@
+import type {HeaderNames} from '../../header-names.js';
+
+/** Header names that no platform uses. */
+export const headerNames: HeaderNames = {
+	requestId: 'x-id',
+	deadline: 'x-deadline',
+	apiKey: 'x-key',
+	organisation: 'x-organisation',
+	stamp: 'x-stamp',
+	notRun: 'x-not-run',
+	expectedEndpoint: 'x-endpoint',
+	tokenCount: 'x-tokens',
+	prefix: 'x-prefix',
+	urgency: 'x-urgency',
+	lastEventId: 'last-event-id',
+	reserved: ['x-reserved'],
+};
--- /dev/null
+++ b/packages/entry/src/test/send-attempt.test.ts
@@ -0,0 +1,79 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import test from 'ava';
+import {createConnectionPool} from '../lib/create-connection-pool.js';
+import {readAnswer} from '../lib/read-answer.js';
+import {sendAttempt} from '../lib/send-attempt.js';
+import {headerNames} from './lib/header-names.js';
+
+const answerWith = async (answer: (socket: Socket) => void) => {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			answer(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return server;
+};
+
+const send = async (address: string) => sendAttempt({
+	endpoint: {
+		id: 'e1', address, hall: 'a', serves: ['s'], slots: 1, isLeaving: false,
+	},
+	id: 'r1',
+	method: 'GET',
+	path: '/',
+	headers: [headerNames.requestId, 'r1'],
+	body: new Uint8Array(),
+	signal: new AbortController().signal,
+}, createConnectionPool(() => performance.now()), headerNames);
+
+test('an answer without a length whose connection is reset is not whole', async t => {
+	let reset: () => void = () => undefined;
+	const server = await answerWith(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\npart');
+		reset = () => {
+			socket.resetAndDestroy();
+		};
+	});
+	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	server.close();
+	t.is(result.type, 'answered');
+	if (result.type === 'answered') {
+		const answer = readAnswer(result.response);
+		await once(result.response, 'data');
+		reset();
+		t.is(await answer, undefined);
+	}
+});
+
+test('an answer without a length ends whole with its connection', async t => {
+	const server = await answerWith(socket => {
+		socket.end('HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\nall');
+	});
+	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	server.close();
+	t.is(result.type, 'answered');
+	if (result.type === 'answered') {
+		t.is(new TextDecoder().decode(await readAnswer(result.response)), 'all');
+	}
+});
+
+test('an answer that names another request is none', async t => {
+	const server = await answerWith(socket => {
+		socket.end('HTTP/1.1 200 OK\r\nx-id: other\r\nx-stamp: s\r\ncontent-length: 2\r\n\r\nno');
+	});
+	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	server.close();
+	t.is(result.type, 'lost');
+});
+
+test('a refused connection proves that nothing was sent', async t => {
+	const server = await answerWith(() => undefined);
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	t.is((await send(`127.0.0.1:${port}`)).type, 'unsent');
+});
