--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -24,6 +24,10 @@
 
 /** After a failed call to the store, requests that lack rights are refused at once for this long. */
 const storePauseMs = 300;
+const longestStorePauseMs = 2000;
+
+/** A slot is not written more often than this, unless a request waits for it. */
+const writeGapMs = 1500;
 
 /** What is known of the store's side is used for this long before it is looked at again. */
 const viewTrustMs = 2500;
@@ -63,11 +67,13 @@
 	const accounts = new Map<string, HostAccount>();
 	const known = new Map<number, Known>();
 	const busy = new Map<number, Promise<boolean>>();
+	const writtenAt = new Map<number, number>();
 	const borrowing = new Map<string, Promise<void>>();
 	let waiters: readonly Waiter[] = [];
 	let limits: ReadonlyMap<string, number> = new Map();
 	let version = 0;
 	let storeRetryAt = 0;
+	let storeFailures = 0;
 	let isRetiring = false;
 	let isStoreUp = true;
 
@@ -117,7 +123,8 @@
 			isStoreUp = isUp;
 		}
 
-		storeRetryAt = isUp ? 0 : now() + storePauseMs;
+		storeFailures = isUp ? 0 : storeFailures + 1;
+		storeRetryAt = isUp ? 0 : now() + Math.min(longestStorePauseMs, storePauseMs * (2 ** (storeFailures - 1)));
 	};
 
 	const readSlot = async (slot: number): Promise<Known | undefined> => {
@@ -283,6 +290,7 @@
 			holdAhead,
 			holders: holdersOf(rights),
 			isOverGranted: unallocated(rights) < 0,
+			isStoreUp,
 			// An old view may say that nothing is left where others have given back since.
 			store: age > viewTrustMs ? {...store, unallocated: Math.max(1, store.unallocated)} : store,
 		});
@@ -308,8 +316,11 @@
 			return;
 		}
 
-		const slots = new Set([...limits.keys()].filter(budget => planBudget(budget) === 'write').map(budget => slotOf(budget)));
-		for (const slot of slots) {
+		const isRested = (budget: string): boolean => now() - (writtenAt.get(slotOf(budget)) ?? -writeGapMs) >= writeGapMs;
+		const slots = new Set([...limits.keys()].filter(budget => isRested(budget) && planBudget(budget) === 'write').map(budget => slotOf(budget)));
+		// While the store is out of reach, one call tells whether it is back.
+		for (const slot of isStoreUp ? slots : [...slots].slice(0, 1)) {
+			writtenAt.set(slot, now());
 			void flush(slot);
 		}
 	};
--- a/packages/entry/src/lib/plan-rights.ts
+++ b/packages/entry/src/lib/plan-rights.ts
@@ -25,10 +25,12 @@
 	readonly holdAhead: HoldAhead;
 	/** Whether the limit fell below what was granted: then nobody may keep unspent rights. */
 	readonly isOverGranted: boolean;
+	/** Rights that leave this host while the store is out of reach would be of use to nobody. */
+	readonly isStoreUp: boolean;
 };
 
 /** Decides whether a host's rights on a budget should grow or shrink. */
-export const planRights = ({account, store, holders, holdAhead, isOverGranted}: Inputs): RightsPlan => {
+export const planRights = ({account, store, holders, holdAhead, isOverGranted, isStoreUp}: Inputs): RightsPlan => {
 	const available = availableRights(account);
 	if (isOverGranted) {
 		return available > 0 ? {type: 'give_back', tokens: available} : {type: 'keep'};
@@ -42,5 +44,5 @@
 	}
 
 	const surplus = Math.floor(available - target);
-	return available > target * giveBackAbove && surplus > keepTokens ? {type: 'give_back', tokens: surplus} : {type: 'keep'};
+	return isStoreUp && available > target * giveBackAbove && surplus > keepTokens ? {type: 'give_back', tokens: surplus} : {type: 'keep'};
 };
--- /dev/null
+++ b/packages/entry/src/test/plan-rights.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava';
+import type {HoldAhead} from '@deckwheel/ledger';
+import {emptyHostAccount} from '../lib/empty-host-account.js';
+import {planRights} from '../lib/plan-rights.js';
+
+const holdAhead: HoldAhead = () => 10_000;
+const store = {unallocated: 1_000_000, remaining: 1_000_000, demandShare: 0.5};
+const base = {
+	store, holders: 2, holdAhead, isOverGranted: false, isStoreUp: true,
+};
+const holding = (tokens: number) => ({...emptyHostAccount, granted: tokens});
+
+test('draws when little of the target is left, and not before', t => {
+	t.is(planRights({...base, account: holding(3000)}).type, 'draw');
+	t.is(planRights({...base, account: holding(9000)}).type, 'keep');
+});
+
+test('does not draw from a store that has nothing left', t => {
+	t.is(planRights({...base, store: {...store, unallocated: 0}, account: holding(0)}).type, 'keep');
+});
+
+test('gives back what is far above the target', t => {
+	t.deepEqual(planRights({...base, account: holding(40_000)}), {type: 'give_back', tokens: 30_000});
+});
+
+test('keeps its rights while the store is out of reach', t => {
+	t.is(planRights({...base, isStoreUp: false, account: holding(40_000)}).type, 'keep');
+});
+
+test('gives back all that is unspent when the limit fell below what was granted', t => {
+	t.deepEqual(planRights({...base, isOverGranted: true, account: {...holding(9000), reserved: 2000, settled: 1000}}), {type: 'give_back', tokens: 6000});
+});
