What ended lives held counts as spent; no host takes more than three equal shares

What ended lives of hosts held was counted among what remains, which made targets larger. Change: a folded life is charged whole; a holder's share is at most three equal ones; 8 s of own demand instead of 10.

--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -41,7 +41,7 @@
 /** Seconds over which demand is averaged. */
 const rateMemorySeconds = 5;
 
-const holdAhead = holdAheadByRate({shareOfRest: 0.35, horizonSeconds: 10, idleShare: 0.3});
+const holdAhead = holdAheadByRate({shareOfRest: 0.35, horizonSeconds: 8, idleShare: 0.3});
 
 type Waiter = {
 	readonly budget: string;
--- a/packages/entry/src/lib/prepare-rights.ts
+++ b/packages/entry/src/lib/prepare-rights.ts
@@ -21,13 +21,14 @@
 	organisation: budget, limit: 0, limitVersion: 0, topUps: [], holders: {},
 });
 
-const merge = (a: HolderRights, b: HolderRights): HolderRights => ({
-	...noRights,
-	granted: a.granted + b.granted,
-	transferred: a.transferred + b.transferred,
-	settled: a.settled + b.settled,
-	billed: a.billed + b.billed,
-});
+// What an ended life had not reported is as good as spent: nobody can tell how much of it was.
+const merge = (a: HolderRights, b: HolderRights): HolderRights => {
+	const granted = a.granted + b.granted;
+	const transferred = a.transferred + b.transferred;
+	return {
+		...noRights, granted, transferred, settled: Math.max(0, granted + transferred), billed: a.billed + b.billed,
+	};
+};
 
 const retirePredecessors = (holders: BudgetRights['holders'], host: string, holder: string): BudgetRights['holders'] => {
 	const ended = Object.keys(holders).filter(name => name.startsWith(`${host}#`) && name !== holder);
--- /dev/null
+++ b/packages/entry/src/test/prepare-rights.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava';
+import {unallocated, viewStore, type HolderRights} from '@deckwheel/ledger';
+import {prepareRights} from '../lib/prepare-rights.js';
+
+const entry = (granted: number, settled: number, transferred = 0): HolderRights => ({
+	epoch: 0, granted, transferred, rate: 0, settled, billed: settled,
+});
+const rights = (holders: Readonly<Record<string, HolderRights>>, limit = 1000, limitVersion = 1) => ({
+	budgets: {
+		b: {
+			organisation: 'b', limit, limitVersion, topUps: [], holders,
+		},
+	},
+});
+const inputs = {
+	host: 'edge-1', holder: 'edge-1#2', limits: new Map([['b', 1000]]), version: 1,
+};
+
+test('what an ended life of this host held stays charged', t => {
+	const {b} = prepareRights(rights({'edge-1#1': entry(300, 100)}), inputs).budgets;
+	t.is(unallocated(b!), 700);
+	t.deepEqual(Object.keys(b!.holders), ['retired']);
+});
+
+test('rights of an ended life are not taken for what remains', t => {
+	const {b} = prepareRights(rights({'edge-1#1': entry(300, 100)}), inputs).budgets;
+	t.is(viewStore(b!, 'edge-1#2', 0).remaining, 700);
+});
+
+test('other hosts, also those whose name begins alike, are left alone', t => {
+	const {b} = prepareRights(rights({'edge-11#1': entry(300, 100), 'edge-2#1': entry(200, 0)}), inputs).budgets;
+	t.deepEqual(Object.keys(b!.holders), ['edge-11#1', 'edge-2#1']);
+});
+
+test('folding lives again and again changes neither sum', t => {
+	const once = prepareRights(rights({'edge-1#0': entry(100, 100), 'edge-1#1': entry(300, 100, -50), 'edge-2#1': entry(200, 0, 50)}), inputs);
+	const twice = prepareRights(once, inputs);
+	t.deepEqual(twice, once);
+	t.is(unallocated(twice.budgets.b!), 400);
+});
+
+test('an older configuration does not set the limit back', t => {
+	const {b} = prepareRights(rights({}, 500, 7), {...inputs, version: 6}).budgets;
+	t.is(b!.limit, 500);
+});
+
+test('a newer configuration sets the limit', t => {
+	const {b} = prepareRights(rights({}, 500, 7), {...inputs, version: 8}).budgets;
+	t.is(b!.limit, 1000);
+	t.is(b!.limitVersion, 8);
+});
--- a/packages/ledger/src/hold-ahead-by-rate.ts
+++ b/packages/ledger/src/hold-ahead-by-rate.ts
@@ -1,5 +1,8 @@
 import type {HoldAhead} from './hold-ahead.js';
 
+/** The most that one holder holds, in equal shares: others may have demand that is not recorded yet. */
+const mostShares = 3;
+
 /** How far ahead a single host holds rights. */
 type HoldAheadByRateSettings = {
 	/** The part of what remains of a budget that all holders together hold, 0 to 1. */
@@ -19,6 +22,7 @@
 export const holdAheadByRate = ({shareOfRest, horizonSeconds, idleShare}: HoldAheadByRateSettings): HoldAhead => view => {
 	const part = view.remaining * shareOfRest;
 	const idle = part * idleShare / view.halls;
-	const busy = Math.min(part * view.demandShare, view.tokensPerSecond * horizonSeconds);
+	const share = Math.min(view.demandShare, mostShares / view.halls);
+	const busy = Math.min(part * share, view.tokensPerSecond * horizonSeconds);
 	return Math.ceil(Math.max(view.missing, Math.max(idle, busy) - view.available));
 };
