A reset that comes together with data ends no answer whole

Seen with strace: read of 33 bytes, no further read, shutdown answers ENOTCONN. Change: at the end of a connection, one without a peer counts as reset. The test failed first.

--- a/packages/entry/src/lib/create-connection-pool.ts
+++ b/packages/entry/src/lib/create-connection-pool.ts
@@ -65,6 +65,13 @@
 
 	const open = (endpoint: string, address: string): Socket => {
 		const socket = connect({...splitAddress(address), noDelay: true});
+		// A reset that comes together with data is told as an ordinary end (libuv takes a hang-up after a short read
+		// for one). A socket that was reset has no peer any more.
+		socket.prependListener('end', () => {
+			if (socket.remoteAddress === undefined) {
+				socket.emit('error', new Error('ECONNRESET'));
+			}
+		});
 		socket.on('free', () => {
 			keep(endpoint, socket);
 		});
--- a/packages/entry/src/test/send-attempt.test.ts
+++ b/packages/entry/src/test/send-attempt.test.ts
@@ -49,6 +49,17 @@
 	}
 });
 
+test('nor if the reset comes together with its last bytes', async t => {
+	const server = await answerWith(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\npart', () => {
+			socket.resetAndDestroy();
+		});
+	});
+	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	server.close();
+	t.is(result.type === 'answered' ? await readAnswer(result.response) : undefined, undefined);
+});
+
 test('an answer without a length ends whole with its connection', async t => {
 	const server = await answerWith(socket => {
 		socket.end('HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\nall');
@@ -76,5 +87,6 @@
 	const {port} = server.address() as AddressInfo;
 	server.close();
 	await once(server, 'close');
-	t.is((await send(`127.0.0.1:${port}`)).type, 'unsent');
+	const {type} = await send(`127.0.0.1:${port}`);
+	t.is(type, 'unsent');
 });
