--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,4 +9,6 @@
 	readonly listEndpoints: (endpoints: readonly ListedEndpoint[]) => void;
 	/** Ends as planned: takes nothing new, finishes what runs, gives rights back. */
 	readonly stop: () => Promise<void>;
+	/** Ends at once, as a death of the process would: nothing is finished or given back. */
+	readonly kill: () => Promise<void>;
 };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -122,6 +122,16 @@
 			pool.keepOnly(new Set(endpoints.map(({id}) => id)));
 			log('endpoints_listed', {count: endpoints.length, leaving: endpoints.filter(({isLeaving}) => isLeaving).length});
 		},
+		async kill() {
+			rights.close();
+			for (const server of [callers, ready]) {
+				server.closeAllConnections();
+				server.close();
+			}
+
+			pool.keepOnly(new Set());
+			await links.close();
+		},
 		async stop() {
 			isStopping = true;
 			const signalledAt = now();
--- /dev/null
+++ b/packages/entry/src/test/lib/memory-rights-store.ts
@@ -0,0 +1,43 @@
+import {fail, succeed} from '@deckwheel/core';
+import type {RightsStore} from '../../rights-store.js';
+import type {StoredRights} from '../../stored-rights.js';
+
+/** A store of rights in memory, with faults that a test sets. */
+export type MemoryRightsStore = RightsStore & {
+	readonly faults: {isDown: boolean; /** The next write is done, and its answer lost. */ losesNextAnswer: boolean};
+	readonly objects: ReadonlyMap<string, StoredRights>;
+};
+
+const none: StoredRights = {rights: {budgets: {}}, revision: 0};
+
+/** Creates a store of rights that several hosts of a test share. */
+export const createMemoryRightsStore = (): MemoryRightsStore => {
+	const objects = new Map<string, StoredRights>();
+	const faults = {isDown: false, losesNextAnswer: false};
+	return {
+		faults,
+		objects,
+		async read(slot) {
+			return faults.isDown ? fail({type: 'unavailable'}) : succeed(objects.get(slot) ?? none);
+		},
+		async write(slot, rights, revision) {
+			if (faults.isDown) {
+				return fail({type: 'unavailable'});
+			}
+
+			const now = objects.get(slot) ?? none;
+			if (now.revision !== revision) {
+				return fail({type: 'conflict', now});
+			}
+
+			const stored = {rights, revision: revision + 1};
+			objects.set(slot, stored);
+			if (faults.losesNextAnswer) {
+				faults.losesNextAnswer = false;
+				return fail({type: 'unknown'});
+			}
+
+			return succeed(stored);
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -0,0 +1,78 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import type {FleetConfig} from '../../fleet-config.js';
+import type {ListedPeer} from '../../listed-peer.js';
+import type {RightsStore} from '../../rights-store.js';
+import type {Route} from '../../route.js';
+import {startEntry} from '../../start-entry.js';
+import {headerNames} from './header-names.js';
+
+const freeAddress = async (): Promise<string> => {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return `127.0.0.1:${port}`;
+};
+
+/** A route of the service `s`. */
+export const makeRoute = (change: Partial<Route> = {}): Route => ({
+	name: 'r', host: 'fleet', pathPrefix: '/', kind: 'repeatable', backends: [{service: 's', weight: 1}], timeoutMs: 30_000, goalMs: 10_000, priority: 0, maxAttempts: 2, isPublic: false, isResumable: false, ...change,
+});
+
+/** A configuration with one organisation `org`, whose key is `key`. */
+export const makeConfig = (change: Partial<FleetConfig> = {}, limit: number | undefined = undefined): FleetConfig => ({
+	version: 1,
+	routes: [makeRoute()],
+	services: new Map([['s', {name: 's', maxConnections: 100, tokensPerEvent: 2}]]),
+	organisationsByKey: new Map([['key', {name: 'org', limit, priority: undefined}]]),
+	hasOrganisations: true,
+	limits: {maxBodyBytes: 1000, headerTimeoutMs: 10_000, idleTimeoutMs: 10_000},
+	...change,
+});
+
+/** Starts an entry host. Hosts that share `peers` find each other. */
+export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', peers = new Map<string, ListedPeer>()} = {}) => {
+	const callers = await freeAddress();
+	const ready = await freeAddress();
+	const events: Array<{event: string; fields: Readonly<Record<string, unknown>>}> = [];
+	const waiting: Array<{event: string; resolve: () => void}> = [];
+	const entry = await startEntry({
+		host,
+		hall: 'hall-a',
+		listen: {callers, ready, peers: await freeAddress()},
+		bounds: {
+			retryRatio: 1, retryWindowMs: 10_000, retrySlack: 0, stopGraceMs: 20_000,
+		},
+		headers: headerNames,
+		rightsStore,
+		peers: {
+			async register(self) {
+				peers.set(host, self);
+				return 'secret';
+			},
+			list: async () => [...peers.values()],
+		},
+		log(event, fields = {}) {
+			events.push({event, fields});
+			for (const waiter of waiting.filter(entry => entry.event === event)) {
+				waiter.resolve();
+			}
+		},
+	});
+	return {
+		entry,
+		callers,
+		ready,
+		events,
+		/** Resolves once the event was logged. */
+		async logged(event: string) {
+			if (!events.some(line => line.event === event)) {
+				await new Promise<void>(resolve => {
+					waiting.push({event, resolve});
+				});
+			}
+		},
+	};
+};
