--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -8,7 +8,7 @@
 
 Usage: deckwheeld --settings FILE [--check]
 
-  --settings FILE  the settings, in JSON (see docs/operating.md)
+  --settings FILE  the settings, in JSON (see docs/OPERATIONS.md)
   --check          check the settings and exit
   --help           show this
 
