--- /dev/null
+++ b/packages/entry/src/lib/create-draw-queue.ts
@@ -0,0 +1,82 @@
+import {viewStore} from '@deckwheel/ledger';
+import type {Accounts} from './accounts.js';
+import type {DrawQueue} from './draw-queue.js';
+import type {ReserveOutcome} from './reserve-outcome.js';
+import type {SlotWriter} from './slot-writer.js';
+
+type Waiter = {
+	readonly budget: string;
+	readonly tokens: number;
+	readonly resolve: (outcome: ReserveOutcome) => void;
+};
+
+type Options = {
+	readonly holder: string;
+	readonly accounts: Accounts;
+	readonly writer: () => SlotWriter;
+};
+
+/** Creates the queue of requests that wait for rights. One write serves all that waited when it was planned. */
+export const createDrawQueue = ({holder, accounts, writer}: Options): DrawQueue => {
+	let waiters: readonly Waiter[] = [];
+
+	const serve = ({budget, tokens, resolve}: Waiter, isWritten: boolean): void => {
+		if (accounts.take(budget, tokens)) {
+			resolve('reserved');
+			return;
+		}
+
+		const rights = writer().rightsOf(budget);
+		const isExhausted = isWritten && rights !== undefined && viewStore(rights, holder, 0).remaining < tokens;
+		resolve(isExhausted ? 'exhausted' : 'unavailable');
+	};
+
+	const flushFor = async (waiter: Waiter): Promise<void> => {
+		const slot = writer().slotOf(waiter.budget);
+		// A write that is under way was planned without this request.
+		await writer().idle(slot);
+		if (!waiters.includes(waiter)) {
+			return;
+		}
+
+		const isJoined = writer().isBusy(slot);
+		const planned = waiters.filter(({budget}) => writer().slotOf(budget) === slot);
+		const isWritten = await writer().flush(slot);
+		if (isJoined) {
+			return;
+		}
+
+		const concerned = planned.filter(entry => waiters.includes(entry));
+		waiters = waiters.filter(entry => !concerned.includes(entry));
+		for (const entry of concerned) {
+			serve(entry, isWritten);
+		}
+	};
+
+	return {
+		missing(budget) {
+			let wanted = 0;
+			for (const waiter of waiters) {
+				wanted += waiter.budget === budget ? waiter.tokens : 0;
+			}
+
+			return Math.max(0, wanted - accounts.available(budget));
+		},
+		draw: async (budget, tokens, waitMs) => new Promise(resolve => {
+			const waiter: Waiter = {
+				budget,
+				tokens,
+				resolve(outcome) {
+					clearTimeout(giveUp);
+					resolve(outcome);
+				},
+			};
+			const giveUp = setTimeout(() => {
+				waiters = waiters.filter(entry => entry !== waiter);
+				resolve('unavailable');
+			}, waitMs);
+			waiters = [...waiters, waiter];
+			void flushFor(waiter);
+		}),
+	};
+};
--- /dev/null
+++ b/packages/entry/src/lib/create-slot-writer.ts
@@ -0,0 +1,147 @@
+import {
+	planDraw, slotOfBudget, type BudgetRights, type DrawRequest,
+} from '@deckwheel/ledger';
+import type {Log} from '../log.js';
+import type {RightsStore} from '../rights-store.js';
+import type {StoredRights} from '../stored-rights.js';
+import type {Accounts} from './accounts.js';
+import type {BudgetLimits} from './budget-limits.js';
+import {prepareRights} from './prepare-rights.js';
+import type {SlotWriter} from './slot-writer.js';
+import type {StoreState} from './store-state.js';
+import {transferredRights} from './transferred-rights.js';
+
+/** Objects among which budgets are spread. All hosts must agree on it. */
+const slotCount = 4;
+const maxConflicts = 8;
+
+type Known = StoredRights & {/** Monotonic ms. */ readonly readAt: number};
+
+type Options = {
+	readonly host: string;
+	readonly holder: string;
+	readonly store: RightsStore;
+	readonly state: StoreState;
+	readonly accounts: Accounts;
+	readonly limits: () => BudgetLimits;
+	/** Decides the draw on a budget once the store's side is known. */
+	readonly wants: (budget: string, rights: BudgetRights) => DrawRequest['wants'];
+	readonly log: Log;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/** Creates the writer of this host's rights. A write states totals, so that one whose answer was lost can be made again. */
+export const createSlotWriter = ({host, holder, store, state, accounts, limits, wants, log, now}: Options): SlotWriter => {
+	const known = new Map<number, Known>();
+	const busy = new Map<number, Promise<boolean>>();
+
+	const slotOf = (budget: string): number => slotOfBudget(budget, slotCount);
+	const limitsOf = (slot: number): ReadonlyMap<string, number> =>
+		new Map([...limits().byBudget].filter(([budget]) => slotOf(budget) === slot));
+
+	const note = (slot: number, stored: StoredRights): Known => {
+		const noted = {...stored, readAt: now()};
+		known.set(slot, noted);
+		return noted;
+	};
+
+	const readSlot = async (slot: number): Promise<Known | undefined> => {
+		const outcome = await store.read(`slot-${slot}`);
+		state.note(outcome.ok);
+		return outcome.ok ? note(slot, outcome.value) : undefined;
+	};
+
+	const drawRequestOf = (budget: string, rights: BudgetRights): DrawRequest => {
+		const account = accounts.of(budget);
+		return {
+			budget,
+			granted: account.granted,
+			transferred: transferredRights(account),
+			settled: account.settled,
+			rate: account.rate,
+			billed: account.settled,
+			wants: wants(budget, rights),
+		};
+	};
+
+	const takeGrant = (budget: string, granted: number, rest: number | undefined): void => {
+		const drawn = granted - accounts.of(budget).granted;
+		accounts.step(budget, {type: 'granted', total: granted});
+		if (drawn > 0) {
+			log('rights_drawn', {
+				budget, tokens: drawn, granted, rest,
+			});
+		}
+	};
+
+	const writeSlot = async (slot: number, stored: Known): Promise<'done' | 'again' | 'failed'> => {
+		const slotLimits = limitsOf(slot);
+		const prepared = prepareRights(stored.rights, {
+			host, holder, limits: slotLimits, version: limits().version,
+		});
+		const requests = [...slotLimits.keys()].map(budget => drawRequestOf(budget, prepared.budgets[budget]!));
+		const plan = planDraw(prepared, holder, 0, requests);
+		if (plan.type === 'deposed') {
+			return 'failed';
+		}
+
+		const outcome = await store.write(`slot-${slot}`, plan.rights, stored.revision);
+		if (outcome.ok) {
+			state.note(true);
+			note(slot, outcome.value);
+			for (const {budget, granted} of plan.grants) {
+				takeGrant(budget, granted, plan.rest.get(budget));
+			}
+
+			return 'done';
+		}
+
+		if (outcome.error.type === 'conflict') {
+			note(slot, outcome.error.now);
+			return 'again';
+		}
+
+		state.note(false);
+		return 'failed';
+	};
+
+	const flushSlot = async (slot: number): Promise<boolean> => {
+		for (let tries = 0; tries < maxConflicts; tries++) {
+			const stored = known.get(slot) ?? await readSlot(slot);
+			const result = stored ? await writeSlot(slot, stored) : 'failed';
+			if (result !== 'again') {
+				return result === 'done';
+			}
+		}
+
+		return false;
+	};
+
+	return {
+		slotOf,
+		rightsOf(budget) {
+			const rights = known.get(slotOf(budget))?.rights.budgets[budget];
+			const {byBudget, version} = limits();
+			const limit = byBudget.get(budget);
+			return rights && limit !== undefined && version >= (rights.limitVersion ?? 0) ? {...rights, limit} : rights;
+		},
+		ageOf: budget => now() - (known.get(slotOf(budget))?.readAt ?? 0),
+		isBusy: slot => busy.has(slot),
+		async idle(slot) {
+			await busy.get(slot);
+		},
+		async flush(slot) {
+			const running = busy.get(slot);
+			if (running) {
+				return running;
+			}
+
+			const turn = flushSlot(slot);
+			busy.set(slot, turn);
+			const isDone = await turn;
+			busy.delete(slot);
+			return isDone;
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/lib/create-store-state.ts
@@ -0,0 +1,29 @@
+import type {Log} from '../log.js';
+import type {StoreState} from './store-state.js';
+
+const firstPauseMs = 300;
+const longestPauseMs = 2000;
+
+/**
+Creates the state of a store that is taken to answer.
+
+@param now Monotonic ms.
+*/
+export const createStoreState = (log: Log, now: () => number): StoreState => {
+	let isUp = true;
+	let failures = 0;
+	let retryAt = 0;
+	return {
+		isUp: () => isUp,
+		mayCall: () => now() >= retryAt,
+		note(isAnswered) {
+			if (isAnswered !== isUp) {
+				isUp = isAnswered;
+				log(isUp ? 'store_regained' : 'store_lost');
+			}
+
+			failures = isAnswered ? 0 : failures + 1;
+			retryAt = isAnswered ? 0 : now() + Math.min(longestPauseMs, firstPauseMs * (2 ** (failures - 1)));
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/lib/slot-writer.ts
@@ -0,0 +1,15 @@
+import type {BudgetRights} from '@deckwheel/ledger';
+
+/** Moves rights between this host's accounts and the store, one write at a time for each slot. */
+export type SlotWriter = {
+	/** The store's side of a budget as last seen, with the limit of the configuration in force. */
+	readonly rightsOf: (budget: string) => BudgetRights | undefined;
+	/** Age of what `rightsOf` tells, in ms. */
+	readonly ageOf: (budget: string) => number;
+	readonly slotOf: (budget: string) => number;
+	readonly isBusy: (slot: number) => boolean;
+	/** Resolves when no write of the slot is under way. */
+	readonly idle: (slot: number) => Promise<void>;
+	/** Writes what the accounts of a slot hold and want; joins a write that is under way. `true`: the store took it. */
+	readonly flush: (slot: number) => Promise<boolean>;
+};
