A few bankers a hall and budget draw from the store; other hosts borrow from them

On small sites a host that was short asked a store that it had just seen empty. Change: up to four bankers a hall and budget by rendezvous, so that in small halls every host is one; others borrow 1.5 s of their demand ahead and hand back; what was lent counts as spent; no draw from a store seen empty for a moment.

--- a/packages/entry/src/lib/account-event.ts
+++ b/packages/entry/src/lib/account-event.ts
@@ -4,8 +4,8 @@
 	| {readonly type: 'settled'; readonly reserved: number; readonly used: number}
 	/** The store confirmed this total, or rights are on their way back to it. */
 	| {readonly type: 'granted'; readonly total: number}
-	/** A peer asked for rights. */
-	| {readonly type: 'lent'; readonly to: string; readonly tokens: number}
+	/** Rights go to a peer: up to `share` of what is available. */
+	| {readonly type: 'lent'; readonly to: string; readonly tokens: number; readonly share: number}
 	/** A peer told what it gave in total. */
 	| {readonly type: 'received'; readonly from: string; readonly total: number}
 	| {readonly type: 'demanded'; readonly tokensPerSecond: number}
--- a/packages/entry/src/lib/create-draw-queue.ts
+++ b/packages/entry/src/lib/create-draw-queue.ts
@@ -1,36 +1,22 @@
-import {viewStore} from '@deckwheel/ledger';
 import type {Accounts} from './accounts.js';
 import type {DrawQueue} from './draw-queue.js';
-import type {ReserveOutcome} from './reserve-outcome.js';
 import type {SlotWriter} from './slot-writer.js';
 
 type Waiter = {
 	readonly budget: string;
 	readonly tokens: number;
-	readonly resolve: (outcome: ReserveOutcome) => void;
+	readonly resolve: (outcome: 'reserved' | 'unavailable') => void;
 };
 
 type Options = {
-	readonly holder: string;
 	readonly accounts: Accounts;
 	readonly writer: () => SlotWriter;
 };
 
 /** Creates the queue of requests that wait for rights. One write serves all that waited when it was planned. */
-export const createDrawQueue = ({holder, accounts, writer}: Options): DrawQueue => {
+export const createDrawQueue = ({accounts, writer}: Options): DrawQueue => {
 	let waiters: readonly Waiter[] = [];
 
-	const serve = ({budget, tokens, resolve}: Waiter, isWritten: boolean): void => {
-		if (accounts.take(budget, tokens)) {
-			resolve('reserved');
-			return;
-		}
-
-		const rights = writer().rightsOf(budget);
-		const isExhausted = isWritten && rights !== undefined && viewStore(rights, holder, 0).remaining < tokens;
-		resolve(isExhausted ? 'exhausted' : 'unavailable');
-	};
-
 	const flushFor = async (waiter: Waiter): Promise<void> => {
 		const slot = writer().slotOf(waiter.budget);
 		// A write that is under way was planned without this request.
@@ -41,7 +27,7 @@
 
 		const isJoined = writer().isBusy(slot);
 		const planned = waiters.filter(({budget}) => writer().slotOf(budget) === slot);
-		const isWritten = await writer().flush(slot);
+		await writer().flush(slot);
 		if (isJoined) {
 			return;
 		}
@@ -49,7 +35,7 @@
 		const concerned = planned.filter(entry => waiters.includes(entry));
 		waiters = waiters.filter(entry => !concerned.includes(entry));
 		for (const entry of concerned) {
-			serve(entry, isWritten);
+			entry.resolve(accounts.take(entry.budget, entry.tokens) ? 'reserved' : 'unavailable');
 		}
 	};
 
--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -1,6 +1,8 @@
 import {
-	holdAheadByRate, unallocated, viewStore, type BudgetRights, type DrawRequest, type HolderRights,
+	holdAheadByRate, unallocated, type BudgetRights, type DrawRequest, type HolderRights,
 } from '@deckwheel/ledger';
+import {rankByRendezvous} from '@deckwheel/core';
+import type {ListedPeer} from '../listed-peer.js';
 import type {Log} from '../log.js';
 import type {RightsStore} from '../rights-store.js';
 import type {BudgetLimits} from './budget-limits.js';
@@ -9,8 +11,11 @@
 import {createSlotWriter} from './create-slot-writer.js';
 import {createStoreState} from './create-store-state.js';
 import type {Lenders} from './lenders.js';
+import type {PeerLinks} from './peer-links.js';
 import {planRights} from './plan-rights.js';
+import {rankBankers} from './rank-bankers.js';
 import type {RightsKeeper} from './rights-keeper.js';
+import {viewRights} from './view-rights.js';
 
 const tickMs = 500;
 
@@ -20,11 +25,26 @@
 /** What is known of the store's side is used for this long before it is looked at again. */
 const viewTrustMs = 2500;
 
+/** A store that was seen to have nothing left is not asked again for this long, in ms: others give back in the meantime. */
+const emptyTrustMs = 300;
+
 /** How long a request waits for the store before peers are asked as well, in ms. */
 const storePatienceMs = 60;
 
-/** Seconds of its demand that a host asks of a peer beyond what it lacks. */
-const borrowSeconds = 1;
+/** Seconds of its own demand that a host borrows beyond what it lacks, when it asks again, and what it keeps at most. */
+const borrowSeconds = 1.5;
+const borrowBelowSeconds = 0.7;
+const keepSeconds = 3;
+
+/** Borrowed rights this small are not worth handing back, in tokens. */
+const keepTokens = 4000;
+
+/** The parts of what is available that may go to a peer: of a banker, and of any other host. */
+const bankerShare = 0.9;
+const peerShare = 0.5;
+
+/** Bankers that a host asks in turn. */
+const maxBankersAsked = 2;
 
 /** Seconds over which demand is averaged. */
 const rateMemorySeconds = 5;
@@ -37,13 +57,14 @@
 	readonly holder: string;
 	readonly store: RightsStore;
 	readonly lenders: Lenders;
+	readonly links: () => Pick<PeerLinks, 'hallPeers' | 'isSettled' | 'peerOf'>;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
 /** Starts the task that holds this host's rights, and decides when they move to and from the store and peers. */
-export const createRightsKeeper = ({host, holder, store, lenders, log, now}: Options): RightsKeeper => {
+export const createRightsKeeper = ({host, holder, store, lenders, links, log, now}: Options): RightsKeeper => {
 	const accounts = createAccounts();
 	const state = createStoreState(log, now);
 	const writtenAt = new Map<number, number>();
@@ -57,24 +78,57 @@
 	const wants = (budget: string, rights: BudgetRights): DrawRequest['wants'] => view => isRetiring
 		? 0
 		: holdAhead({
-			...view, tokensPerSecond: accounts.of(budget).rate, available: accounts.available(budget), missing: queue.missing(budget), halls: holdersOf(rights),
+			...view, remaining: viewRights(rights, holder, 0).remaining, tokensPerSecond: accounts.of(budget).rate, available: accounts.available(budget), missing: queue.missing(budget), halls: holdersOf(rights),
 		});
 
+	const bankersOf = (budget: string): readonly ListedPeer[] => rankBankers(budget, links().hallPeers());
+	const isBanker = (budget: string): boolean => bankersOf(budget).some(peer => peer.holder === holder);
+
 	const writer = createSlotWriter({
-		host, holder, store, state, accounts, limits: () => limits, wants, log, now,
+		host,
+		holder,
+		store,
+		state,
+		accounts,
+		limits: () => limits,
+		isConcerned: budget => accounts.of(budget).granted !== 0 || queue.missing(budget) > 0 || isBanker(budget),
+		wants,
+		log,
+		now,
 	});
-	const queue = createDrawQueue({holder, accounts, writer: () => writer});
+	const queue = createDrawQueue({accounts, writer: () => writer});
 
 	// What a holder is believed to have left, from the store's record of it.
-	const holdersByRights = (budget: string): readonly string[] => {
+	const addressesByRights = (budget: string): readonly string[] => {
 		const left = ({granted, transferred, settled}: HolderRights): number => granted + transferred - settled;
 		return Object.entries(writer.rightsOf(budget)?.holders ?? {})
 			.filter(([name]) => name !== holder)
 			.sort(([, a], [, b]) => left(b) - left(a))
-			.map(([name]) => name);
+			.map(([name]) => links().peerOf(name)?.address)
+			.filter(address => address !== undefined);
+	};
+
+	// Each host has its own order among the bankers, so that they share the load.
+	const ownBankers = (budget: string): readonly ListedPeer[] => {
+		const bankers = new Map(bankersOf(budget).filter(peer => peer.holder !== holder).map(peer => [peer.address, peer]));
+		return rankByRendezvous(host, [...bankers.keys()]).slice(0, maxBankersAsked).map(address => bankers.get(address)!);
+	};
+
+	const bankerAddresses = (budget: string): readonly string[] => ownBankers(budget).map(({address}) => address);
+
+	// A draw is of use unless the store was seen to have nothing left a moment ago.
+	const mayDraw = (budget: string): boolean => {
+		const rights = writer.rightsOf(budget);
+		const isSeenEmpty = rights !== undefined && writer.ageOf(budget) < emptyTrustMs && unallocated(rights) < 1;
+		return state.mayCall() && !isRetiring && !isSeenEmpty;
 	};
 
-	const borrow = async (budget: string, tokens: number): Promise<void> => {
+	const isExhausted = (budget: string, tokens: number): boolean => {
+		const rights = writer.rightsOf(budget);
+		return rights !== undefined && writer.ageOf(budget) < viewTrustMs && viewRights(rights, holder, 0).remaining < tokens;
+	};
+
+	const borrow = async (budget: string, tokens: number, addresses: readonly string[]): Promise<void> => {
 		const running = borrowing.get(budget);
 		if (running) {
 			await running;
@@ -82,7 +136,7 @@
 		}
 
 		const wanted = tokens - accounts.available(budget) + (accounts.of(budget).rate * borrowSeconds);
-		const turn = lenders.borrow(budget, Math.ceil(wanted), holdersByRights(budget), () => accounts.available(budget) >= tokens);
+		const turn = lenders.borrow(budget, Math.ceil(wanted), addresses, () => accounts.available(budget) >= tokens);
 		borrowing.set(budget, turn);
 		await turn;
 		borrowing.delete(budget);
@@ -95,7 +149,7 @@
 			return account.rate > 0 || account.granted === 0 ? 'write' : 'keep';
 		}
 
-		const view = viewStore(rights, holder, account.rate);
+		const view = viewRights(rights, holder, account.rate);
 		const plan = planRights({
 			account,
 			holdAhead,
@@ -125,11 +179,19 @@
 			accounts.step(budget, {type: 'faded', share: Math.exp(-tickMs / 1000 / rateMemorySeconds)});
 		}
 
-		if (!state.mayCall() || isRetiring) {
+		if (isRetiring) {
+			return;
+		}
+
+		for (const budget of accounts.budgets().filter(name => !isBanker(name))) {
+			balanceLoan(budget);
+		}
+
+		if (!links().isSettled() || !state.mayCall()) {
 			return;
 		}
 
-		const due = [...limits.byBudget.keys()].filter(budget => isDue(budget) && planBudget(budget) === 'write');
+		const due = [...limits.byBudget.keys()].filter(budget => isBanker(budget) && isDue(budget) && planBudget(budget) === 'write');
 		const slots = [...new Set(due.map(budget => writer.slotOf(budget)))];
 		// While the store is out of reach, one call tells whether it is back.
 		for (const slot of state.isUp() ? slots : slots.slice(0, 1)) {
@@ -138,6 +200,26 @@
 		}
 	};
 
+	// A host that is no banker keeps a few seconds of its own demand, borrowed ahead and handed back.
+	const balanceLoan = (budget: string): void => {
+		const available = accounts.available(budget);
+		const {rate} = accounts.of(budget);
+		if (available < rate * borrowBelowSeconds) {
+			void borrow(budget, 0, bankerAddresses(budget));
+			return;
+		}
+
+		const surplus = available - (rate * keepSeconds);
+		const [banker] = ownBankers(budget);
+		if (surplus > keepTokens && banker && links().isSettled()) {
+			accounts.step(budget, {
+				type: 'lent', to: banker.holder, tokens: surplus, share: 1,
+			});
+			lenders.handBack(banker.address, budget, accounts.of(budget).given.get(banker.holder) ?? 0);
+			log('rights_handed_back', {to: banker.holder, budget, tokens: surplus});
+		}
+	};
+
 	const giveAllBack = async (slot: number): Promise<void> => {
 		await writer.idle(slot);
 		for (const budget of accounts.budgets().filter(name => writer.slotOf(name) === slot)) {
@@ -160,21 +242,47 @@
 				return 'reserved';
 			}
 
-			const isDrawing = state.mayCall() && !isRetiring;
-			const drawn = isDrawing ? await queue.draw(budget, tokens, Math.min(waitMs, storePatienceMs)) : 'unavailable';
-			if (drawn === 'reserved' || isRetiring) {
-				return drawn;
+			if (!isRetiring && !isBanker(budget)) {
+				await borrow(budget, tokens, bankerAddresses(budget));
+				if (accounts.take(budget, tokens)) {
+					return 'reserved';
+				}
+			}
+
+			if (mayDraw(budget) && await queue.draw(budget, tokens, Math.min(waitMs, storePatienceMs)) === 'reserved') {
+				return 'reserved';
+			}
+
+			if (!isRetiring) {
+				await borrow(budget, tokens, addressesByRights(budget));
+			}
+
+			if (accounts.take(budget, tokens)) {
+				return 'reserved';
 			}
 
-			await borrow(budget, tokens);
-			return accounts.take(budget, tokens) ? 'reserved' : drawn;
+			return isExhausted(budget, tokens) ? 'exhausted' : 'unavailable';
 		},
 		settle(budget, reserved, used) {
 			accounts.step(budget, {type: 'settled', reserved, used});
 		},
-		lend(to, budget, tokens) {
+		async lend(to, budget, tokens) {
+			const isBanking = isBanker(budget);
+			if (isBanking) {
+				accounts.step(budget, {type: 'demanded', tokensPerSecond: tokens / rateMemorySeconds});
+			}
+
+			// What a waiting draw reserves is free again at once, for the loan.
+			const wanted = Math.ceil(tokens / bankerShare);
+			const isShort = accounts.available(budget) < wanted;
+			if (isBanking && isShort && mayDraw(budget) && await queue.draw(budget, wanted, storePatienceMs) === 'reserved') {
+				accounts.step(budget, {type: 'settled', reserved: wanted, used: 0});
+			}
+
 			if (!isRetiring) {
-				accounts.step(budget, {type: 'lent', to, tokens});
+				accounts.step(budget, {
+					type: 'lent', to, tokens, share: isBanking ? bankerShare : peerShare,
+				});
 			}
 
 			const total = accounts.of(budget).given.get(to) ?? 0;
--- a/packages/entry/src/lib/create-slot-writer.ts
+++ b/packages/entry/src/lib/create-slot-writer.ts
@@ -24,6 +24,8 @@
 	readonly state: StoreState;
 	readonly accounts: Accounts;
 	readonly limits: () => BudgetLimits;
+	/** Whether this host has anything to say of a budget: hosts that only borrow do not. */
+	readonly isConcerned: (budget: string) => boolean;
 	/** Decides the draw on a budget once the store's side is known. */
 	readonly wants: (budget: string, rights: BudgetRights) => DrawRequest['wants'];
 	readonly log: Log;
@@ -32,7 +34,7 @@
 };
 
 /** Creates the writer of this host's rights. A write states totals, so that one whose answer was lost can be made again. */
-export const createSlotWriter = ({host, holder, store, state, accounts, limits, wants, log, now}: Options): SlotWriter => {
+export const createSlotWriter = ({host, holder, store, state, accounts, limits, isConcerned, wants, log, now}: Options): SlotWriter => {
 	const known = new Map<number, Known>();
 	const busy = new Map<number, Promise<boolean>>();
 
@@ -80,7 +82,7 @@
 		const prepared = prepareRights(stored.rights, {
 			host, holder, limits: slotLimits, version: limits().version,
 		});
-		const requests = [...slotLimits.keys()].map(budget => drawRequestOf(budget, prepared.budgets[budget]!));
+		const requests = [...slotLimits.keys()].filter(budget => isConcerned(budget)).map(budget => drawRequestOf(budget, prepared.budgets[budget]!));
 		const plan = planDraw(prepared, holder, 0, requests);
 		if (plan.type === 'deposed') {
 			return 'failed';
--- a/packages/entry/src/lib/draw-queue.ts
+++ b/packages/entry/src/lib/draw-queue.ts
@@ -1,9 +1,7 @@
-import type {ReserveOutcome} from './reserve-outcome.js';
-
 /** Requests that wait for a draw from the store. */
 export type DrawQueue = {
 	/** Waits for rights drawn for this request, up to `waitMs`. */
-	readonly draw: (budget: string, tokens: number, waitMs: number) => Promise<ReserveOutcome>;
+	readonly draw: (budget: string, tokens: number, waitMs: number) => Promise<'reserved' | 'unavailable'>;
 	/** What waiting requests lack beyond what is available, in tokens. */
 	readonly missing: (budget: string) => number;
 };
--- a/packages/entry/src/lib/peer-links.ts
+++ b/packages/entry/src/lib/peer-links.ts
@@ -7,5 +7,11 @@
 	readonly mesh: () => Mesh | undefined;
 	/** A peer by its name as a holder. An unknown one has the directory read again. */
 	readonly peerOf: (holder: string) => ListedPeer | undefined;
+	/** Hosts of this hall that were in reach lately, this one among them. */
+	readonly hallPeers: () => readonly ListedPeer[];
+	/** Whether the directory was read after all hosts that started together had time to be listed. */
+	readonly isSettled: () => boolean;
+	/** Notes that a peer did not answer: for a while it is not counted on. */
+	readonly suspect: (address: string) => void;
 	readonly close: () => Promise<void>;
 };
--- a/packages/entry/src/lib/peer-message-schema.ts
+++ b/packages/entry/src/lib/peer-message-schema.ts
@@ -1,9 +1,8 @@
 import {z} from 'zod';
 
-/** What hosts ask of each other. */
-export const peerMessageSchema = z.object({
-	type: z.literal('lend'),
-	budget: z.string(),
-	/** Tokens wanted. */
-	tokens: z.number().positive(),
-});
+/** What hosts ask of each other. Amounts are tokens. */
+export const peerMessageSchema = z.discriminatedUnion('type', [
+	z.object({type: z.literal('lend'), budget: z.string(), tokens: z.number().positive()}),
+	/** `total`: all that the sender ever gave to the receiver on this budget. */
+	z.object({type: z.literal('hand_back'), budget: z.string(), total: z.number().nonnegative()}),
+]);
--- a/packages/entry/src/lib/rights-keeper.ts
+++ b/packages/entry/src/lib/rights-keeper.ts
@@ -9,7 +9,7 @@
 	/** Ends a reservation: `used` of its tokens are spent, the others are free again. */
 	readonly settle: (budget: string, reserved: number, used: number) => void;
 	/** Gives rights to a peer that asks; returns all that it was ever given on this budget. */
-	readonly lend: (to: string, budget: string, tokens: number) => number;
+	readonly lend: (to: string, budget: string, tokens: number) => Promise<number>;
 	/** Takes in what a peer ever gave in total. */
 	readonly receive: (budget: string, from: string, total: number) => void;
 	/** Gives back all that is not reserved or spent, and draws nothing more. */
--- a/packages/entry/src/lib/start-peer-links.ts
+++ b/packages/entry/src/lib/start-peer-links.ts
@@ -11,12 +11,23 @@
 /** The directory is not read more often than this for a holder that is not listed. */
 const listPauseMs = 2000;
 
+/** Hosts that start together are all listed after this time. */
+const settleMs = 1000;
+
+/** When the directory is read once more after that, for hosts that came late. */
+const readAgainMs = 4000;
+
+/** A peer that did not answer is not counted on for this long. */
+const suspicionMs = 3000;
+
 type Options = {
 	readonly self: ListedPeer;
 	readonly hall: string;
 	readonly directory: PeerDirectory;
 	/** Answers a peer that asks for rights: all that it was ever given. */
-	readonly lend: (to: string, budget: string, tokens: number) => number;
+	readonly lend: (to: string, budget: string, tokens: number) => Promise<number>;
+	/** Takes rights that a peer hands back; `total` is all that it ever gave. */
+	readonly takeBack: (from: string, budget: string, total: number) => void;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -28,11 +39,13 @@
 };
 
 /** Lists this host in the directory, listens for peers, and keeps the links to them. */
-export const startPeerLinks = ({self, hall, directory, lend, log, now}: Options): PeerLinks => {
+export const startPeerLinks = ({self, hall, directory, lend, takeBack, log, now}: Options): PeerLinks => {
 	let mesh: Mesh | undefined;
 	let peers: ReadonlyMap<string, ListedPeer> = new Map();
 	let listAgainAt = 0;
 	let isClosed = false;
+	let isSettled = false;
+	const suspectedUntil = new Map<string, number>();
 
 	const list = async (): Promise<void> => {
 		const listed = await directory.list();
@@ -42,6 +55,13 @@
 		}
 	};
 
+	const relist = (): void => {
+		if (now() > listAgainAt) {
+			listAgainAt = now() + listPauseMs;
+			void list();
+		}
+	};
+
 	const join = async (): Promise<void> => {
 		for (;;) {
 			const secret = await directory.register(self);
@@ -57,12 +77,27 @@
 					handlers: {
 						async onRequest(from, body) {
 							const message = peerMessageSchema.safeParse(body);
-							return message.success ? {lender: self.holder, total: lend(from.incarnation, message.data.budget, message.data.tokens)} : undefined;
+							if (!message.success) {
+								return undefined;
+							}
+
+							const {data} = message;
+							if (data.type === 'hand_back') {
+								takeBack(from.incarnation, data.budget, data.total);
+								return {};
+							}
+
+							return {lender: self.holder, total: await lend(from.incarnation, data.budget, data.tokens)};
 						},
 						onMessage: () => undefined,
 					},
 				});
 				await list();
+				await sleep(settleMs, undefined, {ref: false});
+				await list();
+				isSettled = true;
+				await sleep(readAgainMs, undefined, {ref: false});
+				await list();
 				return;
 			}
 
@@ -75,13 +110,21 @@
 		mesh: () => mesh,
 		peerOf(holder) {
 			const peer = peers.get(holder);
-			if (!peer && holder.includes('#') && now() > listAgainAt) {
-				listAgainAt = now() + listPauseMs;
-				void list();
+			if (!peer && holder.includes('#')) {
+				relist();
 			}
 
 			return peer;
 		},
+		hallPeers() {
+			const near = [...peers.values()].filter(peer => peer.hall === hall && peer.holder !== self.holder && (suspectedUntil.get(peer.address) ?? 0) < now());
+			return [self, ...near];
+		},
+		isSettled: () => isSettled,
+		suspect(address) {
+			suspectedUntil.set(address, now() + suspicionMs);
+			relist();
+		},
 		async close() {
 			isClosed = true;
 			await mesh?.close();
--- a/packages/entry/src/lib/step-account.ts
+++ b/packages/entry/src/lib/step-account.ts
@@ -2,11 +2,8 @@
 import {availableRights} from './available-rights.js';
 import type {HostAccount} from './host-account.js';
 
-/** A lender keeps at least this part of what it has, so that rights do not swing between hosts. */
-const lentShare = 0.5;
-
-const give = (account: HostAccount, to: string, tokens: number): HostAccount => {
-	const lent = Math.max(0, Math.min(Math.ceil(tokens), Math.floor(availableRights(account) * lentShare)));
+const give = (account: HostAccount, {to, tokens, share}: AccountEvent & {type: 'lent'}): HostAccount => {
+	const lent = Math.max(0, Math.min(Math.ceil(tokens), Math.floor(availableRights(account) * share)));
 	return lent === 0 ? account : {...account, given: new Map(account.given).set(to, (account.given.get(to) ?? 0) + lent)};
 };
 
@@ -26,7 +23,7 @@
 		}
 
 		case 'lent': {
-			return give(account, event.to, event.tokens);
+			return give(account, event);
 		}
 
 		case 'received': {
--- a/packages/entry/src/listed-peer.ts
+++ b/packages/entry/src/listed-peer.ts
@@ -4,4 +4,5 @@
 	readonly holder: string;
 	/** `ip:port` */
 	readonly address: string;
+	readonly hall: string;
 };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -32,19 +32,24 @@
 	const pool = createConnectionPool(now);
 	const lenders = createLenders({
 		mesh: () => links.mesh(),
-		peerOf: name => links.peerOf(name),
 		onLoan(budget, from, total) {
 			rights.receive(budget, from, total);
 		},
+		onSilence(address) {
+			links.suspect(address);
+		},
 	});
 	const rights = createRightsKeeper({
-		host, holder, store: rightsStore, lenders, log, now,
+		host, holder, store: rightsStore, lenders, links: () => links, log, now,
 	});
 	const links = startPeerLinks({
-		self: {holder, address: listen.peers},
+		self: {holder, address: listen.peers, hall},
 		hall,
 		directory: peers,
-		lend: (to, budget, tokens) => rights.lend(to, budget, tokens),
+		lend: async (to, budget, tokens) => rights.lend(to, budget, tokens),
+		takeBack(from, budget, total) {
+			rights.receive(budget, from, total);
+		},
 		log,
 		now,
 	});
--- a/packages/entry/src/test/create-lenders.test.ts
+++ b/packages/entry/src/test/create-lenders.test.ts
@@ -7,7 +7,7 @@
 import {transferredRights} from '../lib/transferred-rights.js';
 
 test('a host that restarted is asked under both its names, and its loan counts once', async t => {
-	// Both names lead to one address, where only the newer life answers.
+	// Both addresses lead to one life of the host.
 	const mesh: Mesh = {
 		port: 0,
 		request: async () => succeed({lender: 'edge-1#new', total: 50}),
@@ -17,11 +17,11 @@
 	let account = emptyHostAccount;
 	const lenders = createLenders({
 		mesh: () => mesh,
-		peerOf: holder => ({holder, address: '127.0.0.1:1'}),
 		onLoan(_budget, from, total) {
 			account = stepAccount(account, {type: 'received', from, total});
 		},
+		onSilence: () => undefined,
 	});
-	await lenders.borrow('budget', 100, ['edge-1#old', 'edge-1#new'], () => false);
+	await lenders.borrow('budget', 100, ['127.0.0.1:1', '127.0.0.1:2'], () => false);
 	t.is(transferredRights(account), 50);
 });
