Only served demand counts as demand; loans between bankers are none

Change: demand is noted when tokens are reserved, and for loans only to hosts that do not draw themselves.

--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -14,6 +14,7 @@
 import type {PeerLinks} from './peer-links.js';
 import {planRights} from './plan-rights.js';
 import {rankBankers} from './rank-bankers.js';
+import type {ReserveOutcome} from './reserve-outcome.js';
 import type {RightsKeeper} from './rights-keeper.js';
 import {viewRights} from './view-rights.js';
 
@@ -220,6 +221,37 @@
 		}
 	};
 
+	const noteDemand = (budget: string, tokens: number): void => {
+		accounts.step(budget, {type: 'demanded', tokensPerSecond: tokens / rateMemorySeconds});
+	};
+
+	const obtain = async (budget: string, tokens: number, waitMs: number): Promise<ReserveOutcome> => {
+		if (accounts.take(budget, tokens)) {
+			return 'reserved';
+		}
+
+		if (!isRetiring && !isBanker(budget)) {
+			await borrow(budget, tokens, bankerAddresses(budget));
+			if (accounts.take(budget, tokens)) {
+				return 'reserved';
+			}
+		}
+
+		if (mayDraw(budget) && await queue.draw(budget, tokens, Math.min(waitMs, storePatienceMs)) === 'reserved') {
+			return 'reserved';
+		}
+
+		if (!isRetiring) {
+			await borrow(budget, tokens, addressesByRights(budget));
+		}
+
+		if (accounts.take(budget, tokens)) {
+			return 'reserved';
+		}
+
+		return isExhausted(budget, tokens) ? 'exhausted' : 'unavailable';
+	};
+
 	const giveAllBack = async (slot: number): Promise<void> => {
 		await writer.idle(slot);
 		for (const budget of accounts.budgets().filter(name => writer.slotOf(name) === slot)) {
@@ -237,40 +269,20 @@
 			limits = {version, byBudget: new Map(limited.map(({name, limit}) => [name, limit!]))};
 		},
 		async reserve(budget, tokens, waitMs) {
-			accounts.step(budget, {type: 'demanded', tokensPerSecond: tokens / rateMemorySeconds});
-			if (accounts.take(budget, tokens)) {
-				return 'reserved';
+			const outcome = await obtain(budget, tokens, waitMs);
+			// Refused requests come back; counted each time, they would make the demand look many times larger.
+			if (outcome === 'reserved') {
+				noteDemand(budget, tokens);
 			}
 
-			if (!isRetiring && !isBanker(budget)) {
-				await borrow(budget, tokens, bankerAddresses(budget));
-				if (accounts.take(budget, tokens)) {
-					return 'reserved';
-				}
-			}
-
-			if (mayDraw(budget) && await queue.draw(budget, tokens, Math.min(waitMs, storePatienceMs)) === 'reserved') {
-				return 'reserved';
-			}
-
-			if (!isRetiring) {
-				await borrow(budget, tokens, addressesByRights(budget));
-			}
-
-			if (accounts.take(budget, tokens)) {
-				return 'reserved';
-			}
-
-			return isExhausted(budget, tokens) ? 'exhausted' : 'unavailable';
+			return outcome;
 		},
 		settle(budget, reserved, used) {
 			accounts.step(budget, {type: 'settled', reserved, used});
 		},
 		async lend(to, budget, tokens) {
 			const isBanking = isBanker(budget);
-			if (isBanking) {
-				accounts.step(budget, {type: 'demanded', tokensPerSecond: tokens / rateMemorySeconds});
-			}
+			const before = accounts.of(budget).given.get(to) ?? 0;
 
 			// What a waiting draw reserves is free again at once, for the loan.
 			const wanted = Math.ceil(tokens / bankerShare);
@@ -286,6 +298,11 @@
 			}
 
 			const total = accounts.of(budget).given.get(to) ?? 0;
+			// What goes to a host that draws for itself is no lasting demand on this one.
+			if (isBanking && !bankersOf(budget).some(peer => peer.holder === to)) {
+				noteDemand(budget, total - before);
+			}
+
 			log('rights_lent', {
 				to, budget, asked: tokens, total,
 			});
--- a/packages/entry/src/lib/view-rights.ts
+++ b/packages/entry/src/lib/view-rights.ts
@@ -1,4 +1,6 @@
-import {unallocated, viewStore, type BudgetRights, type StoreView} from '@deckwheel/ledger';
+import {
+	unallocated, viewStore, type BudgetRights, type StoreView,
+} from '@deckwheel/ledger';
 
 /**
 What a host learns of a budget from its record in the store.
