A refusal is final only if nothing can be left

Change: 402 only if what no host has reported as spent cannot hold the request; else 429 and when to come back.

--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -1,5 +1,5 @@
 import {
-	holdAheadByRate, unallocated, type BudgetRights, type DrawRequest, type HolderRights,
+	holdAheadByRate, unallocated, viewStore, type BudgetRights, type DrawRequest, type HolderRights,
 } from '@deckwheel/ledger';
 import {rankByRendezvous} from '@deckwheel/core';
 import type {ListedPeer} from '../listed-peer.js';
@@ -124,9 +124,10 @@
 		return state.mayCall() && !isRetiring && !isSeenEmpty;
 	};
 
+	// Final, so it counts as left whatever no host has reported as spent.
 	const isExhausted = (budget: string, tokens: number): boolean => {
 		const rights = writer.rightsOf(budget);
-		return rights !== undefined && writer.ageOf(budget) < viewTrustMs && viewRights(rights, holder, 0).remaining < tokens;
+		return rights !== undefined && writer.ageOf(budget) < viewTrustMs && viewStore(rights, holder, 0).remaining < tokens;
 	};
 
 	const borrow = async (budget: string, tokens: number, addresses: readonly string[]): Promise<void> => {
