Questions for rights that come late and together are not lent for each

Ruled out: large requests (none above 60,000 tokens in the log), demand counted twice (mended before). Change: a question carries what its asker knows to have received; the lender takes off what is under way; a host draws only for hosts of its own hall that do not draw themselves.

--- a/packages/entry/src/lib/create-lenders.ts
+++ b/packages/entry/src/lib/create-lenders.ts
@@ -8,6 +8,8 @@
 
 type Options = {
 	readonly mesh: () => Mesh | undefined;
+	/** All that this host knows to have got from a lender. */
+	readonly receivedFrom: (budget: string, lender: string) => number;
 	/** Called with what a lender ever gave in total. */
 	readonly onLoan: (budget: string, from: string, total: number) => void;
 	/** Called when a peer did not answer. */
@@ -15,10 +17,13 @@
 };
 
 /** Creates the asker for rights of peers. A lost reply strands nothing for good: the next one carries the total again. */
-export const createLenders = ({mesh, onLoan, onSilence}: Options): Lenders => ({
-	async borrow(budget, tokens, addresses, isEnough) {
-		for (const address of [...new Set(addresses)].slice(0, maxAsked)) {
-			const reply = await mesh()?.request(address, {type: 'lend', budget, tokens}, askTimeoutMs);
+export const createLenders = ({mesh, receivedFrom, onLoan, onSilence}: Options): Lenders => ({
+	async borrow(budget, tokens, peers, isEnough) {
+		const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
+		for (const [address, holder] of [...byAddress].slice(0, maxAsked)) {
+			const reply = await mesh()?.request(address, {
+				type: 'lend', budget, tokens, received: receivedFrom(budget, holder),
+			}, askTimeoutMs);
 			const loan = loanSchema.safeParse(reply?.ok ? reply.value : undefined);
 			if (loan.success) {
 				onLoan(budget, loan.data.lender, loan.data.total);
--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -12,6 +12,7 @@
 import {createStoreState} from './create-store-state.js';
 import type {Lenders} from './lenders.js';
 import type {PeerLinks} from './peer-links.js';
+import {planLoan} from './plan-loan.js';
 import {planRights} from './plan-rights.js';
 import {rankBankers} from './rank-bankers.js';
 import type {ReserveOutcome} from './reserve-outcome.js';
@@ -100,13 +101,13 @@
 	const queue = createDrawQueue({accounts, writer: () => writer});
 
 	// What a holder is believed to have left, from the store's record of it.
-	const addressesByRights = (budget: string): readonly string[] => {
+	const peersByRights = (budget: string): readonly ListedPeer[] => {
 		const left = ({granted, transferred, settled}: HolderRights): number => granted + transferred - settled;
 		return Object.entries(writer.rightsOf(budget)?.holders ?? {})
 			.filter(([name]) => name !== holder)
 			.sort(([, a], [, b]) => left(b) - left(a))
-			.map(([name]) => links().peerOf(name)?.address)
-			.filter(address => address !== undefined);
+			.map(([name]) => links().peerOf(name))
+			.filter(peer => peer !== undefined);
 	};
 
 	// Each host has its own order among the bankers, so that they share the load.
@@ -115,8 +116,6 @@
 		return rankByRendezvous(host, [...bankers.keys()]).slice(0, maxBankersAsked).map(address => bankers.get(address)!);
 	};
 
-	const bankerAddresses = (budget: string): readonly string[] => ownBankers(budget).map(({address}) => address);
-
 	// A draw is of use unless the store was seen to have nothing left a moment ago.
 	const mayDraw = (budget: string): boolean => {
 		const rights = writer.rightsOf(budget);
@@ -130,7 +129,7 @@
 		return rights !== undefined && writer.ageOf(budget) < viewTrustMs && viewStore(rights, holder, 0).remaining < tokens;
 	};
 
-	const borrow = async (budget: string, tokens: number, addresses: readonly string[]): Promise<void> => {
+	const borrow = async (budget: string, tokens: number, peers: readonly ListedPeer[]): Promise<void> => {
 		const running = borrowing.get(budget);
 		if (running) {
 			await running;
@@ -138,7 +137,7 @@
 		}
 
 		const wanted = tokens - accounts.available(budget) + (accounts.of(budget).rate * borrowSeconds);
-		const turn = lenders.borrow(budget, Math.ceil(wanted), addresses, () => accounts.available(budget) >= tokens);
+		const turn = lenders.borrow(budget, Math.ceil(wanted), peers, () => accounts.available(budget) >= tokens);
 		borrowing.set(budget, turn);
 		await turn;
 		borrowing.delete(budget);
@@ -207,7 +206,7 @@
 		const available = accounts.available(budget);
 		const {rate} = accounts.of(budget);
 		if (available < rate * borrowBelowSeconds) {
-			void borrow(budget, 0, bankerAddresses(budget));
+			void borrow(budget, 0, ownBankers(budget));
 			return;
 		}
 
@@ -222,6 +221,12 @@
 		}
 	};
 
+	// Hosts that draw for themselves, here or in other halls, are peers in need and no lasting demand on this one.
+	const borrowsFromThisHost = (to: string, budget: string): boolean => {
+		const isNear = links().hallPeers().some(peer => peer.holder === to);
+		return isNear && isBanker(budget) && !bankersOf(budget).some(peer => peer.holder === to);
+	};
+
 	const noteDemand = (budget: string, tokens: number): void => {
 		accounts.step(budget, {type: 'demanded', tokensPerSecond: tokens / rateMemorySeconds});
 	};
@@ -232,7 +237,7 @@
 		}
 
 		if (!isRetiring && !isBanker(budget)) {
-			await borrow(budget, tokens, bankerAddresses(budget));
+			await borrow(budget, tokens, ownBankers(budget));
 			if (accounts.take(budget, tokens)) {
 				return 'reserved';
 			}
@@ -243,7 +248,7 @@
 		}
 
 		if (!isRetiring) {
-			await borrow(budget, tokens, addressesByRights(budget));
+			await borrow(budget, tokens, peersByRights(budget));
 		}
 
 		if (accounts.take(budget, tokens)) {
@@ -281,34 +286,35 @@
 		settle(budget, reserved, used) {
 			accounts.step(budget, {type: 'settled', reserved, used});
 		},
-		async lend(to, budget, tokens) {
-			const isBanking = isBanker(budget);
-			const before = accounts.of(budget).given.get(to) ?? 0;
-
+		async lend(to, budget, tokens, received) {
+			const givenTo = (): number => accounts.of(budget).given.get(to) ?? 0;
+			const isClient = borrowsFromThisHost(to, budget);
 			// What a waiting draw reserves is free again at once, for the loan.
-			const wanted = Math.ceil(tokens / bankerShare);
-			const isShort = accounts.available(budget) < wanted;
-			if (isBanking && isShort && mayDraw(budget) && await queue.draw(budget, wanted, storePatienceMs) === 'reserved') {
-				accounts.step(budget, {type: 'settled', reserved: wanted, used: 0});
+			const needed = Math.ceil(planLoan({asked: tokens, given: givenTo(), received}) / bankerShare);
+			const isShort = accounts.available(budget) < needed;
+			if (isClient && isShort && mayDraw(budget) && await queue.draw(budget, needed, storePatienceMs) === 'reserved') {
+				accounts.step(budget, {type: 'settled', reserved: needed, used: 0});
 			}
 
+			// Another question of the same peer may have been answered in the meantime.
+			const given = givenTo();
 			if (!isRetiring) {
 				accounts.step(budget, {
-					type: 'lent', to, tokens, share: isBanking ? bankerShare : peerShare,
+					type: 'lent', to, tokens: planLoan({asked: tokens, given, received}), share: isClient ? bankerShare : peerShare,
 				});
 			}
 
-			const total = accounts.of(budget).given.get(to) ?? 0;
-			// What goes to a host that draws for itself is no lasting demand on this one.
-			if (isBanking && !bankersOf(budget).some(peer => peer.holder === to)) {
-				noteDemand(budget, total - before);
+			const total = givenTo();
+			if (isClient) {
+				noteDemand(budget, total - given);
 			}
 
 			log('rights_lent', {
-				to, budget, asked: tokens, total,
+				to, budget, asked: tokens, lent: total - given, total,
 			});
 			return total;
 		},
+		receivedFrom: (budget, from) => accounts.of(budget).received.get(from) ?? 0,
 		receive(budget, from, total) {
 			const before = accounts.available(budget);
 			accounts.step(budget, {type: 'received', from, total});
--- a/packages/entry/src/lib/rights-keeper.ts
+++ b/packages/entry/src/lib/rights-keeper.ts
@@ -8,8 +8,10 @@
 	readonly reserve: (budget: string, tokens: number, waitMs: number) => Promise<ReserveOutcome>;
 	/** Ends a reservation: `used` of its tokens are spent, the others are free again. */
 	readonly settle: (budget: string, reserved: number, used: number) => void;
-	/** Gives rights to a peer that asks; returns all that it was ever given on this budget. */
-	readonly lend: (to: string, budget: string, tokens: number) => Promise<number>;
+	/** Gives rights to a peer that asks and knows of `received`; returns all that it was ever given on this budget. */
+	readonly lend: (to: string, budget: string, tokens: number, received: number) => Promise<number>;
+	/** All that a peer is known to have given. */
+	readonly receivedFrom: (budget: string, from: string) => number;
 	/** Takes in what a peer ever gave in total. */
 	readonly receive: (budget: string, from: string, total: number) => void;
 	/** Gives back all that is not reserved or spent, and draws nothing more. */
--- a/packages/entry/src/lib/start-peer-links.ts
+++ b/packages/entry/src/lib/start-peer-links.ts
@@ -25,7 +25,7 @@
 	readonly hall: string;
 	readonly directory: PeerDirectory;
 	/** Answers a peer that asks for rights: all that it was ever given. */
-	readonly lend: (to: string, budget: string, tokens: number) => Promise<number>;
+	readonly lend: (to: string, budget: string, tokens: number, received: number) => Promise<number>;
 	/** Takes rights that a peer hands back; `total` is all that it ever gave. */
 	readonly takeBack: (from: string, budget: string, total: number) => void;
 	readonly log: Log;
@@ -87,7 +87,7 @@
 								return {};
 							}
 
-							return {lender: self.holder, total: await lend(from.incarnation, data.budget, data.tokens)};
+							return {lender: self.holder, total: await lend(from.incarnation, data.budget, data.tokens, data.received)};
 						},
 						onMessage: () => undefined,
 					},
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -32,6 +32,7 @@
 	const pool = createConnectionPool(now);
 	const lenders = createLenders({
 		mesh: () => links.mesh(),
+		receivedFrom: (budget, lender) => rights.receivedFrom(budget, lender),
 		onLoan(budget, from, total) {
 			rights.receive(budget, from, total);
 		},
@@ -46,7 +47,7 @@
 		self: {holder, address: listen.peers, hall},
 		hall,
 		directory: peers,
-		lend: async (to, budget, tokens) => rights.lend(to, budget, tokens),
+		lend: async (to, budget, tokens, received) => rights.lend(to, budget, tokens, received),
 		takeBack(from, budget, total) {
 			rights.receive(budget, from, total);
 		},
--- a/packages/entry/src/test/create-lenders.test.ts
+++ b/packages/entry/src/test/create-lenders.test.ts
@@ -20,8 +20,9 @@
 		onLoan(_budget, from, total) {
 			account = stepAccount(account, {type: 'received', from, total});
 		},
+		receivedFrom: () => 0,
 		onSilence: () => undefined,
 	});
-	await lenders.borrow('budget', 100, ['127.0.0.1:1', '127.0.0.1:2'], () => false);
+	await lenders.borrow('budget', 100, [{holder: 'edge-1#old', address: '127.0.0.1:1', hall: 'h'}, {holder: 'edge-1#new', address: '127.0.0.1:2', hall: 'h'}], () => false);
 	t.is(transferredRights(account), 50);
 });
