--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,5 +12,6 @@
 export type {Refusal} from './refusal.js';
 export type {RefusalCode} from './refusal-code.js';
 export type {RunState} from './run-state.js';
+export {splitAddress} from './split-address.js';
 export {succeed} from './succeed.js';
 export {systemClock} from './system-clock.js';
--- a/packages/entry/src/entry-options.ts
+++ b/packages/entry/src/entry-options.ts
@@ -8,7 +8,7 @@
 export type EntryOptions = {
 	readonly host: string;
 	readonly hall: string;
-	/** Addresses as `ip:port`. */
+	/** Addresses as `ip:port`. With port 0, the system picks a free one. */
 	readonly listen: {readonly callers: string; readonly ready: string; readonly peers: string};
 	readonly bounds: Bounds;
 	readonly headers: HeaderNames;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,6 +3,8 @@
 
 /** A running entry host. */
 export type Entry = {
+	/** Where it listens, as `ip:port`: the ports taken, where the options left them open. */
+	readonly addresses: {readonly callers: string; readonly ready: string};
 	/** Takes a configuration into force, unless a newer one is. */
 	readonly configure: (config: FleetConfig) => void;
 	/** Replaces the list of endpoints. */
--- a/packages/entry/src/lib/create-connection-pool.ts
+++ b/packages/entry/src/lib/create-connection-pool.ts
@@ -1,5 +1,6 @@
 import type {Agent, ClientRequest} from 'node:http';
 import {connect, type Socket} from 'node:net';
+import {splitAddress} from '@deckwheel/core';
 import type {ConnectionPool} from './connection-pool.js';
 
 /** Endpoints close idle connections at a time of their own choosing; a connection is not used near that time. */
@@ -7,11 +8,6 @@
 
 type KeptSocket = {readonly socket: Socket; readonly idleSince: number};
 
-const splitAddress = (address: string): {host: string; port: number} => {
-	const [host, port] = address.split(':');
-	return {host: host!, port: Number(port)};
-};
-
 /**
 Keeps connections to endpoints.
 
--- a/packages/entry/src/lib/start-peer-links.ts
+++ b/packages/entry/src/lib/start-peer-links.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {openMesh, type Mesh} from '@deckwheel/mesh';
+import {splitAddress} from '@deckwheel/core';
+import {openMesh, type Identity, type Mesh} from '@deckwheel/mesh';
 import type {ListedPeer} from '../listed-peer.js';
 import type {Log} from '../log.js';
 import type {PeerDirectory} from '../peer-directory.js';
@@ -33,14 +34,11 @@
 	readonly now: () => number;
 };
 
-const splitAddress = (address: string): {host: string; port: number} => {
-	const [host, port] = address.split(':');
-	return {host: host!, port: Number(port)};
-};
-
 /** Lists this host in the directory, listens for peers, and keeps the links to them. */
 export const startPeerLinks = ({self, hall, directory, lend, takeBack, log, now}: Options): PeerLinks => {
 	let mesh: Mesh | undefined;
+	/** This host as its peers find it. */
+	let listed = self;
 	let peers: ReadonlyMap<string, ListedPeer> = new Map();
 	let listAgainAt = 0;
 	let isClosed = false;
@@ -48,9 +46,9 @@
 	const suspectedUntil = new Map<string, number>();
 
 	const list = async (): Promise<void> => {
-		const listed = await directory.list();
-		if (listed) {
-			peers = new Map(listed.map(peer => [peer.holder, peer]));
+		const found = await directory.list();
+		if (found) {
+			peers = new Map(found.map(peer => [peer.holder, peer]));
 			log('peers_listed', {count: peers.size});
 		}
 	};
@@ -62,49 +60,61 @@
 		}
 	};
 
-	const join = async (): Promise<void> => {
-		for (;;) {
-			const secret = await directory.register(self);
-			if (isClosed) {
-				return;
-			}
+	const answer = async (from: Identity, body: unknown): Promise<unknown> => {
+		const message = peerMessageSchema.safeParse(body);
+		if (!message.success) {
+			return undefined;
+		}
+
+		const {data} = message;
+		if (data.type === 'hand_back') {
+			takeBack(from.incarnation, data.budget, data.total);
+			return {};
+		}
+
+		return {lender: listed.holder, total: await lend(from.incarnation, data.budget, data.tokens, data.received)};
+	};
 
-			if (secret !== undefined) {
-				mesh = await openMesh({
-					self: {incarnation: self.holder, hall},
-					secret,
-					listen: splitAddress(self.address),
-					handlers: {
-						async onRequest(from, body) {
-							const message = peerMessageSchema.safeParse(body);
-							if (!message.success) {
-								return undefined;
-							}
-
-							const {data} = message;
-							if (data.type === 'hand_back') {
-								takeBack(from.incarnation, data.budget, data.total);
-								return {};
-							}
-
-							return {lender: self.holder, total: await lend(from.incarnation, data.budget, data.tokens, data.received)};
-						},
-						onMessage: () => undefined,
-					},
-				});
-				await list();
-				await sleep(settleMs, undefined, {ref: false});
-				await list();
-				isSettled = true;
-				await sleep(readAgainMs, undefined, {ref: false});
-				await list();
-				return;
+	/** Calls the directory until it answers, or this host closes. */
+	const untilDone = async <T>(ask: () => Promise<T | undefined>): Promise<T | undefined> => {
+		for (;;) {
+			const answered = await ask();
+			if (answered !== undefined || isClosed) {
+				return answered;
 			}
 
 			await sleep(registerPauseMs);
 		}
 	};
 
+	// A host listens before it is listed, so that peers never find it deaf.
+	const listen = async (secret: string): Promise<void> => {
+		const {host, port} = splitAddress(self.address);
+		mesh = await openMesh({
+			self: {incarnation: self.holder, hall},
+			secret,
+			listen: {host, port},
+			handlers: {onRequest: answer, onMessage: () => undefined},
+		});
+		listed = {...self, address: `${host}:${mesh.port}`};
+	};
+
+	const join = async (): Promise<void> => {
+		const secret = await untilDone(directory.shareSecret);
+		if (secret === undefined || isClosed) {
+			return;
+		}
+
+		await listen(secret);
+		await untilDone(async () => await directory.register(listed) || undefined);
+		await list();
+		await sleep(settleMs, undefined, {ref: false});
+		await list();
+		isSettled = true;
+		await sleep(readAgainMs, undefined, {ref: false});
+		await list();
+	};
+
 	void join();
 	return {
 		mesh: () => mesh,
@@ -118,7 +128,7 @@
 		},
 		hallPeers() {
 			const near = [...peers.values()].filter(peer => peer.hall === hall && peer.holder !== self.holder && (suspectedUntil.get(peer.address) ?? 0) < now());
-			return [self, ...near];
+			return [listed, ...near];
 		},
 		isSettled: () => isSettled,
 		suspect(address) {
--- a/packages/entry/src/peer-directory.ts
+++ b/packages/entry/src/peer-directory.ts
@@ -2,7 +2,9 @@
 
 /** Where entry hosts find each other. */
 export type PeerDirectory = {
-	/** Lists this host; `undefined` when the directory is out of reach. The answer is the secret that all hosts share. */
-	readonly register: (self: ListedPeer) => Promise<string | undefined>;
+	/** The secret that all hosts share; the first host makes it. `undefined` while the directory is out of reach. */
+	readonly shareSecret: () => Promise<string | undefined>;
+	/** Lists this host. `false` while the directory is out of reach. */
+	readonly register: (self: ListedPeer) => Promise<boolean>;
 	readonly list: () => Promise<readonly ListedPeer[] | undefined>;
 };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -98,7 +98,7 @@
 		res.writeHead(isReady ? 200 : 503, {'content-length': 0});
 		res.end();
 	});
-	await Promise.all([listenAt(callers, listen.callers), listenAt(ready, listen.ready)]);
+	const [callersAddress, readyAddress] = await Promise.all([listenAt(callers, listen.callers), listenAt(ready, listen.ready)]);
 	log('started', {holder, hall});
 
 	const hasEnded = async (until: number): Promise<void> => new Promise(resolve => {
@@ -111,6 +111,7 @@
 	});
 
 	return {
+		addresses: {callers: callersAddress, ready: readyAddress},
 		configure(next) {
 			if (config !== undefined && next.version <= config.version) {
 				return;
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -1,5 +1,3 @@
-import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
 import type {FleetConfig} from '../../fleet-config.js';
 import type {ListedPeer} from '../../listed-peer.js';
 import type {RightsStore} from '../../rights-store.js';
@@ -7,14 +5,8 @@
 import {startEntry} from '../../start-entry.js';
 import {headerNames} from './header-names.js';
 
-const freeAddress = async (): Promise<string> => {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return `127.0.0.1:${port}`;
-};
+/** The system picks a free port. */
+const anyPort = '127.0.0.1:0';
 
 /** A route of the service `s`. */
 export const makeRoute = (change: Partial<Route> = {}): Route => ({
@@ -34,23 +26,22 @@
 
 /** Starts an entry host. Hosts that share `peers` find each other. */
 export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', peers = new Map<string, ListedPeer>()} = {}) => {
-	const callers = await freeAddress();
-	const ready = await freeAddress();
 	const events: Array<{event: string; fields: Readonly<Record<string, unknown>>}> = [];
 	const waiting: Array<{event: string; resolve: () => void}> = [];
 	const entry = await startEntry({
 		host,
 		hall: 'hall-a',
-		listen: {callers, ready, peers: await freeAddress()},
+		listen: {callers: anyPort, ready: anyPort, peers: anyPort},
 		bounds: {
 			retryRatio: 1, retryWindowMs: 10_000, retrySlack: 0, stopGraceMs: 20_000,
 		},
 		headers: headerNames,
 		rightsStore,
 		peers: {
+			shareSecret: async () => 'secret',
 			async register(self) {
 				peers.set(host, self);
-				return 'secret';
+				return true;
 			},
 			list: async () => [...peers.values()],
 		},
@@ -63,8 +54,8 @@
 	});
 	return {
 		entry,
-		callers,
-		ready,
+		callers: entry.addresses.callers,
+		ready: entry.addresses.ready,
 		events,
 		/** Resolves once the event was logged. */
 		async logged(event: string) {
