In a large hall one host draws for a slot, another stands by; the others borrow exactly

Borrowers kept 1.5 to 3 s of a lumpy demand idle, and never reached other halls. Change: bankers are ranked by slot, asked in one order by all; a large hall stays large when hosts are out of reach; a borrower asks for what a request lacks, ahead only where the next one is due soon, and hands remainders back; a banker that is short and cannot draw asks the holders of other halls within 80 ms; suspicion after two silences or an unreachable peer; ticks are spread. create-rights-keeper.ts (332 lines) is split: bankers, borrower, balance.

--- /dev/null
+++ b/packages/entry/src/lib/borrower.ts
@@ -0,0 +1,13 @@
+import type {ListedPeer} from '../listed-peer.js';
+
+/** Borrows rights of peers, and hands back what is too much. */
+export type Borrower = {
+	/**
+	Asks peers in turn until `tokens` can be reserved, or all were asked.
+
+	@param patienceMs How long all questions together may take; without it, each may take its time.
+	*/
+	readonly borrow: (budget: string, tokens: number, peers: readonly ListedPeer[], patienceMs?: number) => Promise<void>;
+	/** Hands idle rights back to the banker that this host borrows from. */
+	readonly handBackIdle: (budget: string) => void;
+};
--- /dev/null
+++ b/packages/entry/src/lib/create-borrower.ts
@@ -0,0 +1,61 @@
+import type {ListedPeer} from '../listed-peer.js';
+import type {Log} from '../log.js';
+import type {Accounts} from './accounts.js';
+import type {Borrower} from './borrower.js';
+import type {Lenders} from './lenders.js';
+import {planBorrowing} from './plan-borrowing.js';
+
+type Options = {
+	readonly accounts: Accounts;
+	readonly lenders: Lenders;
+	/** The bankers of this hall, in the order in which they are asked. */
+	readonly bankersOf: (budget: string) => readonly ListedPeer[];
+	readonly log: Log;
+};
+
+/** Creates the borrower of a host. Only one question for a budget is under way at a time; others wait for what it brings. */
+export const createBorrower = ({accounts, lenders, bankersOf, log}: Options): Borrower => {
+	const underWay = new Map<string, Promise<void>>();
+	const lastAsked = new Map<string, number>();
+
+	const planOf = (budget: string, tokens: number) => planBorrowing({
+		available: accounts.available(budget), rate: accounts.of(budget).rate, tokens,
+	});
+
+	return {
+		async borrow(budget, tokens, peers, patienceMs) {
+			for (let running = underWay.get(budget); running; running = underWay.get(budget)) {
+				await running;
+			}
+
+			if (peers.length === 0 || accounts.available(budget) >= tokens) {
+				return;
+			}
+
+			lastAsked.set(budget, tokens);
+			const turn = lenders.borrow({
+				budget,
+				tokens: planOf(budget, tokens).wanted,
+				peers,
+				patienceMs,
+				isEnough: () => accounts.available(budget) >= tokens,
+			});
+			underWay.set(budget, turn);
+			await turn;
+			underWay.delete(budget);
+		},
+		handBackIdle(budget) {
+			const [banker] = bankersOf(budget);
+			const {surplus} = planOf(budget, lastAsked.get(budget) ?? 0);
+			if (surplus === 0 || !banker || underWay.has(budget)) {
+				return;
+			}
+
+			accounts.step(budget, {
+				type: 'lent', to: banker.holder, tokens: surplus, share: 1,
+			});
+			lenders.handBack(banker.address, budget, accounts.of(budget).given.get(banker.holder) ?? 0);
+			log('rights_handed_back', {to: banker.holder, budget, tokens: surplus});
+		},
+	};
+};
--- a/packages/entry/src/lib/create-lenders.ts
+++ b/packages/entry/src/lib/create-lenders.ts
@@ -1,42 +1,75 @@
-import type {Mesh} from '@deckwheel/mesh';
+import type {LinkError, Mesh} from '@deckwheel/mesh';
 import type {Lenders} from './lenders.js';
 import {loanSchema} from './loan-schema.js';
 
 /** A peer in reach answers in a few ms, or after it drew from the store. */
-const askTimeoutMs = 120;
+const askTimeoutMs = 150;
 const maxAsked = 6;
 
+type LoanMessage = {readonly type: 'lend'; readonly budget: string; readonly tokens: number; readonly received: number};
+
 type Options = {
 	readonly mesh: () => Mesh | undefined;
 	/** All that this host knows to have got from a lender. */
 	readonly receivedFrom: (budget: string, lender: string) => number;
 	/** Called with what a lender ever gave in total. */
 	readonly onLoan: (budget: string, from: string, total: number) => void;
-	/** Called when a peer did not answer. */
+	/** Called when a peer could not be reached, or was silent twice in a row. */
 	readonly onSilence: (address: string) => void;
+	/** Monotonic ms. */
+	readonly now: () => number;
 };
 
 /** Creates the asker for rights of peers. A lost reply strands nothing for good: the next one carries the total again. */
-export const createLenders = ({mesh, receivedFrom, onLoan, onSilence}: Options): Lenders => ({
-	async borrow(budget, tokens, peers, isEnough) {
-		const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
-		for (const [address, holder] of [...byAddress].slice(0, maxAsked)) {
-			const reply = await mesh()?.request(address, {
-				type: 'lend', budget, tokens, received: receivedFrom(budget, holder),
-			}, askTimeoutMs);
-			const loan = loanSchema.safeParse(reply?.ok ? reply.value : undefined);
-			if (loan.success) {
-				onLoan(budget, loan.data.lender, loan.data.total);
-			} else if (reply && !reply.ok) {
-				onSilence(address);
-			}
+export const createLenders = ({mesh, receivedFrom, onLoan, onSilence, now}: Options): Lenders => {
+	const silent = new Set<string>();
 
-			if (isEnough()) {
-				return;
-			}
+	// A first silence may be a link that is being opened, or a lender that waits for the store.
+	const noteSilence = (address: string, error: LinkError): void => {
+		if (error === 'unreachable' || silent.has(address)) {
+			silent.delete(address);
+			onSilence(address);
+			return;
+		}
+
+		silent.add(address);
+	};
+
+	const ask = async (link: Mesh, address: string, question: LoanMessage, timeoutMs: number): Promise<void> => {
+		const reply = await link.request(address, question, timeoutMs);
+		if (!reply.ok) {
+			noteSilence(address, reply.error);
+			return;
 		}
-	},
-	handBack(address, budget, total) {
-		void mesh()?.request(address, {type: 'hand_back', budget, total}, askTimeoutMs);
-	},
-});
+
+		silent.delete(address);
+		const loan = loanSchema.safeParse(reply.value);
+		if (loan.success) {
+			onLoan(question.budget, loan.data.lender, loan.data.total);
+		}
+	};
+
+	return {
+		async borrow({budget, tokens, peers, patienceMs = Number.POSITIVE_INFINITY, isEnough}) {
+			const until = now() + patienceMs;
+			const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
+			for (const [address, holder] of [...byAddress].slice(0, maxAsked)) {
+				const link = mesh();
+				const timeoutMs = Math.min(askTimeoutMs, until - now());
+				if (!link || timeoutMs <= 0) {
+					return;
+				}
+
+				await ask(link, address, {
+					type: 'lend', budget, tokens, received: receivedFrom(budget, holder),
+				}, timeoutMs);
+				if (isEnough()) {
+					return;
+				}
+			}
+		},
+		handBack(address, budget, total) {
+			void mesh()?.request(address, {type: 'hand_back', budget, total}, askTimeoutMs);
+		},
+	};
+};
--- a/packages/entry/src/lib/create-slot-writer.ts
+++ b/packages/entry/src/lib/create-slot-writer.ts
@@ -1,5 +1,5 @@
 import {
-	planDraw, slotOfBudget, type BudgetRights, type DrawRequest,
+	planDraw, slotOfBudget, type BudgetRights, type DrawRequest, type StoreView,
 } from '@deckwheel/ledger';
 import type {Log} from '../log.js';
 import type {RightsStore} from '../rights-store.js';
@@ -7,12 +7,11 @@
 import type {Accounts} from './accounts.js';
 import type {BudgetLimits} from './budget-limits.js';
 import {prepareRights} from './prepare-rights.js';
+import {slotCount} from './slot-count.js';
 import type {SlotWriter} from './slot-writer.js';
 import type {StoreState} from './store-state.js';
 import {transferredRights} from './transferred-rights.js';
 
-/** Objects among which budgets are spread. All hosts must agree on it. */
-const slotCount = 4;
 const maxConflicts = 8;
 
 type Known = StoredRights & {/** Monotonic ms. */ readonly readAt: number};
@@ -27,7 +26,7 @@
 	/** Whether this host has anything to say of a budget: hosts that only borrow do not. */
 	readonly isConcerned: (budget: string) => boolean;
 	/** Decides the draw on a budget once the store's side is known. */
-	readonly wants: (budget: string, rights: BudgetRights) => DrawRequest['wants'];
+	readonly wants: (budget: string) => (view: StoreView, rights: BudgetRights) => number;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -63,7 +62,7 @@
 			settled: account.settled,
 			rate: account.rate,
 			billed: account.settled,
-			wants: wants(budget, rights),
+			wants: view => wants(budget)(view, rights),
 		};
 	};
 
--- /dev/null
+++ b/packages/entry/src/lib/loan-question.ts
@@ -0,0 +1,12 @@
+import type {ListedPeer} from '../listed-peer.js';
+
+/** What a host asks of peers. */
+export type LoanQuestion = {
+	readonly budget: string;
+	readonly tokens: number;
+	/** In the order in which they are asked. */
+	readonly peers: readonly ListedPeer[];
+	/** How long all questions together may take, in ms. */
+	readonly patienceMs?: number;
+	readonly isEnough: () => boolean;
+};
--- a/packages/entry/src/lib/peer-links.ts
+++ b/packages/entry/src/lib/peer-links.ts
@@ -7,8 +7,10 @@
 	readonly mesh: () => Mesh | undefined;
 	/** A peer by its name as a holder. An unknown one has the directory read again. */
 	readonly peerOf: (holder: string) => ListedPeer | undefined;
-	/** Hosts of this hall that were in reach lately, this one among them. */
+	/** Hosts of this hall that were in reach lately, this one among them. The same array until it changes. */
 	readonly hallPeers: () => readonly ListedPeer[];
+	/** Hosts listed for this hall, in reach or not, this one among them. */
+	readonly hallSize: () => number;
 	/** Whether the directory was read after all hosts that started together had time to be listed. */
 	readonly isSettled: () => boolean;
 	/** Notes that a peer did not answer: for a while it is not counted on. */
--- a/packages/entry/src/lib/rank-bankers.ts
+++ b/packages/entry/src/lib/rank-bankers.ts
@@ -2,17 +2,23 @@
 import type {ListedPeer} from '../listed-peer.js';
 import {hostOfHolder} from './host-of-holder.js';
 
-/** Hosts of one hall that draw rights on one budget: enough to outlive some, and few enough for the store at any size. */
-const bankersPerHall = 4;
+/** In a hall of up to this many hosts each draws for itself. */
+const smallHall = 4;
+
+/** Hosts of a larger hall that draw for it: the first does, the second stands by. */
+const bankersOfLargeHall = 2;
 
 /**
-Picks the hosts of a hall that draw a budget's rights from the store; the others borrow from them. In a small hall all do.
+Ranks the hosts of a hall that draw a slot's rights from the store; the others borrow from them, from the first one first.
 
-All hosts come to the same choice without asking, and a host keeps its place when it restarts.
+A slot's budgets share their bankers, so that few hosts write to its object. All hosts come to the same choice without
+asking, and a host keeps its place when it restarts.
 
-@param peers Hosts of the hall, this one among them.
+@param peers Hosts of the hall in reach, this one among them.
+@param hallSize All hosts listed for the hall: a large hall stays one when some of them are out of reach.
 */
-export const rankBankers = (budget: string, peers: readonly ListedPeer[]): readonly ListedPeer[] => {
+export const rankBankers = (slot: number, peers: readonly ListedPeer[], hallSize: number): readonly ListedPeer[] => {
 	const byHost = new Map(peers.map(peer => [hostOfHolder(peer.holder), peer]));
-	return rankByRendezvous(budget, [...byHost.keys()]).slice(0, bankersPerHall).map(host => byHost.get(host)!);
+	const count = hallSize <= smallHall ? byHost.size : bankersOfLargeHall;
+	return rankByRendezvous(`slot-${slot}`, [...byHost.keys()]).slice(0, count).map(host => byHost.get(host)!);
 };
--- a/packages/entry/src/lib/rights-keeper.ts
+++ b/packages/entry/src/lib/rights-keeper.ts
@@ -14,6 +14,8 @@
 	readonly receivedFrom: (budget: string, from: string) => number;
 	/** Takes in what a peer ever gave in total. */
 	readonly receive: (budget: string, from: string, total: number) => void;
+	/** Takes back what a peer handed back; `total` is what it ever gave. */
+	readonly takeBack: (budget: string, from: string, total: number) => void;
 	/** Gives back all that is not reserved or spent, and draws nothing more. */
 	readonly retire: () => Promise<void>;
 	readonly close: () => void;
--- a/packages/entry/src/lib/start-peer-links.ts
+++ b/packages/entry/src/lib/start-peer-links.ts
@@ -44,15 +44,33 @@
 	let isClosed = false;
 	let isSettled = false;
 	const suspectedUntil = new Map<string, number>();
+	let hallPeers: readonly ListedPeer[] = [self];
+	let hallSize = 1;
+	/** When the hall's peers have to be found again; monotonic ms. */
+	let hallChangesAt = 0;
 
 	const list = async (): Promise<void> => {
 		const found = await directory.list();
 		if (found) {
 			peers = new Map(found.map(peer => [peer.holder, peer]));
+			hallChangesAt = 0;
 			log('peers_listed', {count: peers.size});
 		}
 	};
 
+	const findHallPeers = (): void => {
+		for (const [address, until] of suspectedUntil) {
+			if (until <= now()) {
+				suspectedUntil.delete(address);
+			}
+		}
+
+		const near = [...peers.values()].filter(peer => peer.hall === hall && peer.address !== listed.address);
+		hallSize = near.length + 1;
+		hallPeers = [listed, ...near.filter(({address}) => !suspectedUntil.has(address))];
+		hallChangesAt = Math.min(Number.POSITIVE_INFINITY, ...suspectedUntil.values());
+	};
+
 	const relist = (): void => {
 		if (now() > listAgainAt) {
 			listAgainAt = now() + listPauseMs;
@@ -97,6 +115,7 @@
 			handlers: {onRequest: answer, onMessage: () => undefined},
 		});
 		listed = {...self, address: `${host}:${mesh.port}`};
+		hallChangesAt = 0;
 	};
 
 	const join = async (): Promise<void> => {
@@ -127,12 +146,17 @@
 			return peer;
 		},
 		hallPeers() {
-			const near = [...peers.values()].filter(peer => peer.hall === hall && peer.holder !== self.holder && (suspectedUntil.get(peer.address) ?? 0) < now());
-			return [listed, ...near];
+			if (now() >= hallChangesAt) {
+				findHallPeers();
+			}
+
+			return hallPeers;
 		},
+		hallSize: () => hallSize,
 		isSettled: () => isSettled,
 		suspect(address) {
 			suspectedUntil.set(address, now() + suspicionMs);
+			hallChangesAt = 0;
 			relist();
 		},
 		async close() {
--- /dev/null
+++ b/packages/entry/src/lib/start-rights-balance.ts
@@ -0,0 +1,126 @@
+import {unallocated, type HoldAhead} from '@deckwheel/ledger';
+import type {Log} from '../log.js';
+import type {Accounts} from './accounts.js';
+import type {Bankers} from './bankers.js';
+import type {Borrower} from './borrower.js';
+import {holdersOf} from './holders-of.js';
+import {planRights} from './plan-rights.js';
+import {rateMemorySeconds} from './rate-memory-seconds.js';
+import type {RightsBalance} from './rights-balance.js';
+import type {SlotWriter} from './slot-writer.js';
+import type {StoreState} from './store-state.js';
+import {viewRights} from './view-rights.js';
+
+const tickMs = 500;
+
+/** A slot is not written more often than this, unless a request waits for it. */
+const writeGapMs = 1500;
+
+/** What is known of the store's side is used for this long before it is looked at again. */
+const viewTrustMs = 2500;
+
+/** A store that was seen to have nothing left is not asked again for this long, in ms: others give back in the meantime. */
+const emptyTrustMs = 300;
+
+type Options = {
+	/** The name of this life of the host. */
+	readonly holder: string;
+	readonly accounts: Accounts;
+	readonly bankers: Bankers;
+	readonly borrower: Borrower;
+	readonly writer: SlotWriter;
+	readonly state: StoreState;
+	readonly holdAhead: HoldAhead;
+	/** Budgets with a limit. */
+	readonly budgets: () => Iterable<string>;
+	/** Whether peers that started together had time to be listed. */
+	readonly isSettled: () => boolean;
+	readonly isRetiring: () => boolean;
+	readonly log: Log;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/** Starts the task that keeps this host's rights near what its demand asks for. */
+export const startRightsBalance = ({holder, accounts, bankers, borrower, writer, state, holdAhead, budgets, isSettled, isRetiring, log, now}: Options): RightsBalance => {
+	const writtenAt = new Map<number, number>();
+
+	const planBudget = (budget: string): 'keep' | 'write' => {
+		const rights = writer.rightsOf(budget);
+		const account = accounts.of(budget);
+		if (!rights) {
+			return account.rate > 0 || account.granted === 0 ? 'write' : 'keep';
+		}
+
+		const view = viewRights(rights, holder, account.rate);
+		const plan = planRights({
+			account,
+			holdAhead,
+			holders: holdersOf(rights, holder),
+			isOverGranted: unallocated(rights) < 0,
+			isStoreUp: state.isUp(),
+			// An old view may say that nothing is left where others have given back since.
+			store: writer.ageOf(budget) > viewTrustMs ? {...view, unallocated: Math.max(1, view.unallocated)} : view,
+		});
+		if (plan.type === 'give_back') {
+			// Rights leave this host before the store hears of it.
+			accounts.step(budget, {type: 'granted', total: account.granted - plan.tokens});
+			log('rights_given_back', {budget, tokens: plan.tokens});
+		}
+
+		return plan.type === 'keep' ? 'keep' : 'write';
+	};
+
+	// A write that is under way states what was granted before; nothing is given back beside it.
+	const isDue = (budget: string): boolean => {
+		const slot = writer.slotOf(budget);
+		return !writer.isBusy(slot) && now() - (writtenAt.get(slot) ?? -writeGapMs) >= writeGapMs;
+	};
+
+	// Who stands by, or drew once because no banker answered, keeps an eye on what it still has of the store.
+	const isConcerned = (budget: string): boolean => bankers.drawsAhead(budget) || accounts.of(budget).granted > accounts.of(budget).settled;
+
+	const writeDue = (): void => {
+		const due = [...budgets()].filter(budget => isConcerned(budget) && isDue(budget) && planBudget(budget) === 'write');
+		const slots = [...new Set(due.map(budget => writer.slotOf(budget)))];
+		// While the store is out of reach, one call tells whether it is back.
+		for (const slot of state.isUp() ? slots : slots.slice(0, 1)) {
+			writtenAt.set(slot, now());
+			void writer.flush(slot);
+		}
+	};
+
+	const tick = (): void => {
+		for (const budget of accounts.budgets()) {
+			accounts.step(budget, {type: 'faded', share: Math.exp(-tickMs / 1000 / rateMemorySeconds)});
+		}
+
+		if (isRetiring() || !isSettled()) {
+			return;
+		}
+
+		for (const budget of accounts.budgets().filter(name => !bankers.isBanker(name))) {
+			borrower.handBackIdle(budget);
+		}
+
+		if (state.mayCall()) {
+			writeDue();
+		}
+	};
+
+	// Hosts that started together must not write at the same moments.
+	let timer = setTimeout(() => {
+		timer = setInterval(tick, tickMs);
+	}, Math.random() * tickMs);
+	return {
+		// A draw is of use unless the store was seen to have nothing left a moment ago.
+		mayDraw(budget) {
+			const rights = writer.rightsOf(budget);
+			const isSeenEmpty = rights !== undefined && writer.ageOf(budget) < emptyTrustMs && unallocated(rights) < 1;
+			return state.mayCall() && !isRetiring() && !isSeenEmpty;
+		},
+		close() {
+			clearInterval(timer);
+		},
+	};
+};
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -39,6 +39,7 @@
 		onSilence(address) {
 			links.suspect(address);
 		},
+		now,
 	});
 	const rights = createRightsKeeper({
 		host, holder, store: rightsStore, lenders, links: () => links, log, now,
@@ -49,7 +50,7 @@
 		directory: peers,
 		lend: async (to, budget, tokens, received) => rights.lend(to, budget, tokens, received),
 		takeBack(from, budget, total) {
-			rights.receive(budget, from, total);
+			rights.takeBack(budget, from, total);
 		},
 		log,
 		now,
--- a/packages/entry/src/test/create-lenders.test.ts
+++ b/packages/entry/src/test/create-lenders.test.ts
@@ -1,19 +1,21 @@
 import test from 'ava';
-import {succeed} from '@deckwheel/core';
-import type {Mesh} from '@deckwheel/mesh';
+import {fail, succeed} from '@deckwheel/core';
+import type {LinkError, Mesh} from '@deckwheel/mesh';
+import type {ListedPeer} from '../listed-peer.js';
 import {createLenders} from '../lib/create-lenders.js';
 import {emptyHostAccount} from '../lib/empty-host-account.js';
 import {stepAccount} from '../lib/step-account.js';
 import {transferredRights} from '../lib/transferred-rights.js';
 
+const meshOf = (request: Mesh['request']): Mesh => ({
+	port: 0, request, send: () => undefined, close: async () => undefined,
+});
+
+const peer = (holder: string, address: string): ListedPeer => ({holder, address, hall: 'h'});
+
 test('a host that restarted is asked under both its names, and its loan counts once', async t => {
 	// Both addresses lead to one life of the host.
-	const mesh: Mesh = {
-		port: 0,
-		request: async () => succeed({lender: 'edge-1#new', total: 50}),
-		send: () => undefined,
-		close: async () => undefined,
-	};
+	const mesh = meshOf(async () => succeed({lender: 'edge-1#new', total: 50}));
 	let account = emptyHostAccount;
 	const lenders = createLenders({
 		mesh: () => mesh,
@@ -22,7 +24,53 @@
 		},
 		receivedFrom: () => 0,
 		onSilence: () => undefined,
+		now: () => 0,
+	});
+	await lenders.borrow({
+		budget: 'budget', tokens: 100, peers: [peer('edge-1#old', '127.0.0.1:1'), peer('edge-1#new', '127.0.0.1:2')], isEnough: () => false,
 	});
-	await lenders.borrow('budget', 100, [{holder: 'edge-1#old', address: '127.0.0.1:1', hall: 'h'}, {holder: 'edge-1#new', address: '127.0.0.1:2', hall: 'h'}], () => false);
 	t.is(transferredRights(account), 50);
 });
+
+test('a peer is given up after two silences in a row, or at once when it cannot be reached', async t => {
+	const suspected: string[] = [];
+	const errors: LinkError[] = ['unknown', 'unknown', 'unreachable'];
+	const lenders = createLenders({
+		mesh: () => meshOf(async () => fail(errors.shift()!)),
+		onLoan: () => undefined,
+		receivedFrom: () => 0,
+		onSilence(address) {
+			suspected.push(address);
+		},
+		now: () => 0,
+	});
+	const ask = async (): Promise<void> => lenders.borrow({
+		budget: 'budget', tokens: 100, peers: [peer('edge-1#a', '127.0.0.1:1')], isEnough: () => false,
+	});
+	await ask();
+	t.is(suspected.length, 0);
+	await ask();
+	t.is(suspected.length, 1);
+	await ask();
+	t.is(suspected.length, 2);
+});
+
+test('peers are asked only while the patience lasts', async t => {
+	let time = 0;
+	const timeouts: number[] = [];
+	const lenders = createLenders({
+		mesh: () => meshOf(async (_address, _body, timeoutMs) => {
+			timeouts.push(timeoutMs);
+			time += 50;
+			return fail('unknown');
+		}),
+		onLoan: () => undefined,
+		receivedFrom: () => 0,
+		onSilence: () => undefined,
+		now: () => time,
+	});
+	await lenders.borrow({
+		budget: 'budget', tokens: 100, peers: ['a', 'b', 'c', 'd'].map(name => peer(`${name}#1`, name)), patienceMs: 80, isEnough: () => false,
+	});
+	t.deepEqual(timeouts, [80, 30]);
+});
--- a/packages/entry/src/test/rank-bankers.test.ts
+++ b/packages/entry/src/test/rank-bankers.test.ts
@@ -4,22 +4,22 @@
 const hosts = (count: number, life = 'a') => Array.from({length: count}, (_, index) => ({holder: `edge-${index}#${life}`, address: `10.0.0.${index}:1`, hall: 'h'}));
 
 test('in a small hall every host draws for itself', t => {
-	t.is(rankBankers('budget', hosts(3)).length, 3);
+	t.is(rankBankers(1, hosts(4), 4).length, 4);
 });
 
 test('in a large hall few hosts draw, the same whoever asks', t => {
-	const bankers = rankBankers('budget', hosts(40));
-	t.is(bankers.length, 4);
-	t.deepEqual(rankBankers('budget', hosts(40).reverse()), bankers);
+	const bankers = rankBankers(1, hosts(40), 40);
+	t.is(bankers.length, 2);
+	t.deepEqual(rankBankers(1, hosts(40).reverse(), 40), bankers);
 });
 
 test('a restart changes no place', t => {
-	const before = rankBankers('budget', hosts(40, 'a')).map(({address}) => address);
-	t.deepEqual(rankBankers('budget', hosts(40, 'b')).map(({address}) => address), before);
+	const before = rankBankers(1, hosts(40, 'a'), 40).map(({address}) => address);
+	t.deepEqual(rankBankers(1, hosts(40, 'b'), 40).map(({address}) => address), before);
 });
 
-test('a host that goes moves only its own place', t => {
-	const before = rankBankers('budget', hosts(40));
-	const after = rankBankers('budget', hosts(40).filter(({holder}) => holder !== before[0]!.holder));
-	t.deepEqual(after.slice(0, 3), before.slice(1));
+test('when the first host goes, the one that stood by takes over', t => {
+	const before = rankBankers(1, hosts(40), 40);
+	const after = rankBankers(1, hosts(40).filter(({holder}) => holder !== before[0]!.holder), 40);
+	t.is(after[0]!.holder, before[1]!.holder);
 });
