--- a/packages/entry/src/lib/account-event.ts
+++ b/packages/entry/src/lib/account-event.ts
@@ -8,5 +8,7 @@
 	| {readonly type: 'lent'; readonly to: string; readonly tokens: number; readonly share: number}
 	/** A peer told what it gave in total. */
 	| {readonly type: 'received'; readonly from: string; readonly total: number}
-	| {readonly type: 'demanded'; readonly tokensPerSecond: number}
-	| {readonly type: 'faded'; readonly share: number};
+	/** A request of this host asked for tokens, or requests of one that borrows from it did. */
+	| {readonly type: 'demanded'; readonly by: 'own_request' | 'client'; readonly tokens: number}
+	/** Time has passed. */
+	| {readonly type: 'aged'; readonly seconds: number};
--- a/packages/entry/src/lib/create-borrower.ts
+++ b/packages/entry/src/lib/create-borrower.ts
@@ -2,6 +2,7 @@
 import type {Log} from '../log.js';
 import type {Accounts} from './accounts.js';
 import type {Borrower} from './borrower.js';
+import {demandRate} from './demand-rate.js';
 import type {Lenders} from './lenders.js';
 import {planBorrowing} from './plan-borrowing.js';
 
@@ -15,34 +16,37 @@
 
 /** Creates the borrower of a host. Only one question for a budget is under way at a time; others wait for what it brings. */
 export const createBorrower = ({accounts, lenders, bankersOf, log}: Options): Borrower => {
-	const underWay = new Map<string, Promise<void>>();
+	const underWay = new Map<string, Promise<boolean>>();
 	const lastAsked = new Map<string, number>();
 
 	const planOf = (budget: string, tokens: number) => planBorrowing({
-		available: accounts.available(budget), rate: accounts.of(budget).rate, tokens,
+		available: accounts.available(budget), rate: demandRate(accounts.of(budget)), tokens,
 	});
 
 	return {
 		async borrow(budget, tokens, peers, patienceMs) {
+			let hasReachedStore = false;
 			for (let running = underWay.get(budget); running; running = underWay.get(budget)) {
-				await running;
+				hasReachedStore = await running;
 			}
 
 			if (peers.length === 0 || accounts.available(budget) >= tokens) {
-				return;
+				return hasReachedStore;
 			}
 
 			lastAsked.set(budget, tokens);
 			const turn = lenders.borrow({
 				budget,
 				tokens: planOf(budget, tokens).wanted,
+				demanded: accounts.of(budget).demanded + tokens,
 				peers,
 				patienceMs,
 				isEnough: () => accounts.available(budget) >= tokens,
 			});
 			underWay.set(budget, turn);
-			await turn;
+			hasReachedStore = await turn;
 			underWay.delete(budget);
+			return hasReachedStore;
 		},
 		handBackIdle(budget) {
 			const [banker] = bankersOf(budget);
--- a/packages/entry/src/lib/create-lenders.ts
+++ b/packages/entry/src/lib/create-lenders.ts
@@ -1,12 +1,13 @@
 import type {LinkError, Mesh} from '@deckwheel/mesh';
 import type {Lenders} from './lenders.js';
+import type {LoanReply} from './loan-reply.js';
 import {loanSchema} from './loan-schema.js';
 
 /** A peer in reach answers in a few ms, or after it drew from the store. */
 const askTimeoutMs = 150;
 const maxAsked = 6;
 
-type LoanMessage = {readonly type: 'lend'; readonly budget: string; readonly tokens: number; readonly received: number};
+type LoanMessage = {readonly type: 'lend'; readonly budget: string; readonly tokens: number; readonly demanded: number; readonly received: number};
 
 type Options = {
 	readonly mesh: () => Mesh | undefined;
@@ -35,11 +36,11 @@
 		silent.add(address);
 	};
 
-	const ask = async (link: Mesh, address: string, question: LoanMessage, timeoutMs: number): Promise<void> => {
+	const ask = async (link: Mesh, address: string, question: LoanMessage, timeoutMs: number): Promise<LoanReply | undefined> => {
 		const reply = await link.request(address, question, timeoutMs);
 		if (!reply.ok) {
 			noteSilence(address, reply.error);
-			return;
+			return undefined;
 		}
 
 		silent.delete(address);
@@ -47,26 +48,32 @@
 		if (loan.success) {
 			onLoan(question.budget, loan.data.lender, loan.data.total);
 		}
+
+		return loan.data;
 	};
 
 	return {
-		async borrow({budget, tokens, peers, patienceMs = Number.POSITIVE_INFINITY, isEnough}) {
+		async borrow({budget, tokens, demanded, peers, patienceMs = Number.POSITIVE_INFINITY, isEnough}) {
 			const until = now() + patienceMs;
 			const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
+			let hasReachedStore = false;
 			for (const [address, holder] of [...byAddress].slice(0, maxAsked)) {
 				const link = mesh();
 				const timeoutMs = Math.min(askTimeoutMs, until - now());
 				if (!link || timeoutMs <= 0) {
-					return;
+					break;
 				}
 
-				await ask(link, address, {
-					type: 'lend', budget, tokens, received: receivedFrom(budget, holder),
+				const reply = await ask(link, address, {
+					type: 'lend', budget, tokens, demanded, received: receivedFrom(budget, holder),
 				}, timeoutMs);
+				hasReachedStore ||= reply?.reachesStore ?? false;
 				if (isEnough()) {
-					return;
+					break;
 				}
 			}
+
+			return hasReachedStore;
 		},
 		handBack(address, budget, total) {
 			void mesh()?.request(address, {type: 'hand_back', budget, total}, askTimeoutMs);
--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -8,14 +8,15 @@
 import {createAccounts} from './create-accounts.js';
 import {createBankers} from './create-bankers.js';
 import {createBorrower} from './create-borrower.js';
+import {createClientDemand} from './create-client-demand.js';
 import {createDrawQueue} from './create-draw-queue.js';
 import {createSlotWriter} from './create-slot-writer.js';
 import {createStoreState} from './create-store-state.js';
+import {demandRate} from './demand-rate.js';
 import {holdersOf} from './holders-of.js';
 import type {Lenders} from './lenders.js';
 import type {PeerLinks} from './peer-links.js';
 import {planLoan} from './plan-loan.js';
-import {rateMemorySeconds} from './rate-memory-seconds.js';
 import type {ReserveOutcome} from './reserve-outcome.js';
 import type {RightsKeeper} from './rights-keeper.js';
 import {slotCount} from './slot-count.js';
@@ -31,6 +32,13 @@
 /** How long a client's question may wait while its banker asks holders in other halls, in ms. */
 const gatherPatienceMs = 80;
 
+/** How long holders that had too little are left alone, in ms. */
+const gatherPauseMs = 250;
+
+/** A store that was out of reach for some time is expected to stay so for as long again. */
+const leastRetryAfterSeconds = 2;
+const mostRetryAfterSeconds = 30;
+
 /** The parts of what is available that may go to a peer: of a banker to its own hall, and of any host to another. */
 const bankerShare = 0.9;
 const peerShare = 0.5;
@@ -52,8 +60,10 @@
 /** Starts the task that holds this host's rights, and decides when they move to and from the store and peers. */
 export const createRightsKeeper = ({host, holder, store, lenders, links, log, now}: Options): RightsKeeper => {
 	const accounts = createAccounts();
+	const clientDemand = createClientDemand();
 	const state = createStoreState(log, now);
 	let limits: BudgetLimits = {version: 0, byBudget: new Map()};
+	const gatherAgainAt = new Map<string, number>();
 	let isRetiring = false;
 
 	const bankers = createBankers({holder, links, slotOf: budget => slotOfBudget(budget, slotCount)});
@@ -66,7 +76,7 @@
 		: holdAhead({
 			...view,
 			remaining: viewRights(rights, holder, 0).remaining,
-			tokensPerSecond: accounts.of(budget).rate,
+			tokensPerSecond: demandRate(accounts.of(budget)),
 			available: accounts.available(budget),
 			missing: queue.missing(budget),
 			halls: holdersOf(rights, holder),
@@ -108,28 +118,39 @@
 		return rights !== undefined && writer.ageOf(budget) < viewTrustMs && viewStore(rights, holder, 0).remaining < tokens;
 	};
 
-	const noteDemand = (budget: string, tokens: number): void => {
-		accounts.step(budget, {type: 'demanded', tokensPerSecond: tokens / rateMemorySeconds});
+	// Holders that had too little a moment ago are left alone, so that a shortage does not bring a storm of questions.
+	const gather = async (budget: string, tokens: number, patienceMs: number): Promise<void> => {
+		if (now() < (gatherAgainAt.get(budget) ?? 0)) {
+			return;
+		}
+
+		await borrower.borrow(budget, tokens, peersByRights(budget), patienceMs);
+		if (accounts.available(budget) < tokens) {
+			gatherAgainAt.set(budget, now() + gatherPauseMs);
+		}
 	};
 
 	const obtain = async (budget: string, tokens: number, waitMs: number): Promise<ReserveOutcome> => {
+		const until = now() + waitMs;
 		if (accounts.take(budget, tokens)) {
 			return 'reserved';
 		}
 
+		let hasReachedStore = false;
 		if (!isRetiring && !bankers.isBanker(budget)) {
-			await borrower.borrow(budget, tokens, bankers.others(budget));
+			hasReachedStore = await borrower.borrow(budget, tokens, bankers.others(budget), until - now());
 			if (accounts.take(budget, tokens)) {
 				return 'reserved';
 			}
 		}
 
-		if (balance.mayDraw(budget) && await queue.draw(budget, tokens, Math.min(waitMs, storePatienceMs)) === 'reserved') {
+		// A banker that reaches the store drew what there is; a second writer would only be in its way.
+		if (!hasReachedStore && balance.mayDraw(budget) && await queue.draw(budget, tokens, Math.min(until - now(), storePatienceMs)) === 'reserved') {
 			return 'reserved';
 		}
 
 		if (!isRetiring) {
-			await borrower.borrow(budget, tokens, peersByRights(budget));
+			await gather(budget, tokens, until - now());
 		}
 
 		if (accounts.take(budget, tokens)) {
@@ -152,7 +173,7 @@
 		}
 
 		if (!isRetiring) {
-			await borrower.borrow(budget, tokens, peersByRights(budget), gatherPatienceMs);
+			await gather(budget, tokens, gatherPatienceMs);
 		}
 	};
 
@@ -174,7 +195,7 @@
 			const outcome = await obtain(budget, tokens, waitMs);
 			// Refused requests come back; counted each time, they would make the demand look many times larger.
 			if (outcome === 'reserved') {
-				noteDemand(budget, tokens);
+				accounts.step(budget, {type: 'demanded', by: 'own_request', tokens});
 			}
 
 			return outcome;
@@ -182,10 +203,12 @@
 		settle(budget, reserved, used) {
 			accounts.step(budget, {type: 'settled', reserved, used});
 		},
-		async lend(to, budget, tokens, received) {
+		async lend(to, {budget, tokens, demanded, received}) {
 			const givenTo = (): number => accounts.of(budget).given.get(to) ?? 0;
 			const isClient = bankers.isClient(to, budget);
+			// Hosts that draw for themselves, here or in other halls, are peers in need and no lasting demand on this one.
 			if (isClient) {
+				accounts.step(budget, {type: 'demanded', by: 'client', tokens: clientDemand.note(to, budget, demanded)});
 				await gatherForClient(budget, Math.ceil(planLoan({asked: tokens, given: givenTo(), received}) / bankerShare));
 			}
 
@@ -198,15 +221,10 @@
 			}
 
 			const total = givenTo();
-			// Hosts that draw for themselves, here or in other halls, are peers in need and no lasting demand on this one.
-			if (isClient) {
-				noteDemand(budget, total - given);
-			}
-
 			log('rights_lent', {
 				to, budget, asked: tokens, lent: total - given, total,
 			});
-			return total;
+			return {total, reachesStore: state.isUp()};
 		},
 		receivedFrom: (budget, from) => accounts.of(budget).received.get(from) ?? 0,
 		receive(budget, from, total) {
@@ -218,10 +236,9 @@
 			const before = accounts.available(budget);
 			accounts.step(budget, {type: 'received', from, total});
 			const tokens = accounts.available(budget) - before;
-			// What was lent and not needed was no demand.
-			noteDemand(budget, -Math.min(tokens, accounts.of(budget).rate * rateMemorySeconds));
 			log('rights_taken_back', {from, budget, tokens});
 		},
+		retryAfterSeconds: () => Math.max(leastRetryAfterSeconds, Math.min(mostRetryAfterSeconds, state.downMs() / 1000)),
 		async retire() {
 			isRetiring = true;
 			const slots = new Set(accounts.budgets().map(budget => writer.slotOf(budget)));
--- a/packages/entry/src/lib/create-slot-writer.ts
+++ b/packages/entry/src/lib/create-slot-writer.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	planDraw, slotOfBudget, type BudgetRights, type DrawRequest, type StoreView,
 } from '@deckwheel/ledger';
@@ -6,6 +7,7 @@
 import type {StoredRights} from '../stored-rights.js';
 import type {Accounts} from './accounts.js';
 import type {BudgetLimits} from './budget-limits.js';
+import {demandRate} from './demand-rate.js';
 import {prepareRights} from './prepare-rights.js';
 import {slotCount} from './slot-count.js';
 import type {SlotWriter} from './slot-writer.js';
@@ -14,6 +16,9 @@
 
 const maxConflicts = 8;
 
+/** After a second conflict, writers that met spread over this time, in ms, and more with each further one. */
+const conflictPauseMs = 10;
+
 type Known = StoredRights & {/** Monotonic ms. */ readonly readAt: number};
 
 type Options = {
@@ -60,7 +65,7 @@
 			granted: account.granted,
 			transferred: transferredRights(account),
 			settled: account.settled,
-			rate: account.rate,
+			rate: demandRate(account),
 			billed: account.settled,
 			wants: view => wants(budget)(view, rights),
 		};
@@ -114,6 +119,8 @@
 			if (result !== 'again') {
 				return result === 'done';
 			}
+
+			await sleep(Math.random() * conflictPauseMs * tries);
 		}
 
 		return false;
--- a/packages/entry/src/lib/create-store-state.ts
+++ b/packages/entry/src/lib/create-store-state.ts
@@ -11,14 +11,17 @@
 */
 export const createStoreState = (log: Log, now: () => number): StoreState => {
 	let isUp = true;
+	let downSince = 0;
 	let failures = 0;
 	let retryAt = 0;
 	return {
 		isUp: () => isUp,
+		downMs: () => isUp ? 0 : now() - downSince,
 		mayCall: () => now() >= retryAt,
 		note(isAnswered) {
 			if (isAnswered !== isUp) {
 				isUp = isAnswered;
+				downSince = now();
 				log(isUp ? 'store_regained' : 'store_lost');
 			}
 
--- a/packages/entry/src/lib/host-account.ts
+++ b/packages/entry/src/lib/host-account.ts
@@ -10,6 +10,9 @@
 	readonly reserved: number;
 	/** What ended requests cost. */
 	readonly settled: number;
-	/** Tokens a second reserved lately. */
+	/** Tokens ever demanded by requests of this host. A total, so that a lender misses nothing that it was not told. */
+	readonly demanded: number;
+	/** Demand averaged over the last seconds, in tokens a second; too low as long as `observedSeconds` is short. */
 	readonly rate: number;
+	readonly observedSeconds: number;
 };
--- a/packages/entry/src/lib/lenders.ts
+++ b/packages/entry/src/lib/lenders.ts
@@ -2,8 +2,12 @@
 
 /** Asks peers for rights. */
 export type Lenders = {
-	/** Asks peers in turn, until it is enough or the patience is over. */
-	readonly borrow: (question: LoanQuestion) => Promise<void>;
+	/**
+	Asks peers in turn, until it is enough or the patience is over.
+
+	@returns Whether a peer answered that reaches the store.
+	*/
+	readonly borrow: (question: LoanQuestion) => Promise<boolean>;
 	/** Tells a peer what this host ever gave it in total. */
 	readonly handBack: (address: string, budget: string, total: number) => void;
 };
--- a/packages/entry/src/lib/loan-question.ts
+++ b/packages/entry/src/lib/loan-question.ts
@@ -4,6 +4,8 @@
 export type LoanQuestion = {
 	readonly budget: string;
 	readonly tokens: number;
+	/** Tokens ever demanded by requests of this host. */
+	readonly demanded: number;
 	/** In the order in which they are asked. */
 	readonly peers: readonly ListedPeer[];
 	/** How long all questions together may take, in ms. */
--- /dev/null
+++ b/packages/entry/src/lib/loan-request.ts
@@ -0,0 +1,9 @@
+/** A peer's question for rights, as it arrives. Amounts are tokens. */
+export type LoanRequest = {
+	readonly budget: string;
+	readonly tokens: number;
+	/** All that requests of the asker ever demanded. */
+	readonly demanded: number;
+	/** All that the asker knows to have got from this host. */
+	readonly received: number;
+};
--- a/packages/entry/src/lib/plan-rights.ts
+++ b/packages/entry/src/lib/plan-rights.ts
@@ -1,9 +1,10 @@
 import type {HoldAhead, StoreView} from '@deckwheel/ledger';
 import {availableRights} from './available-rights.js';
+import {demandRate} from './demand-rate.js';
 import type {HostAccount} from './host-account.js';
 
 /** A draw is made when less than this part of the target is left, so that the store is not called for trifles. */
-const refillBelow = 0.6;
+const refillBelow = 0.5;
 
 /** Rights are given back when there are this many times the target. */
 const giveBackAbove = 1.4;
@@ -37,7 +38,7 @@
 	}
 
 	const target = holdAhead({
-		...store, tokensPerSecond: account.rate, available: 0, missing: 0, halls: holders,
+		...store, tokensPerSecond: demandRate(account), available: 0, missing: 0, halls: holders,
 	});
 	if (available < target * refillBelow && store.unallocated > 0) {
 		return {type: 'draw'};
--- a/packages/entry/src/lib/rights-keeper.ts
+++ b/packages/entry/src/lib/rights-keeper.ts
@@ -1,4 +1,6 @@
 import type {FleetConfig} from '../fleet-config.js';
+import type {LoanReply} from './loan-reply.js';
+import type {LoanRequest} from './loan-request.js';
 import type {ReserveOutcome} from './reserve-outcome.js';
 
 /** This host's rights on budgets. */
@@ -8,8 +10,10 @@
 	readonly reserve: (budget: string, tokens: number, waitMs: number) => Promise<ReserveOutcome>;
 	/** Ends a reservation: `used` of its tokens are spent, the others are free again. */
 	readonly settle: (budget: string, reserved: number, used: number) => void;
-	/** Gives rights to a peer that asks and knows of `received`; returns all that it was ever given on this budget. */
-	readonly lend: (to: string, budget: string, tokens: number, received: number) => Promise<number>;
+	/** Gives rights to a peer that asks. */
+	readonly lend: (to: string, request: LoanRequest) => Promise<LoanReply>;
+	/** Seconds after which a request that lacked rights should come back. */
+	readonly retryAfterSeconds: () => number;
 	/** All that a peer is known to have given. */
 	readonly receivedFrom: (budget: string, from: string) => number;
 	/** Takes in what a peer ever gave in total. */
--- a/packages/entry/src/lib/serve-request.ts
+++ b/packages/entry/src/lib/serve-request.ts
@@ -74,7 +74,7 @@
 			return undefined;
 		}
 
-		return outcome === 'exhausted' ? refusals.budgetExhausted : refusals.rightsUnavailable;
+		return outcome === 'exhausted' ? refusals.budgetExhausted : {...refusals.rightsUnavailable, retryAfterSeconds: rights.retryAfterSeconds()};
 	};
 
 	const shortage = await reserve(worstCase);
--- a/packages/entry/src/lib/start-peer-links.ts
+++ b/packages/entry/src/lib/start-peer-links.ts
@@ -4,6 +4,8 @@
 import type {ListedPeer} from '../listed-peer.js';
 import type {Log} from '../log.js';
 import type {PeerDirectory} from '../peer-directory.js';
+import type {LoanReply} from './loan-reply.js';
+import type {LoanRequest} from './loan-request.js';
 import {peerMessageSchema} from './peer-message-schema.js';
 import type {PeerLinks} from './peer-links.js';
 
@@ -25,8 +27,8 @@
 	readonly self: ListedPeer;
 	readonly hall: string;
 	readonly directory: PeerDirectory;
-	/** Answers a peer that asks for rights: all that it was ever given. */
-	readonly lend: (to: string, budget: string, tokens: number, received: number) => Promise<number>;
+	/** Answers a peer that asks for rights. */
+	readonly lend: (to: string, request: LoanRequest) => Promise<LoanReply>;
 	/** Takes rights that a peer hands back; `total` is all that it ever gave. */
 	readonly takeBack: (from: string, budget: string, total: number) => void;
 	readonly log: Log;
@@ -90,7 +92,7 @@
 			return {};
 		}
 
-		return {lender: listed.holder, total: await lend(from.incarnation, data.budget, data.tokens, data.received)};
+		return {lender: listed.holder, ...await lend(from.incarnation, data)};
 	};
 
 	/** Calls the directory until it answers, or this host closes. */
--- a/packages/entry/src/lib/start-rights-balance.ts
+++ b/packages/entry/src/lib/start-rights-balance.ts
@@ -3,9 +3,9 @@
 import type {Accounts} from './accounts.js';
 import type {Bankers} from './bankers.js';
 import type {Borrower} from './borrower.js';
+import {demandRate} from './demand-rate.js';
 import {holdersOf} from './holders-of.js';
 import {planRights} from './plan-rights.js';
-import {rateMemorySeconds} from './rate-memory-seconds.js';
 import type {RightsBalance} from './rights-balance.js';
 import type {SlotWriter} from './slot-writer.js';
 import type {StoreState} from './store-state.js';
@@ -52,7 +52,7 @@
 			return account.rate > 0 || account.granted === 0 ? 'write' : 'keep';
 		}
 
-		const view = viewRights(rights, holder, account.rate);
+		const view = viewRights(rights, holder, demandRate(account));
 		const plan = planRights({
 			account,
 			holdAhead,
@@ -92,7 +92,7 @@
 
 	const tick = (): void => {
 		for (const budget of accounts.budgets()) {
-			accounts.step(budget, {type: 'faded', share: Math.exp(-tickMs / 1000 / rateMemorySeconds)});
+			accounts.step(budget, {type: 'aged', seconds: tickMs / 1000});
 		}
 
 		if (isRetiring() || !isSettled()) {
--- a/packages/entry/src/lib/step-account.ts
+++ b/packages/entry/src/lib/step-account.ts
@@ -1,12 +1,28 @@
 import type {AccountEvent} from './account-event.js';
 import {availableRights} from './available-rights.js';
 import type {HostAccount} from './host-account.js';
+import {rateMemorySeconds} from './rate-memory-seconds.js';
+
+/** A demand below this, in tokens a second, counts as none. */
+const negligibleRate = 1;
 
 const give = (account: HostAccount, {to, tokens, share}: AccountEvent & {type: 'lent'}): HostAccount => {
 	const lent = Math.max(0, Math.min(Math.ceil(tokens), Math.floor(availableRights(account) * share)));
 	return lent === 0 ? account : {...account, given: new Map(account.given).set(to, (account.given.get(to) ?? 0) + lent)};
 };
 
+const demand = (account: HostAccount, {by, tokens}: AccountEvent & {type: 'demanded'}): HostAccount => ({
+	...account,
+	demanded: account.demanded + (by === 'own_request' ? tokens : 0),
+	rate: account.rate + (tokens / rateMemorySeconds),
+});
+
+const age = (account: HostAccount, seconds: number): HostAccount => ({
+	...account,
+	rate: account.rate < negligibleRate ? 0 : account.rate * Math.exp(-seconds / rateMemorySeconds),
+	observedSeconds: account.observedSeconds + seconds,
+});
+
 /** Moves an account on by one event. Pure; rights leave one account before they can enter another. */
 export const stepAccount = (account: HostAccount, event: AccountEvent): HostAccount => {
 	switch (event.type) {
@@ -32,11 +48,11 @@
 		}
 
 		case 'demanded': {
-			return {...account, rate: account.rate + event.tokensPerSecond};
+			return demand(account, event);
 		}
 
-		case 'faded': {
-			return {...account, rate: account.rate < 1 ? 0 : account.rate * event.share};
+		case 'aged': {
+			return age(account, event.seconds);
 		}
 	}
 };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -48,7 +48,7 @@
 		self: {holder, address: listen.peers, hall},
 		hall,
 		directory: peers,
-		lend: async (to, budget, tokens, received) => rights.lend(to, budget, tokens, received),
+		lend: async (to, request) => rights.lend(to, request),
 		takeBack(from, budget, total) {
 			rights.takeBack(budget, from, total);
 		},
--- /dev/null
+++ b/packages/entry/src/test/create-client-demand.test.ts
@@ -0,0 +1,10 @@
+import test from 'ava';
+import {createClientDemand} from '../lib/create-client-demand.js';
+
+test('demand that a lender was not told at the time is told with the next question, once', t => {
+	const demand = createClientDemand();
+	t.is(demand.note('edge-1#a', 'b', 100), 100);
+	t.is(demand.note('edge-1#a', 'b', 350), 250);
+	t.is(demand.note('edge-1#a', 'b', 350), 0);
+	t.is(demand.note('edge-1#a', 'b', 100), 0);
+});
--- a/packages/entry/src/test/create-lenders.test.ts
+++ b/packages/entry/src/test/create-lenders.test.ts
@@ -15,7 +15,7 @@
 
 test('a host that restarted is asked under both its names, and its loan counts once', async t => {
 	// Both addresses lead to one life of the host.
-	const mesh = meshOf(async () => succeed({lender: 'edge-1#new', total: 50}));
+	const mesh = meshOf(async () => succeed({lender: 'edge-1#new', total: 50, reachesStore: true}));
 	let account = emptyHostAccount;
 	const lenders = createLenders({
 		mesh: () => mesh,
@@ -27,7 +27,7 @@
 		now: () => 0,
 	});
 	await lenders.borrow({
-		budget: 'budget', tokens: 100, peers: [peer('edge-1#old', '127.0.0.1:1'), peer('edge-1#new', '127.0.0.1:2')], isEnough: () => false,
+		budget: 'budget', tokens: 100, demanded: 0, peers: [peer('edge-1#old', '127.0.0.1:1'), peer('edge-1#new', '127.0.0.1:2')], isEnough: () => false,
 	});
 	t.is(transferredRights(account), 50);
 });
@@ -44,8 +44,8 @@
 		},
 		now: () => 0,
 	});
-	const ask = async (): Promise<void> => lenders.borrow({
-		budget: 'budget', tokens: 100, peers: [peer('edge-1#a', '127.0.0.1:1')], isEnough: () => false,
+	const ask = async (): Promise<boolean> => lenders.borrow({
+		budget: 'budget', tokens: 100, demanded: 0, peers: [peer('edge-1#a', '127.0.0.1:1')], isEnough: () => false,
 	});
 	await ask();
 	t.is(suspected.length, 0);
@@ -70,7 +70,7 @@
 		now: () => time,
 	});
 	await lenders.borrow({
-		budget: 'budget', tokens: 100, peers: ['a', 'b', 'c', 'd'].map(name => peer(`${name}#1`, name)), patienceMs: 80, isEnough: () => false,
+		budget: 'budget', tokens: 100, demanded: 0, peers: ['a', 'b', 'c', 'd'].map(name => peer(`${name}#1`, name)), patienceMs: 80, isEnough: () => false,
 	});
 	t.deepEqual(timeouts, [80, 30]);
 });
