In a large hall one host follows the store, the others ask it whether there is news

Ruled out: passing the configuration on between hosts (350 KB to 20 peers over 10 Mbit/s takes longer than the bound); longer watches (a connection that a cut killed would be noticed too late); one kind of watch for all hosts with short holds (a watch that ends while the store's watches are deaf may skip a change). Change: News: a host that follows a topic for its hall answers peers whether it changed after their revision, held for a part of the bound, with the age of its touch with the store (a sign of life by a stale read while it is asked). No data passes between hosts. Where the word is old, late or missing, a host looks itself. Halls of up to four hosts: as before.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,10 +1,13 @@
 import type {FleetConfig} from './fleet-config.js';
+import type {News} from './news.js';
 import type {ListedEndpoint} from './listed-endpoint.js';
 
 /** A running entry host. */
 export type Entry = {
 	/** Where it listens, as `ip:port`: the ports taken, where the options left them open. */
 	readonly addresses: {readonly callers: string; readonly ready: string};
+	/** Word between hosts about changes in the store. */
+	readonly news: News;
 	/** Takes a configuration into force, unless a newer one is. */
 	readonly configure: (config: FleetConfig) => void;
 	/** Replaces the list of endpoints. */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -10,6 +10,7 @@
 export type {ListedEndpoint} from './listed-endpoint.js';
 export type {ListedPeer} from './listed-peer.js';
 export type {Log} from './log.js';
+export type {News, NewsAnswer} from './news.js';
 export type {Organisation} from './organisation.js';
 export type {PeerDirectory} from './peer-directory.js';
 export type {RightsStoreError} from './rights-store-error.js';
--- /dev/null
+++ b/packages/entry/src/lib/create-news-board.ts
@@ -0,0 +1,71 @@
+import type {NewsBoard} from './news-board.js';
+
+/** Peers that asked within this time, in ms, rely on this host. */
+const askerMemoryMs = 5000;
+
+type Seen = {readonly at: number; readonly changedAt: number};
+type Waiter = {readonly topic: string; readonly after: number; readonly resolve: () => void};
+
+/**
+Creates an empty board.
+
+@param now Monotonic ms.
+*/
+export const createNewsBoard = (now: () => number): NewsBoard => {
+	const topics = new Map<string, Seen>();
+	let waiters: readonly Waiter[] = [];
+	let aliveAt = Number.NEGATIVE_INFINITY;
+	let askedAt = Number.NEGATIVE_INFINITY;
+
+	const wake = (isConcerned: (waiter: Waiter) => boolean): void => {
+		const woken = waiters.filter(waiter => isConcerned(waiter));
+		waiters = waiters.filter(waiter => !woken.includes(waiter));
+		for (const waiter of woken) {
+			waiter.resolve();
+		}
+	};
+
+	const untilNews = async (topic: string, after: number, holdMs: number): Promise<void> => new Promise(resolve => {
+		const waiter: Waiter = {
+			topic,
+			after,
+			resolve() {
+				clearTimeout(timer);
+				resolve();
+			},
+		};
+		const timer = setTimeout(() => {
+			wake(entry => entry === waiter);
+		}, holdMs);
+		waiters = [...waiters, waiter];
+	});
+
+	return {
+		tell(topic, seen) {
+			if (!seen) {
+				topics.delete(topic);
+				wake(waiter => waiter.topic === topic);
+				return;
+			}
+
+			topics.set(topic, seen);
+			wake(waiter => waiter.topic === topic && waiter.after < seen.changedAt);
+		},
+		noteAlive() {
+			aliveAt = now();
+		},
+		hasAskers: () => now() - askedAt < askerMemoryMs,
+		async answer(topic, after, holdMs) {
+			askedAt = now();
+			const seen = topics.get(topic);
+			if (seen && seen.changedAt <= after) {
+				await untilNews(topic, after, holdMs);
+			}
+
+			const known = topics.get(topic);
+			return known
+				? {...known, ageMs: Math.min(Number.MAX_SAFE_INTEGER, now() - aliveAt)}
+				: {at: 0, changedAt: 0, ageMs: Number.MAX_SAFE_INTEGER};
+		},
+	};
+};
--- a/packages/entry/src/lib/peer-message-schema.ts
+++ b/packages/entry/src/lib/peer-message-schema.ts
@@ -6,6 +6,10 @@
 	z.object({
 		type: z.literal('lend'), budget: z.string(), tokens: z.number().positive(), demanded: z.number().nonnegative(), received: z.number().nonnegative(),
 	}),
+	/** Whether a topic of the store changed after a revision; the answer may be held. */
+	z.object({
+		type: z.literal('news'), topic: z.string().max(100), after: z.number().nonnegative(), holdMs: z.number().nonnegative().max(5000),
+	}),
 	/** `total`: all that the sender ever gave to the receiver on this budget. */
 	z.object({type: z.literal('hand_back'), budget: z.string(), total: z.number().nonnegative()}),
 ]);
--- a/packages/entry/src/lib/start-peer-links.ts
+++ b/packages/entry/src/lib/start-peer-links.ts
@@ -6,6 +6,7 @@
 import type {PeerDirectory} from '../peer-directory.js';
 import type {LoanReply} from './loan-reply.js';
 import type {LoanRequest} from './loan-request.js';
+import type {NewsReply} from './news-reply.js';
 import {peerMessageSchema} from './peer-message-schema.js';
 import type {PeerLinks} from './peer-links.js';
 
@@ -31,13 +32,15 @@
 	readonly lend: (to: string, request: LoanRequest) => Promise<LoanReply>;
 	/** Takes rights that a peer hands back; `total` is all that it ever gave. */
 	readonly takeBack: (from: string, budget: string, total: number) => void;
+	/** Answers a peer that asks whether something changed in the store. */
+	readonly answerNews: (topic: string, after: number, holdMs: number) => Promise<NewsReply>;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
 /** Lists this host in the directory, listens for peers, and keeps the links to them. */
-export const startPeerLinks = ({self, hall, directory, lend, takeBack, log, now}: Options): PeerLinks => {
+export const startPeerLinks = ({self, hall, directory, lend, takeBack, answerNews, log, now}: Options): PeerLinks => {
 	let mesh: Mesh | undefined;
 	/** This host as its peers find it. */
 	let listed = self;
@@ -92,6 +95,10 @@
 			return {};
 		}
 
+		if (data.type === 'news') {
+			return answerNews(data.topic, data.after, data.holdMs);
+		}
+
 		return {lender: listed.holder, ...await lend(from.incarnation, data)};
 	};
 
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -6,6 +6,8 @@
 import {createConnectionPool} from './lib/create-connection-pool.js';
 import {createEndpointChooser} from './lib/create-endpoint-chooser.js';
 import {createLenders} from './lib/create-lenders.js';
+import {createNewsBoard} from './lib/create-news-board.js';
+import {createNews} from './lib/create-news.js';
 import {createRightsKeeper} from './lib/create-rights-keeper.js';
 import type {EntryContext} from './lib/entry-context.js';
 import {listenAt} from './lib/listen-at.js';
@@ -44,6 +46,7 @@
 	const rights = createRightsKeeper({
 		host, holder, store: rightsStore, lenders, links: () => links, log, now,
 	});
+	const board = createNewsBoard(now);
 	const links = startPeerLinks({
 		self: {holder, address: listen.peers, hall},
 		hall,
@@ -52,9 +55,11 @@
 		takeBack(from, budget, total) {
 			rights.takeBack(budget, from, total);
 		},
+		answerNews: board.answer,
 		log,
 		now,
 	});
+	const news = createNews({holder, board, links: () => links});
 	const windows = new Map<string, RetryWindow>();
 	let config: FleetConfig | undefined;
 	let isListed = false;
@@ -112,6 +117,7 @@
 	});
 
 	return {
+		news,
 		addresses: {callers: callersAddress, ready: readyAddress},
 		configure(next) {
 			if (config !== undefined && next.version <= config.version) {
