--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -224,7 +224,7 @@
 			log('rights_lent', {
 				to, budget, asked: tokens, lent: total - given, total,
 			});
-			return {total, reachesStore: state.isUp()};
+			return {total, reachesStore: state.isUp() && !isRetiring};
 		},
 		receivedFrom: (budget, from) => accounts.of(budget).received.get(from) ?? 0,
 		receive(budget, from, total) {
--- a/packages/entry/src/lib/start-peer-links.ts
+++ b/packages/entry/src/lib/start-peer-links.ts
@@ -63,7 +63,12 @@
 		}
 	};
 
+	// Suspicions end with time, so the hall is looked over again when the first of them does.
 	const findHallPeers = (): void => {
+		if (now() < hallChangesAt) {
+			return;
+		}
+
 		for (const [address, until] of suspectedUntil) {
 			if (until <= now()) {
 				suspectedUntil.delete(address);
@@ -155,13 +160,13 @@
 			return peer;
 		},
 		hallPeers() {
-			if (now() >= hallChangesAt) {
-				findHallPeers();
-			}
-
+			findHallPeers();
 			return hallPeers;
 		},
-		hallSize: () => hallSize,
+		hallSize() {
+			findHallPeers();
+			return hallSize;
+		},
 		isSettled: () => isSettled,
 		suspect(address) {
 			suspectedUntil.set(address, now() + suspicionMs);
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -5,6 +5,8 @@
 import {startEntry} from '../../start-entry.js';
 import {headerNames} from './header-names.js';
 
+type Fields = Readonly<Record<string, unknown>>;
+
 /** The system picks a free port. */
 const anyPort = '127.0.0.1:0';
 
@@ -26,8 +28,8 @@
 
 /** Starts an entry host. Hosts that share `peers` find each other. */
 export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', peers = new Map<string, ListedPeer>()} = {}) => {
-	const events: Array<{event: string; fields: Readonly<Record<string, unknown>>}> = [];
-	const waiting: Array<{event: string; resolve: () => void}> = [];
+	const events: Array<{event: string; fields: Fields}> = [];
+	const waiting: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntry({
 		host,
 		hall: 'hall-a',
@@ -47,7 +49,7 @@
 		},
 		log(event, fields = {}) {
 			events.push({event, fields});
-			for (const waiter of waiting.filter(entry => entry.event === event)) {
+			for (const waiter of waiting.filter(entry => entry.event === event && entry.isMeant(fields))) {
 				waiter.resolve();
 			}
 		},
@@ -57,11 +59,11 @@
 		callers: entry.addresses.callers,
 		ready: entry.addresses.ready,
 		events,
-		/** Resolves once the event was logged. */
-		async logged(event: string) {
-			if (!events.some(line => line.event === event)) {
+		/** Resolves once the event was logged, with fields that are meant. */
+		async logged(event: string, isMeant: (fields: Fields) => boolean = () => true) {
+			if (!events.some(line => line.event === event && isMeant(line.fields))) {
 				await new Promise<void>(resolve => {
-					waiting.push({event, resolve});
+					waiting.push({event, isMeant, resolve});
 				});
 			}
 		},
