--- a/packages/entry/src/test/large-hall.test.ts
+++ b/packages/entry/src/test/large-hall.test.ts
@@ -3,7 +3,6 @@
 import type {ListedPeer} from '../listed-peer.js';
 import {rankBankers} from '../lib/rank-bankers.js';
 import {slotCount} from '../lib/slot-count.js';
-
 import {callHost} from './lib/call-host.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {headerNames} from './lib/header-names.js';
--- a/packages/entry/src/test/lib/rights-world.ts
+++ b/packages/entry/src/test/lib/rights-world.ts
@@ -72,6 +72,8 @@
 		change(index, {account: stepAccount(hosts[index]!.account, event)});
 	};
 
+	const isForThisLife = ({to, life}: Loan): boolean => hosts[to]!.life === life;
+
 	const write = (index: number, tokens: number): void => {
 		const {known, account, life, isWriting} = hosts[index]!;
 		if (!known || isWriting) {
@@ -198,7 +200,7 @@
 
 				case 'loan_arrives': {
 					const loan = latest(loans, command.pick);
-					if (loan && hosts[loan.to]!.life === loan.life) {
+					if (loan !== undefined && isForThisLife(loan)) {
 						step(loan.to, {type: 'received', from: loan.from, total: loan.total});
 					}
 
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -12,7 +12,18 @@
 
 /** A route of the service `s`. */
 export const makeRoute = (change: Partial<Route> = {}): Route => ({
-	name: 'r', host: 'fleet', pathPrefix: '/', kind: 'repeatable', backends: [{service: 's', weight: 1}], timeoutMs: 30_000, goalMs: 10_000, priority: 0, maxAttempts: 2, isPublic: false, isResumable: false, ...change,
+	name: 'r',
+	host: 'fleet',
+	pathPrefix: '/',
+	kind: 'repeatable',
+	backends: [{service: 's', weight: 1}],
+	timeoutMs: 30_000,
+	goalMs: 10_000,
+	priority: 0,
+	maxAttempts: 2,
+	isPublic: false,
+	isResumable: false,
+	...change,
 });
 
 /** A configuration with one organisation `org`, whose key is `key`. */
--- a/packages/entry/src/test/rights-conservation.test.ts
+++ b/packages/entry/src/test/rights-conservation.test.ts
@@ -19,14 +19,18 @@
 	{weight: 1, arbitrary: fc.record({type: fc.constant('give_back' as const), host, tokens})},
 	{weight: 8, arbitrary: fc.record({type: fc.constant('write_lands' as const), pick, isAnswered: fc.constantFrom(true, true, true, false)})},
 	{weight: 4, arbitrary: fc.record({type: fc.constant('write_times_out' as const), host})},
-	{weight: 3, arbitrary: fc.record({
-		type: fc.constant('lend' as const), host, peer: host, tokens,
-	})},
+	{
+		weight: 3, arbitrary: fc.record({
+			type: fc.constant('lend' as const), host, peer: host, tokens,
+		}),
+	},
 	{weight: 3, arbitrary: fc.record({type: fc.constant('loan_arrives' as const), pick})},
 	{weight: 5, arbitrary: fc.record({type: fc.constant('reserve' as const), host, tokens})},
-	{weight: 3, arbitrary: fc.record({
-		type: fc.constant('settle' as const), host, pick, usedShare: fc.constantFrom(0, 0.5, 1),
-	})},
+	{
+		weight: 3, arbitrary: fc.record({
+			type: fc.constant('settle' as const), host, pick, usedShare: fc.constantFrom(0, 0.5, 1),
+		}),
+	},
 	{weight: 1, arbitrary: fc.record({type: fc.constant('restart' as const), host})},
 );
 
