A fellow banker does not vouch for the store; large halls tested without time; the gateway in parts

Cause: in the new test a client was refused after the host that draws had gone: by its rank it had become the one that stands by, so the other banker drew nothing for it, said that it reaches the store, and the client did not draw itself. The test before it failed once beside other work (a word between hosts is waited for 150 ms, and the suspicion after it changes who is asked): it asserted timing. Ruled out: a longer patience only in the test, which would hide the first.

--- /dev/null
+++ b/packages/daemon/src/lib/gateway/create-service-work.ts
@@ -0,0 +1,37 @@
+import type {Answer} from '@deckwheel/ledger';
+import type {RunJob} from '../run-job.js';
+import {serviceJob} from '../service-job.js';
+import {gatewayRefusals} from './gateway-refusals.js';
+import type {Work} from './work.js';
+
+/** Creates the work of calls to plain services. */
+export const createServiceWork = (runJob: RunJob): Work => async (ctx, {adopted, caller, options, body}) => {
+	const service = adopted.bundle.services.find(({id}) => id === ctx.params.service);
+	const path = `/${ctx.params.path ?? ''}`;
+	const call = service?.calls.find(candidate => candidate.method === ctx.method && path.startsWith(candidate.path));
+	if (!service || !call) {
+		return gatewayRefusals.unknownCall;
+	}
+
+	let answer: Answer | undefined;
+	const refusal = await runJob(serviceJob({
+		service: service.id,
+		call,
+		method: ctx.method,
+		path: `${path}${ctx.search}`,
+		contentType: ctx.get('content-type'),
+		body,
+		caller,
+		options,
+		deliver(kept) {
+			answer = kept;
+		},
+	}));
+	if (answer) {
+		ctx.status = answer.status;
+		ctx.set('Content-Type', answer.contentType);
+		ctx.body = answer.body;
+	}
+
+	return refusal;
+};
--- /dev/null
+++ b/packages/daemon/src/lib/gateway/visit.ts
@@ -0,0 +1,11 @@
+import type {AdoptedBundle} from '@deckwheel/bundle';
+import type {Caller} from '../caller.js';
+import type {RequestOptions} from '../request-options.js';
+
+/** A request that was let in. */
+export type Visit = {
+	readonly adopted: AdoptedBundle;
+	readonly caller: Caller;
+	readonly options: RequestOptions;
+	readonly body: string;
+};
--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -224,7 +224,8 @@
 			log('rights_lent', {
 				to, budget, asked: tokens, lent: total - given, total,
 			});
-			return {total, reachesStore: state.isUp() && !isRetiring};
+			// A fellow banker got what was at hand; nothing was drawn for it, so it may still draw for itself.
+			return {total, reachesStore: isClient && state.isUp() && !isRetiring};
 		},
 		receivedFrom: (budget, from) => accounts.of(budget).received.get(from) ?? 0,
 		receive(budget, from, total) {
--- a/packages/entry/src/lib/loan-reply.ts
+++ b/packages/entry/src/lib/loan-reply.ts
@@ -2,6 +2,6 @@
 export type LoanReply = {
 	/** All that the peer was ever given on this budget, in tokens. */
 	readonly total: number;
-	/** Whether this host reaches the store. */
+	/** Whether this host draws for the peer and reaches the store: then it lent what there is. */
 	readonly reachesStore: boolean;
 };
--- /dev/null
+++ b/packages/entry/src/test/lib/start-keepers.ts
@@ -0,0 +1,80 @@
+import {fail, succeed} from '@deckwheel/core';
+import type {ListedPeer} from '../../listed-peer.js';
+import type {RightsStore} from '../../rights-store.js';
+import {createLenders} from '../../lib/create-lenders.js';
+import {createRightsKeeper} from '../../lib/create-rights-keeper.js';
+import type {LoanRequest} from '../../lib/loan-request.js';
+import type {RightsKeeper} from '../../lib/rights-keeper.js';
+import {makeConfig} from './start-host.js';
+
+type KeeperOfHost = {
+	readonly peer: ListedPeer;
+	readonly rights: RightsKeeper;
+	/** Events logged. */
+	readonly events: string[];
+	/** Ends the host without a word. */
+	readonly kill: () => void;
+};
+
+/**
+Starts the keepers of rights of one hall, linked without sockets: peers answer at once, or cannot be reached once they are gone.
+
+@param limit Prepaid tokens of the budget `org`.
+*/
+export const startKeepers = (count: number, store: RightsStore, limit: number): readonly KeeperOfHost[] => {
+	const peers: readonly ListedPeer[] = Array.from({length: count}, (_, index) => ({holder: `edge-${index}#a`, address: `10.0.0.${index}:1`, hall: 'h'}));
+	const keepers = new Map<string, RightsKeeper>();
+	const suspected = new Set<string>();
+	let inReach = peers;
+
+	const startKeeper = (peer: ListedPeer): KeeperOfHost => {
+		const events: string[] = [];
+		const lenders = createLenders({
+			mesh: () => ({
+				port: 0,
+				async request(address, body) {
+					const lender = peers.find(entry => entry.address === address)!;
+					const keeper = keepers.get(lender.holder);
+					return keeper ? succeed({lender: lender.holder, ...await keeper.lend(peer.holder, body as LoanRequest)}) : fail('unreachable');
+				},
+				send: () => undefined,
+				close: async () => undefined,
+			}),
+			receivedFrom: (budget, from) => rights.receivedFrom(budget, from),
+			onLoan(budget, from, total) {
+				rights.receive(budget, from, total);
+			},
+			onSilence(address) {
+				suspected.add(address);
+				inReach = peers.filter(entry => !suspected.has(entry.address));
+			},
+			now: () => 0,
+		});
+		const rights = createRightsKeeper({
+			host: peer.holder.split('#')[0]!,
+			holder: peer.holder,
+			store,
+			lenders,
+			links: () => ({
+				hallPeers: () => inReach, hallSize: () => count, isSettled: () => true, peerOf: holder => peers.find(entry => entry.holder === holder),
+			}),
+			log(event) {
+				events.push(event);
+			},
+			now: () => 0,
+		});
+		rights.configure(makeConfig({}, limit));
+		keepers.set(peer.holder, rights);
+		return {
+			peer,
+			rights,
+			events,
+			kill() {
+				rights.close();
+				keepers.delete(peer.holder);
+			},
+		};
+	};
+
+	return peers.map(peer => startKeeper(peer));
+};
