--- a/packages/entry/src/lib/borrower.ts
+++ b/packages/entry/src/lib/borrower.ts
@@ -6,7 +6,7 @@
 	Asks peers in turn until `tokens` can be reserved, or all were asked.
 
 	@param patienceMs How long all questions together may take; without it, each may take its time.
-	@returns Whether a peer answered that reaches the store.
+	@returns Whether a peer answered that draws for this host and reaches the store.
 	*/
 	readonly borrow: (budget: string, tokens: number, peers: readonly ListedPeer[], patienceMs?: number) => Promise<boolean>;
 	/** Hands idle rights back to the banker that this host borrows from. */
--- a/packages/entry/src/lib/create-lenders.ts
+++ b/packages/entry/src/lib/create-lenders.ts
@@ -1,13 +1,14 @@
 import type {LinkError, Mesh} from '@deckwheel/mesh';
 import type {Lenders} from './lenders.js';
 import type {LoanReply} from './loan-reply.js';
+import type {LoanRequest} from './loan-request.js';
 import {loanSchema} from './loan-schema.js';
 
 /** A peer in reach answers in a few ms, or after it drew from the store. */
 const askTimeoutMs = 150;
 const maxAsked = 6;
 
-type LoanMessage = {readonly type: 'lend'; readonly budget: string; readonly tokens: number; readonly demanded: number; readonly received: number};
+type LoanMessage = LoanRequest & {readonly type: 'lend'};
 
 type Options = {
 	readonly mesh: () => Mesh | undefined;
--- a/packages/entry/src/lib/create-news.ts
+++ b/packages/entry/src/lib/create-news.ts
@@ -5,9 +5,7 @@
 import type {NewsBoard} from './news-board.js';
 import {newsReplySchema} from './news-reply-schema.js';
 import type {PeerLinks} from './peer-links.js';
-
-/** In a hall of up to this many hosts each follows the store itself. */
-const smallHall = 4;
+import {smallHall} from './small-hall.js';
 
 /** What a reply may take beyond the time for which it is held, in ms. */
 const slackMs = 150;
--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -22,9 +22,7 @@
 import {slotCount} from './slot-count.js';
 import {startRightsBalance} from './start-rights-balance.js';
 import {viewRights} from './view-rights.js';
-
-/** What is known of the store's side decides a final refusal for this long, in ms. */
-const viewTrustMs = 2500;
+import {viewTrustMs} from './view-trust-ms.js';
 
 /** How long a request waits for the store before peers are asked as well, in ms. */
 const storePatienceMs = 60;
@@ -177,6 +175,12 @@
 		}
 	};
 
+	const credit = (event: string, budget: string, from: string, total: number): void => {
+		const before = accounts.available(budget);
+		accounts.step(budget, {type: 'received', from, total});
+		log(event, {from, budget, tokens: accounts.available(budget) - before});
+	};
+
 	const giveAllBack = async (slot: number): Promise<void> => {
 		await writer.idle(slot);
 		for (const budget of accounts.budgets().filter(name => writer.slotOf(name) === slot)) {
@@ -229,15 +233,10 @@
 		},
 		receivedFrom: (budget, from) => accounts.of(budget).received.get(from) ?? 0,
 		receive(budget, from, total) {
-			const before = accounts.available(budget);
-			accounts.step(budget, {type: 'received', from, total});
-			log('rights_borrowed', {from, budget, tokens: accounts.available(budget) - before});
+			credit('rights_borrowed', budget, from, total);
 		},
 		takeBack(budget, from, total) {
-			const before = accounts.available(budget);
-			accounts.step(budget, {type: 'received', from, total});
-			const tokens = accounts.available(budget) - before;
-			log('rights_taken_back', {from, budget, tokens});
+			credit('rights_taken_back', budget, from, total);
 		},
 		retryAfterSeconds: () => Math.max(leastRetryAfterSeconds, Math.min(mostRetryAfterSeconds, state.downMs() / 1000)),
 		async retire() {
--- a/packages/entry/src/lib/lenders.ts
+++ b/packages/entry/src/lib/lenders.ts
@@ -5,7 +5,7 @@
 	/**
 	Asks peers in turn, until it is enough or the patience is over.
 
-	@returns Whether a peer answered that reaches the store.
+	@returns Whether a peer answered that draws for this host and reaches the store.
 	*/
 	readonly borrow: (question: LoanQuestion) => Promise<boolean>;
 	/** Tells a peer what this host ever gave it in total. */
--- a/packages/entry/src/lib/rank-bankers.ts
+++ b/packages/entry/src/lib/rank-bankers.ts
@@ -1,9 +1,7 @@
 import {rankByRendezvous} from '@deckwheel/core';
 import type {ListedPeer} from '../listed-peer.js';
 import {hostOfHolder} from './host-of-holder.js';
-
-/** In a hall of up to this many hosts each draws for itself. */
-const smallHall = 4;
+import {smallHall} from './small-hall.js';
 
 /** Hosts of a larger hall that draw for it: the first does, the second stands by. */
 const bankersOfLargeHall = 2;
--- a/packages/entry/src/lib/start-rights-balance.ts
+++ b/packages/entry/src/lib/start-rights-balance.ts
@@ -10,15 +10,13 @@
 import type {SlotWriter} from './slot-writer.js';
 import type {StoreState} from './store-state.js';
 import {viewRights} from './view-rights.js';
+import {viewTrustMs} from './view-trust-ms.js';
 
 const tickMs = 500;
 
 /** A slot is not written more often than this, unless a request waits for it. */
 const writeGapMs = 1500;
 
-/** What is known of the store's side is used for this long before it is looked at again. */
-const viewTrustMs = 2500;
-
 /** A store that was seen to have nothing left is not asked again for this long, in ms: others give back in the meantime. */
 const emptyTrustMs = 300;
 
--- a/packages/entry/src/test/lib/start-keepers.ts
+++ b/packages/entry/src/test/lib/start-keepers.ts
@@ -3,6 +3,7 @@
 import type {RightsStore} from '../../rights-store.js';
 import {createLenders} from '../../lib/create-lenders.js';
 import {createRightsKeeper} from '../../lib/create-rights-keeper.js';
+import {hostOfHolder} from '../../lib/host-of-holder.js';
 import type {LoanRequest} from '../../lib/loan-request.js';
 import type {RightsKeeper} from '../../lib/rights-keeper.js';
 import {makeConfig} from './start-host.js';
@@ -51,7 +52,7 @@
 			now: () => 0,
 		});
 		const rights = createRightsKeeper({
-			host: peer.holder.split('#')[0]!,
+			host: hostOfHolder(peer.holder),
 			holder: peer.holder,
 			store,
 			lenders,
