A host that cannot keep up sends callers elsewhere, and blames no endpoint for its own delays

Change: the lateness of a timer is averaged over about a second; above half of the bound on late events the host calls itself not ready and closes callers' connections after their answers, and a missing answer counts against no endpoint.

--- a/packages/entry/src/bounds.ts
+++ b/packages/entry/src/bounds.ts
@@ -5,6 +5,8 @@
 	readonly retryWindowMs: number;
 	/** Repeats in the window beyond the ratio, of all hosts together. */
 	readonly retrySlack: number;
+	/** How late an event of a stream may be passed on, in ms. */
+	readonly relayMs: number;
 	/** From the signal to stop until the process is killed, in ms. */
 	readonly stopGraceMs: number;
 };
--- a/packages/entry/src/lib/entry-context.ts
+++ b/packages/entry/src/lib/entry-context.ts
@@ -10,7 +10,10 @@
 /** What serving a request needs of the host. */
 export type EntryContext = {
 	readonly config: () => FleetConfig | undefined;
-	readonly isStopping: () => boolean;
+	/** Whether callers' connections are closed after their answers. */
+	readonly isClosing: () => boolean;
+	/** Whether this host is too late with its own work to judge others by the time that they take. */
+	readonly isOverloaded: () => boolean;
 	readonly names: HeaderNames;
 	readonly chooser: EndpointChooser;
 	readonly rights: RightsKeeper;
--- a/packages/entry/src/lib/run-request.ts
+++ b/packages/entry/src/lib/run-request.ts
@@ -85,15 +85,20 @@
 		return isAllowed && (!hasRun || await reserveRun()) ? 'again' : 'end';
 	};
 
+	// A host that is late itself cannot tell whose fault a missing answer is.
+	const noteNoAnswer = (choice: EndpointChoice): void => {
+		chooser.note({type: abort.signal.aborted || context.isOverloaded() ? 'abandoned' : 'failed', endpoint: choice.endpoint.id});
+	};
+
 	const afterLoss = async (choice: EndpointChoice): Promise<Next> => {
 		lostRuns++;
-		chooser.note({type: abort.signal.aborted ? 'abandoned' : 'failed', endpoint: choice.endpoint.id});
+		noteNoAnswer(choice);
 		return mayTryAgain(true);
 	};
 
 	const writeHead = (response: IncomingMessage, dropped: ReadonlySet<string>, extra: readonly string[] = []): void => {
 		res.sendDate = false;
-		const closing = context.isStopping() ? ['Connection', 'close'] : [];
+		const closing = context.isClosing() ? ['Connection', 'close'] : [];
 		res.writeHead(response.statusCode!, response.statusMessage, [...copyHeaders(response.rawHeaders, dropped), ...extra, ...closing]);
 	};
 
@@ -153,7 +158,7 @@
 
 	const afterAttempt = async (result: AttemptResult, choice: EndpointChoice, startedAt: number): Promise<RequestRun | Next> => {
 		if (result.type === 'unsent') {
-			chooser.note({type: abort.signal.aborted ? 'abandoned' : 'failed', endpoint: choice.endpoint.id});
+			noteNoAnswer(choice);
 			unsent++;
 			return unsent < maxUnsent ? 'again' : 'end';
 		}
--- /dev/null
+++ b/packages/entry/src/lib/step-lateness.ts
@@ -0,0 +1,23 @@
+import type {Lateness} from './lateness.js';
+
+/** The weight of one sample in the average. */
+const sampleWeight = 0.1;
+
+/** One long pause (a freeze that ended, a collection of garbage) is no lasting overload: samples are cut to this many bounds. */
+const mostBounds = 4;
+
+/** The parts of the bound at which overload begins and ends. Between them, the state stays as it is. */
+const beginShare = 0.5;
+const endShare = 0.1;
+
+/**
+Moves a host's lateness on by one sample.
+
+@param sampleMs How late a timer was.
+@param boundMs How late an event of a stream may be passed on.
+*/
+export const stepLateness = ({averageMs, isOverloaded}: Lateness, sampleMs: number, boundMs: number): Lateness => {
+	const sample = Math.min(sampleMs, boundMs * mostBounds);
+	const next = averageMs + ((sample - averageMs) * sampleWeight);
+	return {averageMs: next, isOverloaded: next > boundMs * (isOverloaded ? endShare : beginShare)};
+};
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -15,6 +15,7 @@
 import type {RetryWindow} from './lib/retry-window.js';
 import {scheduleByTimer} from './lib/schedule-by-timer.js';
 import {serveRequest} from './lib/serve-request.js';
+import {startLatenessWatch} from './lib/start-lateness-watch.js';
 import {startPeerLinks} from './lib/start-peer-links.js';
 import {stepRetryWindow} from './lib/step-retry-window.js';
 
@@ -63,6 +64,7 @@
 		now,
 	});
 	const news = createNews({holder, board, links: () => links});
+	const lateness = startLatenessWatch({boundMs: bounds.relayMs, log, now});
 	const windows = new Map<string, RetryWindow>();
 	let config: FleetConfig | undefined;
 	let isListed = false;
@@ -75,9 +77,13 @@
 		return isAllowed;
 	};
 
+	// Callers whose connections are closed come back through the balancer, which sends them to hosts that are ready.
+	const isClosing = (): boolean => isStopping || lateness.isOverloaded();
+
 	const context: EntryContext = {
 		config: () => config,
-		isStopping: () => isStopping,
+		isClosing,
+		isOverloaded: lateness.isOverloaded,
 		names,
 		chooser,
 		rights,
@@ -98,14 +104,14 @@
 		res.once('close', () => {
 			open--;
 		});
-		if (isStopping) {
+		if (isClosing()) {
 			res.shouldKeepAlive = false;
 		}
 
 		void serveRequest(req, res, context);
 	});
 	const ready = createServer((_req, res) => {
-		const isReady = config !== undefined && isListed && !isStopping;
+		const isReady = config !== undefined && isListed && !isClosing();
 		res.writeHead(isReady ? 200 : 503, {'content-length': 0});
 		res.end();
 	});
@@ -143,6 +149,7 @@
 		},
 		async kill() {
 			rights.close();
+			lateness.close();
 			for (const server of [callers, ready]) {
 				server.closeAllConnections();
 				server.close();
@@ -164,6 +171,7 @@
 			await hasEnded(signalledAt + bounds.stopGraceMs - handBackMs);
 			await rights.retire();
 			rights.close();
+			lateness.close();
 			await links.close();
 			log('stopped', {open});
 		},
