One question for rights asks for all requests that wait

Ruled out: the banker or the store (each question was answered within 10 to 100 ms and brought what it asked for). Change: requests that come while a question is under way wait for it, and the next question asks for them all.

--- a/packages/entry/src/lib/create-borrower.ts
+++ b/packages/entry/src/lib/create-borrower.ts
@@ -14,38 +14,55 @@
 	readonly log: Log;
 };
 
-/** Creates the borrower of a host. Only one question for a budget is under way at a time; others wait for what it brings. */
+/**
+Creates the borrower of a host. Only one question for a budget is under way at a time; requests that come meanwhile wait
+for what it brings, and the next question asks for all of them at once.
+*/
 export const createBorrower = ({accounts, lenders, bankersOf, log}: Options): Borrower => {
 	const underWay = new Map<string, Promise<boolean>>();
 	const lastAsked = new Map<string, number>();
+	/** Tokens of all requests that wait, by budget. */
+	const waiting = new Map<string, number>();
 
 	const planOf = (budget: string, tokens: number) => planBorrowing({
 		available: accounts.available(budget), rate: demandRate(accounts.of(budget)), tokens,
 	});
 
-	return {
-		async borrow(budget, tokens, peers, patienceMs) {
-			let hasReachedStore = false;
-			for (let running = underWay.get(budget); running; running = underWay.get(budget)) {
-				hasReachedStore = await running;
-			}
+	const waitFor = (budget: string, tokens: number): void => {
+		waiting.set(budget, (waiting.get(budget) ?? 0) + tokens);
+	};
 
-			if (peers.length === 0 || accounts.available(budget) >= tokens) {
-				return hasReachedStore;
-			}
+	const borrowForAll = async (budget: string, tokens: number, peers: readonly ListedPeer[], patienceMs: number | undefined): Promise<boolean> => {
+		let hasReachedStore = false;
+		for (let running = underWay.get(budget); running; running = underWay.get(budget)) {
+			hasReachedStore = await running;
+		}
 
-			lastAsked.set(budget, tokens);
-			const turn = lenders.borrow({
-				budget,
-				tokens: planOf(budget, tokens).wanted,
-				demanded: accounts.of(budget).demanded + tokens,
-				peers,
-				patienceMs,
-				isEnough: () => accounts.available(budget) >= tokens,
-			});
-			underWay.set(budget, turn);
-			hasReachedStore = await turn;
-			underWay.delete(budget);
+		if (peers.length === 0 || accounts.available(budget) >= tokens) {
+			return hasReachedStore;
+		}
+
+		lastAsked.set(budget, tokens);
+		const all = waiting.get(budget) ?? tokens;
+		const turn = lenders.borrow({
+			budget,
+			tokens: planOf(budget, all).wanted,
+			demanded: accounts.of(budget).demanded + all,
+			peers,
+			patienceMs,
+			isEnough: () => accounts.available(budget) >= all,
+		});
+		underWay.set(budget, turn);
+		hasReachedStore = await turn;
+		underWay.delete(budget);
+		return hasReachedStore;
+	};
+
+	return {
+		async borrow(budget, tokens, peers, patienceMs) {
+			waitFor(budget, tokens);
+			const hasReachedStore = await borrowForAll(budget, tokens, peers, patienceMs);
+			waitFor(budget, -tokens);
 			return hasReachedStore;
 		},
 		handBackIdle(budget) {
