--- a/packages/entry/src/lib/borrower.ts
+++ b/packages/entry/src/lib/borrower.ts
@@ -9,6 +9,6 @@
 	@returns Whether a peer answered that draws for this host and reaches the store.
 	*/
 	readonly borrow: (budget: string, tokens: number, peers: readonly ListedPeer[], patienceMs?: number) => Promise<boolean>;
-	/** Hands idle rights back to the banker that this host borrows from. */
+	/** Hands idle rights back to the allocator that this host borrows from. */
 	readonly handBackIdle: (budget: string) => void;
 };
--- a/packages/entry/src/lib/create-bankers.ts
+++ b/packages/entry/src/lib/create-allocators.ts
@@ -1,7 +1,7 @@
 import type {ListedPeer} from '../listed-peer.js';
-import type {Bankers} from './bankers.js';
+import type {Allocators} from './allocators.js';
 import type {PeerLinks} from './peer-links.js';
-import {rankBankers} from './rank-bankers.js';
+import {rankAllocators} from './rank-allocators.js';
 
 type Options = {
 	/** The name of this life of the host. */
@@ -13,7 +13,7 @@
 type Ranking = {readonly peers: readonly ListedPeer[]; readonly bySlot: Map<number, readonly ListedPeer[]>};
 
 /** Creates the view of who draws for this hall. Rankings are kept until the hall's peers change. */
-export const createBankers = ({holder, links, slotOf}: Options): Bankers => {
+export const createAllocators = ({holder, links, slotOf}: Options): Allocators => {
 	let ranking: Ranking = {peers: [], bySlot: new Map()};
 
 	const ofBudget = (budget: string): readonly ListedPeer[] => {
@@ -23,25 +23,25 @@
 		}
 
 		const slot = slotOf(budget);
-		const bankers = ranking.bySlot.get(slot) ?? rankBankers(slot, peers, links().hallSize());
-		ranking.bySlot.set(slot, bankers);
-		return bankers;
+		const allocators = ranking.bySlot.get(slot) ?? rankAllocators(slot, peers, links().hallSize());
+		ranking.bySlot.set(slot, allocators);
+		return allocators;
 	};
 
-	const isAmong = (bankers: readonly ListedPeer[], name: string): boolean => bankers.some(peer => peer.holder === name);
+	const isAmong = (allocators: readonly ListedPeer[], name: string): boolean => allocators.some(peer => peer.holder === name);
 
 	return {
-		isBanker: budget => isAmong(ofBudget(budget), holder),
+		isAllocator: budget => isAmong(ofBudget(budget), holder),
 		drawsAhead(budget) {
-			const bankers = ofBudget(budget);
-			const isForItself = bankers.length === links().hallPeers().length;
-			return bankers[0]?.holder === holder || (isForItself && isAmong(bankers, holder));
+			const allocators = ofBudget(budget);
+			const isForItself = allocators.length === links().hallPeers().length;
+			return allocators[0]?.holder === holder || (isForItself && isAmong(allocators, holder));
 		},
 		others: budget => ofBudget(budget).filter(peer => peer.holder !== holder),
 		isClient(name, budget) {
-			const bankers = ofBudget(budget);
+			const allocators = ofBudget(budget);
 			const isNear = isAmong(links().hallPeers(), name);
-			return isNear && isAmong(bankers, holder) && !isAmong(bankers, name);
+			return isNear && isAmong(allocators, holder) && !isAmong(allocators, name);
 		},
 	};
 };
--- a/packages/entry/src/lib/create-borrower.ts
+++ b/packages/entry/src/lib/create-borrower.ts
@@ -9,8 +9,8 @@
 type Options = {
 	readonly accounts: Accounts;
 	readonly lenders: Lenders;
-	/** The bankers of this hall, in the order in which they are asked. */
-	readonly bankersOf: (budget: string) => readonly ListedPeer[];
+	/** The allocators of this hall, in the order in which they are asked. */
+	readonly allocatorsOf: (budget: string) => readonly ListedPeer[];
 	readonly log: Log;
 };
 
@@ -18,7 +18,7 @@
 Creates the borrower of a host. Only one question for a budget is under way at a time; requests that come meanwhile wait
 for what it brings, and the next question asks for all of them at once.
 */
-export const createBorrower = ({accounts, lenders, bankersOf, log}: Options): Borrower => {
+export const createBorrower = ({accounts, lenders, allocatorsOf, log}: Options): Borrower => {
 	const underWay = new Map<string, Promise<boolean>>();
 	const lastAsked = new Map<string, number>();
 	/** Tokens of all requests that wait, by budget. */
@@ -66,17 +66,17 @@
 			return hasReachedStore;
 		},
 		handBackIdle(budget) {
-			const [banker] = bankersOf(budget);
+			const [allocator] = allocatorsOf(budget);
 			const {surplus} = planOf(budget, lastAsked.get(budget) ?? 0);
-			if (surplus === 0 || !banker || underWay.has(budget)) {
+			if (surplus === 0 || !allocator || underWay.has(budget)) {
 				return;
 			}
 
 			accounts.step(budget, {
-				type: 'lent', to: banker.holder, tokens: surplus, share: 1,
+				type: 'lent', to: allocator.holder, tokens: surplus, share: 1,
 			});
-			lenders.handBack(banker.address, budget, accounts.of(budget).given.get(banker.holder) ?? 0);
-			log('rights_handed_back', {to: banker.holder, budget, tokens: surplus});
+			lenders.handBack(allocator.address, budget, accounts.of(budget).given.get(allocator.holder) ?? 0);
+			log('rights_handed_back', {to: allocator.holder, budget, tokens: surplus});
 		},
 	};
 };
--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -7,7 +7,7 @@
 import type {RightsStore} from '../rights-store.js';
 import type {BudgetLimits} from './budget-limits.js';
 import {createAccounts} from './create-accounts.js';
-import {createBankers} from './create-bankers.js';
+import {createAllocators} from './create-allocators.js';
 import {createBorrower} from './create-borrower.js';
 import {createClientDemand} from './create-client-demand.js';
 import {createDrawQueue} from './create-draw-queue.js';
@@ -32,8 +32,8 @@
 const leastRetryAfterSeconds = 2;
 const mostRetryAfterSeconds = 30;
 
-/** The parts of what is available that may go to a peer: of a banker to its own hall, and of any host to another. */
-const bankerShare = 0.9;
+/** The parts of what is available that may go to a peer: of an allocator to its own hall, and of any host to another. */
+const allocatorShare = 0.9;
 const peerShare = 0.5;
 
 const holdAhead = holdAheadByRate({shareOfRest: 0.35, horizonSeconds: 8, idleShare: 0.3});
@@ -60,9 +60,9 @@
 	const gatherAgainAt = new Map<string, number>();
 	let isRetiring = false;
 
-	const bankers = createBankers({holder, links, slotOf: budget => slotOfBudget(budget, slotCount)});
+	const allocators = createAllocators({holder, links, slotOf: budget => slotOfBudget(budget, slotCount)});
 	const borrower = createBorrower({
-		accounts, lenders, bankersOf: bankers.others, log,
+		accounts, lenders, allocatorsOf: allocators.others, log,
 	});
 
 	const wants = (budget: string) => (view: StoreView, rights: BudgetRights): number => isRetiring
@@ -83,14 +83,14 @@
 		state,
 		accounts,
 		limits: () => limits,
-		isConcerned: budget => accounts.of(budget).granted !== 0 || queue.missing(budget) > 0 || bankers.drawsAhead(budget),
+		isConcerned: budget => accounts.of(budget).granted !== 0 || queue.missing(budget) > 0 || allocators.drawsAhead(budget),
 		wants,
 		log,
 		now,
 	});
 	const queue = createDrawQueue({accounts, writer: () => writer});
 	const balance = startRightsBalance({
-		holder, accounts, bankers, borrower, writer, state, holdAhead, log, now,
+		holder, accounts, allocators, borrower, writer, state, holdAhead, log, now,
 		budgets: () => limits.byBudget.keys(),
 		isSettled: () => links().isSettled(),
 		isRetiring: () => isRetiring,
@@ -131,14 +131,14 @@
 		}
 
 		let hasReachedStore = false;
-		if (!isRetiring && !bankers.isBanker(budget)) {
-			hasReachedStore = await borrower.borrow(budget, tokens, bankers.others(budget), until - now());
+		if (!isRetiring && !allocators.isAllocator(budget)) {
+			hasReachedStore = await borrower.borrow(budget, tokens, allocators.others(budget), until - now());
 			if (accounts.take(budget, tokens)) {
 				return 'reserved';
 			}
 		}
 
-		// A banker that reaches the store drew what there is; a second writer would only be in its way.
+		// An allocator that reaches the store drew what there is; a second writer would only be in its way.
 		if (!hasReachedStore && balance.mayDraw(budget) && await queue.draw(budget, tokens, Math.min(until - now(), patience.storeMs)) === 'reserved') {
 			return 'reserved';
 		}
@@ -205,18 +205,18 @@
 		},
 		async lend(to, {budget, tokens, demanded, received}) {
 			const givenTo = (): number => accounts.of(budget).given.get(to) ?? 0;
-			const isClient = bankers.isClient(to, budget);
+			const isClient = allocators.isClient(to, budget);
 			// Hosts that draw for themselves, here or in other halls, are peers in need and no lasting demand on this one.
 			if (isClient) {
 				accounts.step(budget, {type: 'demanded', by: 'client', tokens: clientDemand.note(to, budget, demanded)});
-				await gatherForClient(budget, Math.ceil(planLoan({asked: tokens, given: givenTo(), received}) / bankerShare));
+				await gatherForClient(budget, Math.ceil(planLoan({asked: tokens, given: givenTo(), received}) / allocatorShare));
 			}
 
 			// Another question of the same peer may have been answered in the meantime.
 			const given = givenTo();
 			if (!isRetiring) {
 				accounts.step(budget, {
-					type: 'lent', to, tokens: planLoan({asked: tokens, given, received}), share: isClient ? bankerShare : peerShare,
+					type: 'lent', to, tokens: planLoan({asked: tokens, given, received}), share: isClient ? allocatorShare : peerShare,
 				});
 			}
 
@@ -224,7 +224,7 @@
 			log('rights_lent', {
 				to, budget, asked: tokens, lent: total - given, total,
 			});
-			// A fellow banker got what was at hand; nothing was drawn for it, so it may still draw for itself.
+			// A fellow allocator got what was at hand; nothing was drawn for it, so it may still draw for itself.
 			return {total, reachesStore: isClient && state.isUp() && !isRetiring};
 		},
 		receivedFrom: (budget, from) => accounts.of(budget).received.get(from) ?? 0,
--- a/packages/entry/src/lib/start-rights-balance.ts
+++ b/packages/entry/src/lib/start-rights-balance.ts
@@ -1,7 +1,7 @@
 import {unallocated, type HoldAhead} from '@deckwheel/ledger';
 import type {Log} from '../log.js';
 import type {Accounts} from './accounts.js';
-import type {Bankers} from './bankers.js';
+import type {Allocators} from './allocators.js';
 import type {Borrower} from './borrower.js';
 import {demandRate} from './demand-rate.js';
 import {holdersOf} from './holders-of.js';
@@ -24,7 +24,7 @@
 	/** The name of this life of the host. */
 	readonly holder: string;
 	readonly accounts: Accounts;
-	readonly bankers: Bankers;
+	readonly allocators: Allocators;
 	readonly borrower: Borrower;
 	readonly writer: SlotWriter;
 	readonly state: StoreState;
@@ -40,7 +40,7 @@
 };
 
 /** Starts the task that keeps this host's rights near what its demand asks for. */
-export const startRightsBalance = ({holder, accounts, bankers, borrower, writer, state, holdAhead, budgets, isSettled, isRetiring, log, now}: Options): RightsBalance => {
+export const startRightsBalance = ({holder, accounts, allocators, borrower, writer, state, holdAhead, budgets, isSettled, isRetiring, log, now}: Options): RightsBalance => {
 	const writtenAt = new Map<number, number>();
 
 	const planBudget = (budget: string): 'keep' | 'write' => {
@@ -75,8 +75,8 @@
 		return !writer.isBusy(slot) && now() - (writtenAt.get(slot) ?? -writeGapMs) >= writeGapMs;
 	};
 
-	// Who stands by, or drew once because no banker answered, keeps an eye on what it still has of the store.
-	const isConcerned = (budget: string): boolean => bankers.drawsAhead(budget) || accounts.of(budget).granted > accounts.of(budget).settled;
+	// Who stands by, or drew once because no allocator answered, keeps an eye on what it still has of the store.
+	const isConcerned = (budget: string): boolean => allocators.drawsAhead(budget) || accounts.of(budget).granted > accounts.of(budget).settled;
 
 	const writeDue = (): void => {
 		const due = [...budgets()].filter(budget => isConcerned(budget) && isDue(budget) && planBudget(budget) === 'write');
@@ -97,7 +97,7 @@
 			return;
 		}
 
-		for (const budget of accounts.budgets().filter(name => !bankers.isBanker(name))) {
+		for (const budget of accounts.budgets().filter(name => !allocators.isAllocator(name))) {
 			borrower.handBackIdle(budget);
 		}
 
--- a/packages/entry/src/test/create-borrower.test.ts
+++ b/packages/entry/src/test/create-borrower.test.ts
@@ -4,7 +4,7 @@
 import type {LoanQuestion} from '../lib/loan-question.js';
 
 const budget = 'org';
-const banker = {holder: 'edge-1#a', address: '10.0.0.1:1', hall: 'h'};
+const allocator = {holder: 'edge-1#a', address: '10.0.0.1:1', hall: 'h'};
 
 const start = () => {
 	const accounts = createAccounts();
@@ -20,16 +20,16 @@
 					answers.push(resolve);
 				});
 				lent += question.tokens;
-				accounts.step(budget, {type: 'received', from: banker.holder, total: lent});
+				accounts.step(budget, {type: 'received', from: allocator.holder, total: lent});
 				return true;
 			},
 			handBack: () => undefined,
 		},
-		bankersOf: () => [banker],
+		allocatorsOf: () => [allocator],
 		log: () => undefined,
 	});
 	const reserve = async (tokens: number): Promise<boolean> => {
-		await borrower.borrow(budget, tokens, [banker]);
+		await borrower.borrow(budget, tokens, [allocator]);
 		return accounts.take(budget, tokens);
 	};
 
--- a/packages/entry/src/test/large-hall.test.ts
+++ b/packages/entry/src/test/large-hall.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {slotOfBudget} from '@deckwheel/ledger';
 import type {ListedPeer} from '../listed-peer.js';
-import {rankBankers} from '../lib/rank-bankers.js';
+import {rankAllocators} from '../lib/rank-allocators.js';
 import {slotCount} from '../lib/slot-count.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {startHost} from './lib/start-host.js';
@@ -19,42 +19,42 @@
 			kill();
 		}
 	});
-	const ranked = rankBankers(slotOfBudget('org', slotCount), keepers.map(({peer}) => peer), hallSize);
-	const bankers = ranked.map(banker => keepers.find(({peer}) => peer === banker)!);
-	const clients = keepers.filter(keeper => !bankers.includes(keeper));
+	const ranked = rankAllocators(slotOfBudget('org', slotCount), keepers.map(({peer}) => peer), hallSize);
+	const allocators = ranked.map(allocator => keepers.find(({peer}) => peer === allocator)!);
+	const clients = keepers.filter(keeper => !allocators.includes(keeper));
 	const granted = (): number => Object.values([...store.objects.values()][0]!.rights.budgets.org!.holders).reduce((sum, holder) => sum + holder.granted, 0);
 	return {
-		store, keepers, bankers, clients, granted,
+		store, keepers, allocators, clients, granted,
 	};
 };
 
 test('in a large hall the hosts borrow from one that draws', async t => {
-	const {keepers, bankers, clients, granted} = startHall(t);
+	const {keepers, allocators, clients, granted} = startHall(t);
 	for (const {rights} of keepers) {
 		t.is(await rights.reserve('org', 1000, waitMs), 'reserved');
 	}
 
 	t.true(clients.every(({events}) => events.includes('rights_borrowed') && !events.includes('rights_drawn')));
-	t.true(bankers[0]!.events.includes('rights_drawn'));
+	t.true(allocators[0]!.events.includes('rights_drawn'));
 	t.true(granted() <= limit);
 });
 
 test('when the one that draws is gone, the one that stands by takes over', async t => {
-	const {bankers, clients} = startHall(t);
+	const {allocators, clients} = startHall(t);
 	t.is(await clients[0]!.rights.reserve('org', 1000, waitMs), 'reserved');
-	bankers[0]!.kill();
+	allocators[0]!.kill();
 	for (const {rights} of clients) {
 		t.is(await rights.reserve('org', 5000, waitMs), 'reserved');
 	}
 
-	t.true(bankers[1]!.events.includes('rights_lent'));
+	t.true(allocators[1]!.events.includes('rights_lent'));
 	// The one that now stands by in its place may draw.
 	t.true(clients.filter(({events}) => events.includes('rights_drawn')).length <= 1);
 });
 
 test('when both are gone, hosts draw for themselves, and never beyond the limit', async t => {
-	const {bankers, clients, granted} = startHall(t);
-	for (const {kill} of bankers) {
+	const {allocators, clients, granted} = startHall(t);
+	for (const {kill} of allocators) {
 		kill();
 	}
 
--- /dev/null
+++ b/packages/entry/src/test/rank-allocators.test.ts
@@ -0,0 +1,25 @@
+import test from 'ava';
+import {rankAllocators} from '../lib/rank-allocators.js';
+
+const hosts = (count: number, life = 'a') => Array.from({length: count}, (_, index) => ({holder: `edge-${index}#${life}`, address: `10.0.0.${index}:1`, hall: 'h'}));
+
+test('in a small hall every host draws for itself', t => {
+	t.is(rankAllocators(1, hosts(4), 4).length, 4);
+});
+
+test('in a large hall few hosts draw, the same whoever asks', t => {
+	const allocators = rankAllocators(1, hosts(40), 40);
+	t.is(allocators.length, 2);
+	t.deepEqual(rankAllocators(1, hosts(40).reverse(), 40), allocators);
+});
+
+test('a restart changes no place', t => {
+	const before = rankAllocators(1, hosts(40, 'a'), 40).map(({address}) => address);
+	t.deepEqual(rankAllocators(1, hosts(40, 'b'), 40).map(({address}) => address), before);
+});
+
+test('when the first host goes, the one that stood by takes over', t => {
+	const before = rankAllocators(1, hosts(40), 40);
+	const after = rankAllocators(1, hosts(40).filter(({holder}) => holder !== before[0]!.holder), 40);
+	t.is(after[0]!.holder, before[1]!.holder);
+});
