Another hall that is out of reach is found out, and requests stay away from it or leave it

Ruled out: shorter ejection of single endpoints (98 of them, a few requests a second a host: the cut is over first). Change: a failed connection, or 300 ms of silence of a hall that owes answers, brings a probe of up to three of its endpoints; if none answers within 200 ms the hall is lost until a probe arrives. Connecting may take 250 ms instead of 500, and a late host does not take its own delay for the endpoint's.

--- a/packages/entry/src/default-patience.ts
+++ b/packages/entry/src/default-patience.ts
@@ -2,5 +2,5 @@
 
 /** Links within a fleet answer in milliseconds; a peer may have to draw from the store first. */
 export const defaultPatience: Patience = {
-	connectMs: 500, peerMs: 150, storeMs: 60, gatherMs: 80,
+	connectMs: 250, probeMs: 200, peerMs: 150, storeMs: 60, gatherMs: 80,
 };
--- a/packages/entry/src/lib/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/create-endpoint-chooser.ts
@@ -18,13 +18,15 @@
 Creates the task that knows the endpoints.
 
 @param hall The host's own.
+@param isLost Whether another hall is out of reach.
 @param now Monotonic ms.
 */
-export const createEndpointChooser = (hall: string, now: () => number): EndpointChooser => {
+export const createEndpointChooser = (hall: string, isLost: (hall: string) => boolean, now: () => number): EndpointChooser => {
 	const beliefs = createPrefixBeliefs();
 	/** What was worked out since the last list of endpoints. */
 	const members = new Map<string, readonly string[]>();
 	const homes = new LRUCache<string, string>({max: maxHomes});
+	let halls: readonly string[] = [];
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
 
@@ -45,10 +47,11 @@
 		list(endpoints) {
 			byId = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]));
 			table = stepEndpoints(table, {type: 'configured', endpoints}, now());
+			halls = [...new Set(endpoints.map(endpoint => endpoint.hall))];
 			members.clear();
 			homes.clear();
 		},
-		choose(service, parts, tried) {
+		choose(service, parts, tried, avoided) {
 			const key = affinityKey(parts);
 			const home = key === undefined ? undefined : homeOf(service, key);
 			const choice = chooseEndpoint(table, {
@@ -59,6 +62,7 @@
 				quickShare: 0,
 				cachedTokens: endpoint => beliefs.cachedTokens(endpoint, parts, home),
 				promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0),
+				lostHalls: new Set([...avoided, ...halls.filter(name => isLost(name))]),
 				tried,
 			}, now(), rateByAffinity);
 			if (!choice) {
--- a/packages/entry/src/lib/endpoint-chooser.ts
+++ b/packages/entry/src/lib/endpoint-chooser.ts
@@ -6,6 +6,7 @@
 /** Chooses endpoints, and learns from what became of requests. */
 export type EndpointChooser = {
 	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
-	readonly choose: (service: string, parts: readonly PromptPart[], tried: readonly string[]) => EndpointChoice | undefined;
+	/** `avoided`: halls in which this request found an endpoint out of reach. */
+	readonly choose: (service: string, parts: readonly PromptPart[], tried: readonly string[], avoided: readonly string[]) => EndpointChoice | undefined;
 	readonly note: (event: EndpointEvent) => void;
 };
--- a/packages/entry/src/lib/entry-context.ts
+++ b/packages/entry/src/lib/entry-context.ts
@@ -5,6 +5,7 @@
 import type {Schedule} from '../schedule.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
+import type {HallWatch} from './hall-watch.js';
 import type {RightsKeeper} from './rights-keeper.js';
 
 /** What serving a request needs of the host. */
@@ -16,6 +17,7 @@
 	readonly isOverloaded: () => boolean;
 	readonly names: HeaderNames;
 	readonly chooser: EndpointChooser;
+	readonly halls: HallWatch;
 	readonly rights: RightsKeeper;
 	readonly pool: ConnectionPool;
 	readonly bounds: Bounds;
--- /dev/null
+++ b/packages/entry/src/lib/hall-watch.ts
@@ -0,0 +1,15 @@
+import type {ListedEndpoint} from '../listed-endpoint.js';
+import type {OpenAttempt} from './open-attempt.js';
+
+/** Knows which other halls are out of reach. */
+export type HallWatch = {
+	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
+	readonly isLost: (hall: string) => boolean;
+	/** Notes that a try began. Returns what notes its end. */
+	readonly open: (attempt: OpenAttempt) => () => void;
+	/** Notes that bytes of a hall's endpoint came. */
+	readonly heard: (hall: string) => void;
+	/** Notes that a hall's endpoint took no connection. */
+	readonly connectFailed: (hall: string) => void;
+	readonly close: () => void;
+};
--- /dev/null
+++ b/packages/entry/src/lib/open-attempt.ts
@@ -0,0 +1,10 @@
+import type {ListedEndpoint} from '../listed-endpoint.js';
+
+/** A try at an endpoint that is under way. */
+export type OpenAttempt = {
+	readonly endpoint: ListedEndpoint;
+	/** Monotonic ms. */
+	readonly sentAt: number;
+	/** Ends it, where it may be made again elsewhere. */
+	readonly abandon?: () => void;
+};
--- a/packages/entry/src/lib/relay-stream.ts
+++ b/packages/entry/src/lib/relay-stream.ts
@@ -4,14 +4,22 @@
 import type {RelayEnd} from './relay-end.js';
 import {scanEvents} from './scan-events.js';
 
+type RelayOptions = {
+	/** The id of the last event that the caller got, from an earlier run. */
+	readonly lastId: string | undefined;
+	/** Called with each arrival of bytes. */
+	readonly onChunk: () => void;
+	/** Called before events are passed on. */
+	readonly beforeWrite: () => void;
+};
+
 /**
 Passes the whole events of a stream on to the caller as they come.
 
 The caller's answer is left open, so that another run can go on with it.
 
-@param beforeWrite Called before events are passed on.
 */
-export const relayStream = async (upstream: IncomingMessage, res: ServerResponse, lastId: string | undefined, beforeWrite: () => void): Promise<RelayEnd> => new Promise(resolve => {
+export const relayStream = async (upstream: IncomingMessage, res: ServerResponse, {lastId, onChunk, beforeWrite}: RelayOptions): Promise<RelayEnd> => new Promise(resolve => {
 	let scanner: EventScanner = {rest: Buffer.alloc(0), lastId, count: 0};
 	const finish = (type: RelayEnd['type']): void => {
 		resolve({type, lastId: scanner.lastId, count: scanner.count});
@@ -22,6 +30,7 @@
 	};
 
 	upstream.on('data', (chunk: Uint8Array) => {
+		onChunk();
 		const scan = scanEvents(scanner, chunk);
 		scanner = scan.scanner;
 		if (scan.whole.length > 0) {
--- a/packages/entry/src/lib/run-request.ts
+++ b/packages/entry/src/lib/run-request.ts
@@ -10,6 +10,7 @@
 import {relayStream} from './relay-stream.js';
 import type {RequestRun} from './request-run.js';
 import {sendAttempt} from './send-attempt.js';
+import {trackAttempt} from './track-attempt.js';
 
 /** Tries at endpoints that could not be reached at all. They cost the endpoints nothing. */
 const maxUnsent = 4;
@@ -33,12 +34,13 @@
 
 /** Runs one admitted request at endpoints until it is answered or given up. */
 export const runRequest = async ({id, req, res, body, admission, deadline, reserveRun}: Inputs, context: EntryContext): Promise<RequestRun> => {
-	const {names, chooser, pool, now} = context;
+	const {names, chooser, halls, pool, now} = context;
 	const {route, organisation, prompt} = admission;
 	const service = pickBackend(route, Math.random()) ?? '';
 	const isRepeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.isResumable);
 	const tokensPerEvent = context.config()?.services.get(service)?.tokensPerEvent ?? 0;
 	const tried: string[] = [];
+	const avoidedHalls: string[] = [];
 	const abort = new AbortController();
 	let isTimedOut = false;
 	let hasCallerLeft = false;
@@ -109,10 +111,16 @@
 	};
 
 	const relay = async (response: IncomingMessage, choice: EndpointChoice, startedAt: number): Promise<RequestRun | Next> => {
-		const relayed = await relayStream(response, res, lastEventId, () => {
-			if (!res.headersSent) {
-				writeHead(response, new Set(['content-length']));
-			}
+		const relayed = await relayStream(response, res, {
+			lastId: lastEventId,
+			onChunk() {
+				halls.heard(choice.endpoint.hall);
+			},
+			beforeWrite() {
+				if (!res.headersSent) {
+					writeHead(response, new Set(['content-length']));
+				}
+			},
 		});
 		events += relayed.count;
 		({lastId: lastEventId} = relayed);
@@ -159,11 +167,20 @@
 	const afterAttempt = async (result: AttemptResult, choice: EndpointChoice, startedAt: number): Promise<RequestRun | Next> => {
 		if (result.type === 'unsent') {
 			noteNoAnswer(choice);
+			if (!abort.signal.aborted) {
+				halls.connectFailed(choice.endpoint.hall);
+				avoidedHalls.push(choice.endpoint.hall);
+			}
+
 			unsent++;
 			return unsent < maxUnsent ? 'again' : 'end';
 		}
 
 		arrivals++;
+		if (result.type !== 'lost') {
+			halls.heard(choice.endpoint.hall);
+		}
+
 		if (result.type === 'not_run') {
 			chooser.note({type: 'abandoned', endpoint: choice.endpoint.id});
 			return mayTryAgain(false);
@@ -191,7 +208,7 @@
 			return endEarly(hasCallerLeft ? 'caller_left' : 'deadline');
 		}
 
-		const choice = chooser.choose(service, prompt?.parts ?? [], tried);
+		const choice = chooser.choose(service, prompt?.parts ?? [], tried, avoidedHalls);
 		if (!choice) {
 			return endEarly('no_endpoint');
 		}
@@ -200,13 +217,15 @@
 		tried.push(endpointId);
 		chooser.note({type: 'started', endpoint: endpointId});
 		const startedAt = now();
+		const mayMove = isRepeatable && arrivals + 1 < route.maxAttempts;
+		const {signal, end: endAttempt} = trackAttempt(halls, choice.endpoint, {sentAt: startedAt, mayMove, signal: abort.signal});
 		const result = await sendAttempt({
 			endpoint: choice.endpoint,
 			id,
 			method: req.method!,
 			path: req.url!,
 			body,
-			signal: abort.signal,
+			signal,
 			connectTimeoutMs: context.connectMs,
 			headers: forwardedHeaders({
 				raw: req.rawHeaders,
@@ -220,6 +239,7 @@
 			}),
 		}, pool, names);
 		const next = await afterAttempt(result, choice, startedAt);
+		endAttempt();
 		if (typeof next !== 'string') {
 			return next;
 		}
--- a/packages/entry/src/lib/send-attempt.ts
+++ b/packages/entry/src/lib/send-attempt.ts
@@ -34,7 +34,12 @@
 		signal,
 	});
 	const connectTimer = setTimeout(() => {
-		req.destroy(new Error('connect_timeout'));
+		// A connection that came while this process was busy elsewhere is told before this.
+		setImmediate(() => {
+			if (!isConnected) {
+				req.destroy(new Error('connect_timeout'));
+			}
+		});
 	}, connectTimeoutMs);
 	req.on('socket', socket => {
 		const markConnected = (): void => {
--- /dev/null
+++ b/packages/entry/src/lib/start-hall-watch.ts
@@ -0,0 +1,129 @@
+import type {ListedEndpoint} from '../listed-endpoint.js';
+import type {Log} from '../log.js';
+import type {HallReachEvent} from './hall-reach-event.js';
+import type {HallReach} from './hall-reach.js';
+import type {HallWatch} from './hall-watch.js';
+import type {OpenAttempt} from './open-attempt.js';
+import {stepHallReach} from './step-hall-reach.js';
+
+const tickMs = 100;
+
+const inReach: HallReach = {
+	isLost: false, heardAt: 0, isDoubted: false, isProbing: false, probeAgainAt: 0,
+};
+
+/** A single endpoint may be gone alone. */
+const probesAtOnce = 3;
+
+const groupByHall = (endpoints: readonly ListedEndpoint[]): ReadonlyMap<string, readonly ListedEndpoint[]> => {
+	const byHall = new Map<string, ListedEndpoint[]>();
+	for (const endpoint of endpoints) {
+		byHall.set(endpoint.hall, [...byHall.get(endpoint.hall) ?? [], endpoint]);
+	}
+
+	return byHall;
+};
+
+// Neighbours in the list, from a place picked at random.
+const pickSome = <T>(entries: readonly T[], count: number): readonly T[] => {
+	const start = Math.floor(Math.random() * entries.length);
+	return [...entries.slice(start), ...entries.slice(0, start)].slice(0, count);
+};
+
+type Options = {
+	/** The host's own hall; its endpoints are judged one by one. */
+	readonly hall: string;
+	/** Tries a connection to an address. */
+	readonly probe: (address: string) => Promise<boolean>;
+	/** Whether this host is too late with its own work to judge others. */
+	readonly isOverloaded: () => boolean;
+	readonly log: Log;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/**
+Starts the task that finds out when another hall can no longer be reached, so that requests stay away from all its
+endpoints at once, and those that wait for one there are made again elsewhere.
+*/
+export const startHallWatch = ({hall: ownHall, probe, isOverloaded, log, now}: Options): HallWatch => {
+	const reaches = new Map<string, HallReach>();
+	const attempts = new Set<OpenAttempt>();
+	let byHall: ReadonlyMap<string, readonly ListedEndpoint[]> = new Map();
+
+	const reachOf = (hall: string): HallReach => reaches.get(hall) ?? inReach;
+
+	const step = (hall: string, event: HallReachEvent): boolean => {
+		const {reach, isProbeDue} = stepHallReach(reachOf(hall), event, now());
+		reaches.set(hall, reach);
+		return isProbeDue;
+	};
+
+	const abandonAttempts = (hall: string): void => {
+		for (const {endpoint, abandon} of attempts) {
+			if (endpoint.hall === hall) {
+				abandon?.();
+			}
+		}
+	};
+
+	const probeHall = async (hall: string): Promise<void> => {
+		const picked = pickSome(byHall.get(hall) ?? [], probesAtOnce);
+		const answers = await Promise.all(picked.map(async ({address}) => probe(address)));
+		const isReached = picked.length === 0 || answers.includes(true) || isOverloaded();
+		const wasLost = reachOf(hall).isLost;
+		step(hall, {type: 'probe_ended', isReached});
+		if (wasLost === isReached) {
+			log(isReached ? 'hall_regained' : 'hall_lost', {hall, probes: picked.length});
+		}
+
+		if (!isReached) {
+			abandonAttempts(hall);
+		}
+	};
+
+	const oldestWait = (hall: string): number | undefined => {
+		let oldest: number | undefined;
+		for (const {endpoint, sentAt} of attempts) {
+			if (endpoint.hall === hall) {
+				oldest = Math.min(oldest ?? sentAt, sentAt);
+			}
+		}
+
+		return oldest;
+	};
+
+	const timer = setInterval(() => {
+		for (const hall of byHall.keys()) {
+			if (hall !== ownHall && step(hall, {type: 'ticked', waitsSince: oldestWait(hall)})) {
+				void probeHall(hall);
+			}
+		}
+	}, tickMs);
+
+	return {
+		list(endpoints) {
+			byHall = groupByHall(endpoints.filter(({isLeaving}) => !isLeaving));
+		},
+		isLost: hall => reachOf(hall).isLost,
+		open(attempt) {
+			attempts.add(attempt);
+			return () => {
+				attempts.delete(attempt);
+			};
+		},
+		heard(hall) {
+			if (hall !== ownHall) {
+				step(hall, {type: 'heard'});
+			}
+		},
+		connectFailed(hall) {
+			if (hall !== ownHall) {
+				step(hall, {type: 'connect_failed'});
+			}
+		},
+		close() {
+			clearInterval(timer);
+		},
+	};
+};
--- a/packages/entry/src/patience.ts
+++ b/packages/entry/src/patience.ts
@@ -2,6 +2,8 @@
 export type Patience = {
 	/** For an endpoint to accept a connection. */
 	readonly connectMs: number;
+	/** For an endpoint of another hall to accept a connection that only shows whether the hall is in reach. */
+	readonly probeMs: number;
 	/** For one peer's answer to a question for rights. */
 	readonly peerMs: number;
 	/** For the store, before peers are asked as well. */
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -15,6 +15,8 @@
 import type {RetryWindow} from './lib/retry-window.js';
 import {scheduleByTimer} from './lib/schedule-by-timer.js';
 import {serveRequest} from './lib/serve-request.js';
+import {probeAddress} from './lib/probe-address.js';
+import {startHallWatch} from './lib/start-hall-watch.js';
 import {startLatenessWatch} from './lib/start-lateness-watch.js';
 import {startPeerLinks} from './lib/start-peer-links.js';
 import {stepRetryWindow} from './lib/step-retry-window.js';
@@ -33,7 +35,6 @@
 export const startEntry = async ({host, hall, listen, bounds, headers: names, rightsStore, peers, log, patience = defaultPatience, schedule = scheduleByTimer}: EntryOptions): Promise<Entry> => {
 	const now = (): number => performance.now();
 	const holder = `${host}#${Date.now().toString(36)}${Math.floor(Math.random() * 46_656).toString(36)}`;
-	const chooser = createEndpointChooser(hall, now);
 	const pool = createConnectionPool(now);
 	const lenders = createLenders({
 		mesh: () => links.mesh(),
@@ -65,6 +66,10 @@
 	});
 	const news = createNews({holder, board, links: () => links});
 	const lateness = startLatenessWatch({boundMs: bounds.relayMs, log, now});
+	const halls = startHallWatch({
+		hall, probe: async address => probeAddress(address, patience.probeMs), isOverloaded: lateness.isOverloaded, log, now,
+	});
+	const chooser = createEndpointChooser(hall, halls.isLost, now);
 	const windows = new Map<string, RetryWindow>();
 	let config: FleetConfig | undefined;
 	let isListed = false;
@@ -86,6 +91,7 @@
 		isOverloaded: lateness.isOverloaded,
 		names,
 		chooser,
+		halls,
 		rights,
 		pool,
 		bounds,
@@ -144,12 +150,14 @@
 		listEndpoints(endpoints) {
 			isListed = true;
 			chooser.list(endpoints);
+			halls.list(endpoints);
 			pool.keepOnly(new Set(endpoints.map(({id}) => id)));
 			log('endpoints_listed', {count: endpoints.length, leaving: endpoints.filter(({isLeaving}) => isLeaving).length});
 		},
 		async kill() {
 			rights.close();
 			lateness.close();
+			halls.close();
 			for (const server of [callers, ready]) {
 				server.closeAllConnections();
 				server.close();
@@ -172,6 +180,7 @@
 			await rights.retire();
 			rights.close();
 			lateness.close();
+			halls.close();
 			await links.close();
 			log('stopped', {open});
 		},
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -9,7 +9,7 @@
 
 /** A slow machine must not look like a silent peer. */
 const unhurried: Patience = {
-	connectMs: 60_000, peerMs: 60_000, storeMs: 60_000, gatherMs: 60_000,
+	connectMs: 60_000, probeMs: 60_000, peerMs: 60_000, storeMs: 60_000, gatherMs: 60_000,
 };
 
 type Fields = Readonly<Record<string, unknown>>;
--- a/packages/routing/src/rate-by-affinity.ts
+++ b/packages/routing/src/rate-by-affinity.ts
@@ -1,5 +1,6 @@
 import {estimateLoad} from './lib/estimate-load.js';
 import type {RateEndpoint} from './rate-endpoint.js';
+import type {RouteRequest} from './route-request.js';
 
 /** What it costs to read one token of a prompt anew: its time at the engine, and the work it holds up beside it. In ms. */
 const msPerReadToken = 0.06;
@@ -8,6 +9,17 @@
 const msPerOpenRequest = 25;
 const otherHallMs = 8;
 
+/** More than any wait: an endpoint in a hall that is out of reach is a last resort. */
+const lostHallMs = 1_000_000;
+
+const hallCost = (hall: string, request: RouteRequest): number => {
+	if (hall === request.hall) {
+		return 0;
+	}
+
+	return request.lostHalls?.has(hall) ? lostHallMs : otherHallMs;
+};
+
 /** Weighs the part of the prompt that must be read anew against the load. For many hosts that cannot ask each other. */
 export const rateByAffinity: RateEndpoint = (state, request, now) => {
 	const {info} = state;
@@ -15,12 +27,12 @@
 	const cached = Math.min(request.promptTokens, request.cachedTokens(info.id));
 	const readMs = (request.promptTokens - cached) * msPerReadToken;
 	const waitMs = load * msPerOpenRequest;
-	const hallMs = info.hall === request.hall ? 0 : otherHallMs;
+	const hallMs = hallCost(info.hall, request);
 	return {
 		endpoint: info.id,
 		waitMs,
 		cost: readMs + waitMs + hallMs,
-		hasRoom: load < info.slots,
+		hasRoom: load < info.slots && hallMs < lostHallMs,
 		reason: () => `read_ms=${readMs.toFixed(0)} load=${load} cached=${cached}/${request.promptTokens} hall_ms=${hallMs}`,
 	};
 };
--- a/packages/routing/src/route-request.ts
+++ b/packages/routing/src/route-request.ts
@@ -16,6 +16,8 @@
 	readonly promptTokens: number;
 	/** The endpoint that served this session last. */
 	readonly stickyTo?: string;
+	/** Halls that the host cannot reach now: their endpoints are a last resort. */
+	readonly lostHalls?: ReadonlySet<string>;
 	/** Endpoints that were tried already. */
 	readonly tried: readonly string[];
 };
