A host whose link cannot keep up is overloaded too

What chokes is its link (10 Mbit/s). Ruled out: the processor. Change: how long bodies take after their heads counts beside the timers.

--- a/packages/entry/src/lib/entry-context.ts
+++ b/packages/entry/src/lib/entry-context.ts
@@ -15,6 +15,8 @@
 	readonly isClosing: () => boolean;
 	/** Whether this host is too late with its own work to judge others by the time that they take. */
 	readonly isOverloaded: () => boolean;
+	/** Notes how long a request's body took to come after its head, in ms. */
+	readonly noteBody: (delayMs: number) => void;
 	readonly names: HeaderNames;
 	readonly chooser: EndpointChooser;
 	readonly halls: HallWatch;
--- a/packages/entry/src/lib/serve-request.ts
+++ b/packages/entry/src/lib/serve-request.ts
@@ -45,14 +45,24 @@
 	const admission = admitted.value;
 	const {route, organisation, prompt} = admission;
 	const deadline = startedAt + admission.timeLeftMs;
-	const body = await readBody(req, context.config()!.limits.maxBodyBytes);
-	if (body === 'caller_left') {
-		return;
-	}
+	const receiveBody = async (): Promise<Uint8Array | undefined> => {
+		const received = await readBody(req, context.config()!.limits.maxBodyBytes);
+		if (received === 'caller_left') {
+			return undefined;
+		}
+
+		if (received === 'too_large') {
+			res.shouldKeepAlive = false;
+			refuse(refusals.tooLarge);
+			return undefined;
+		}
+
+		context.noteBody(now() - startedAt);
+		return received;
+	};
 
-	if (body === 'too_large') {
-		res.shouldKeepAlive = false;
-		refuse(refusals.tooLarge);
+	const body = await receiveBody();
+	if (!body) {
 		return;
 	}
 
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -89,6 +89,7 @@
 		config: () => config,
 		isClosing,
 		isOverloaded: lateness.isOverloaded,
+		noteBody: lateness.noteBody,
 		names,
 		chooser,
 		halls,
