--- a/packages/entry/src/lib/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/create-endpoint-chooser.ts
@@ -62,7 +62,8 @@
 				quickShare: 0,
 				cachedTokens: endpoint => beliefs.cachedTokens(endpoint, parts, home),
 				promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0),
-				lostHalls: new Set([...avoided, ...halls.filter(name => isLost(name))]),
+				lostHalls: new Set(halls.filter(name => isLost(name))),
+				avoidedHalls: avoided,
 				tried,
 			}, now(), rateByAffinity);
 			if (!choice) {
--- a/packages/entry/src/test/create-endpoint-chooser.test.ts
+++ b/packages/entry/src/test/create-endpoint-chooser.test.ts
@@ -7,7 +7,7 @@
 
 const prompt = [{id: 'shared', tokens: 100_000}, {id: 'own', tokens: 10}];
 
-test('endpoints of a hall that is out of reach are a last resort, whatever they have cached', t => {
+test('endpoints of a hall that is out of reach are not chosen; those of one that seems so are a last resort', t => {
 	let lost = '';
 	const chooser = createEndpointChooser('a', hall => hall === lost, () => 0);
 	chooser.list([endpoint('near', 'a'), endpoint('far', 'b')]);
@@ -19,5 +19,7 @@
 	t.is(chooser.choose('s', [], [], ['b'])?.endpoint.id, 'near');
 	lost = 'b';
 	t.is(chooser.choose('s', [], [], [])?.endpoint.id, 'near');
-	t.is(chooser.choose('s', prompt, ['near'], [])?.endpoint.id, 'far');
+	t.is(chooser.choose('s', prompt, ['near'], []), undefined);
+	lost = '';
+	t.is(chooser.choose('s', prompt, ['near'], ['b'])?.endpoint.id, 'far');
 });
--- a/packages/routing/src/choose-endpoint.ts
+++ b/packages/routing/src/choose-endpoint.ts
@@ -10,7 +10,8 @@
 	const {info, ejectedUntil, failures, inFlight} = state;
 	// After an ejection, one request at a time probes the endpoint.
 	const isProbing = failures > 0 && ejectedUntil > 0 && inFlight > 0;
-	return info.serves.includes(request.target) && !info.isLeaving && !request.tried.includes(info.id) && ejectedUntil <= now && !isProbing;
+	const isInReach = info.hall === request.hall || !request.lostHalls?.has(info.hall);
+	return info.serves.includes(request.target) && isInReach && !info.isLeaving && !request.tried.includes(info.id) && ejectedUntil <= now && !isProbing;
 };
 
 const isBetter = (a: RatedEndpoint, b: RatedEndpoint): boolean => {
--- a/packages/routing/src/rate-by-affinity.ts
+++ b/packages/routing/src/rate-by-affinity.ts
@@ -9,15 +9,15 @@
 const msPerOpenRequest = 25;
 const otherHallMs = 8;
 
-/** More than any wait: an endpoint in a hall that is out of reach is a last resort. */
-const lostHallMs = 1_000_000;
+/** More than any wait: an endpoint in a hall that seems out of reach is a last resort. */
+const avoidedHallMs = 1_000_000;
 
 const hallCost = (hall: string, request: RouteRequest): number => {
 	if (hall === request.hall) {
 		return 0;
 	}
 
-	return request.lostHalls?.has(hall) ? lostHallMs : otherHallMs;
+	return request.avoidedHalls?.includes(hall) ? avoidedHallMs : otherHallMs;
 };
 
 /** Weighs the part of the prompt that must be read anew against the load. For many hosts that cannot ask each other. */
@@ -32,7 +32,7 @@
 		endpoint: info.id,
 		waitMs,
 		cost: readMs + waitMs + hallMs,
-		hasRoom: load < info.slots && hallMs < lostHallMs,
+		hasRoom: load < info.slots && hallMs < avoidedHallMs,
 		reason: () => `read_ms=${readMs.toFixed(0)} load=${load} cached=${cached}/${request.promptTokens} hall_ms=${hallMs}`,
 	};
 };
--- a/packages/routing/src/route-request.ts
+++ b/packages/routing/src/route-request.ts
@@ -16,8 +16,10 @@
 	readonly promptTokens: number;
 	/** The endpoint that served this session last. */
 	readonly stickyTo?: string;
-	/** Halls that the host cannot reach now: their endpoints are a last resort. */
+	/** Halls that the host cannot reach now. */
 	readonly lostHalls?: ReadonlySet<string>;
+	/** Halls in which this request found an endpoint out of reach: a last resort. */
+	readonly avoidedHalls?: readonly string[];
 	/** Endpoints that were tried already. */
 	readonly tried: readonly string[];
 };
