A link that cannot keep up is told by how long connections within the hall take, not by late bodies

Heads and bodies wait in the same queue, so a body does not come late after its head. Change: the time that new connections within the hall take is the second sign of overload; bodies are not timed any more. One silent endpoint is no overload.

--- a/packages/entry/src/lib/attempt.ts
+++ b/packages/entry/src/lib/attempt.ts
@@ -11,6 +11,8 @@
 	readonly body: Uint8Array;
 	/** An endpoint that takes longer to accept a connection is left alone, in ms. */
 	readonly connectTimeoutMs: number;
+	/** Called when a new connection came up, or was given up, with the time that it took in ms. */
+	readonly onConnect: (tookMs: number) => void;
 	/** Ends the try. */
 	readonly signal: AbortSignal;
 };
--- a/packages/entry/src/lib/entry-context.ts
+++ b/packages/entry/src/lib/entry-context.ts
@@ -1,6 +1,7 @@
 import type {Bounds} from '../bounds.js';
 import type {FleetConfig} from '../fleet-config.js';
 import type {HeaderNames} from '../header-names.js';
+import type {ListedEndpoint} from '../listed-endpoint.js';
 import type {Log} from '../log.js';
 import type {Schedule} from '../schedule.js';
 import type {ConnectionPool} from './connection-pool.js';
@@ -15,8 +16,8 @@
 	readonly isClosing: () => boolean;
 	/** Whether this host is too late with its own work to judge others by the time that they take. */
 	readonly isOverloaded: () => boolean;
-	/** Notes how long a request's body took to come after its head, in ms. */
-	readonly noteBody: (delayMs: number) => void;
+	/** Notes how long an endpoint took to accept a connection, in ms. */
+	readonly noteConnect: (endpoint: ListedEndpoint, tookMs: number) => void;
 	readonly names: HeaderNames;
 	readonly chooser: EndpointChooser;
 	readonly halls: HallWatch;
--- a/packages/entry/src/lib/lateness.ts
+++ b/packages/entry/src/lib/lateness.ts
@@ -1,6 +1,9 @@
-/** How late a host is with its own work, averaged over about a second. */
+/** How late a host is. Averages over about a second, in ms. */
 export type Lateness = {
-	readonly averageMs: number;
+	/** How late timers of this process fire: its core. */
+	readonly timerMs: number;
+	/** How long endpoints of its own hall take to accept a connection: its link. */
+	readonly connectMs: number;
 	/** Whether callers are better served by other hosts. */
 	readonly isOverloaded: boolean;
 };
--- a/packages/entry/src/lib/run-request.ts
+++ b/packages/entry/src/lib/run-request.ts
@@ -227,6 +227,9 @@
 			body,
 			signal,
 			connectTimeoutMs: context.connectMs,
+			onConnect(tookMs) {
+				context.noteConnect(choice.endpoint, tookMs);
+			},
 			headers: forwardedHeaders({
 				raw: req.rawHeaders,
 				names,
--- a/packages/entry/src/lib/send-attempt.ts
+++ b/packages/entry/src/lib/send-attempt.ts
@@ -1,4 +1,5 @@
 import {request as sendRequest, type IncomingMessage} from 'node:http';
+import {performance} from 'node:perf_hooks';
 import type {HeaderNames} from '../header-names.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {Attempt} from './attempt.js';
@@ -23,7 +24,7 @@
 
 /** Sends a request to an endpoint and waits for the head of its answer. */
 export const sendAttempt = async (attempt: Attempt, pool: ConnectionPool, names: HeaderNames): Promise<AttemptResult> => new Promise(resolve => {
-	const {endpoint, id, method, path, headers, body, signal, connectTimeoutMs} = attempt;
+	const {endpoint, id, method, path, headers, body, signal, connectTimeoutMs, onConnect} = attempt;
 	let isConnected = false;
 	let answer: IncomingMessage | undefined;
 	const req = sendRequest({
@@ -37,6 +38,7 @@
 		// A connection that came while this process was busy elsewhere is told before this.
 		setImmediate(() => {
 			if (!isConnected) {
+				onConnect(connectTimeoutMs);
 				req.destroy(new Error('connect_timeout'));
 			}
 		});
@@ -48,7 +50,11 @@
 		};
 
 		if (socket.connecting) {
-			socket.once('connect', markConnected);
+			const startedAt = performance.now();
+			socket.once('connect', () => {
+				markConnected();
+				onConnect(performance.now() - startedAt);
+			});
 		} else {
 			markConnected();
 		}
--- a/packages/entry/src/lib/serve-request.ts
+++ b/packages/entry/src/lib/serve-request.ts
@@ -57,7 +57,6 @@
 			return undefined;
 		}
 
-		context.noteBody(now() - startedAt);
 		return received;
 	};
 
--- a/packages/entry/src/lib/start-lateness-watch.ts
+++ b/packages/entry/src/lib/start-lateness-watch.ts
@@ -1,9 +1,13 @@
 import type {Log} from '../log.js';
+import type {LatenessEvent} from './lateness-event.js';
 import type {Lateness} from './lateness.js';
 import {stepLateness} from './step-lateness.js';
 
 const sampleEveryMs = 100;
 
+/** After this time without a new connection, nothing is known of the link. */
+const connectMemoryMs = 1000;
+
 type Options = {
 	/** How late an event of a stream may be passed on, in ms. */
 	readonly boundMs: number;
@@ -14,37 +18,45 @@
 
 /** Knows whether this host keeps up with its work. */
 type LatenessWatch = {
-	/** Notes how long a request's body took to come after its head, in ms. */
-	readonly noteBody: (delayMs: number) => void;
+	/** Notes how long a connection within the hall took to come up, in ms. */
+	readonly noteConnect: (tookMs: number) => void;
 	readonly isOverloaded: () => boolean;
 	readonly close: () => void;
 };
 
 /**
-Watches how late this process's timers are, and how long bodies take to reach it: a host whose core or link cannot keep up
-sends callers elsewhere, and blames no endpoint for its own delays.
+Watches how late this process's timers are, and how long connections within its hall take: a host whose core or link cannot
+keep up sends callers elsewhere, and blames no endpoint for its own delays.
 */
 export const startLatenessWatch = ({boundMs, log, now}: Options): LatenessWatch => {
-	let lateness: Lateness = {averageMs: 0, isOverloaded: false};
+	let lateness: Lateness = {timerMs: 0, connectMs: 0, isOverloaded: false};
 	let sampledAt = now();
-	const note = (source: 'timer' | 'body', sampleMs: number): void => {
-		const next = stepLateness(lateness, source, sampleMs, boundMs);
+	let connectedAt = now();
+
+	const step = (event: LatenessEvent): void => {
+		const next = stepLateness(lateness, event, boundMs);
 		if (next.isOverloaded !== lateness.isOverloaded) {
-			log(next.isOverloaded ? 'overload_began' : 'overload_ended', {source, average_ms: Math.round(next.averageMs), bound_ms: boundMs});
+			log(next.isOverloaded ? 'overload_began' : 'overload_ended', {
+				timer_ms: Math.round(next.timerMs), connect_ms: Math.round(next.connectMs), bound_ms: boundMs,
+			});
 		}
 
 		lateness = next;
 	};
 
 	const timer = setInterval(() => {
-		const sampleMs = Math.max(0, now() - sampledAt - sampleEveryMs);
+		const lateMs = Math.max(0, now() - sampledAt - sampleEveryMs);
 		sampledAt = now();
-		note('timer', sampleMs);
+		step({type: 'timer_fired', lateMs});
+		if (now() - connectedAt > connectMemoryMs) {
+			step({type: 'connected_none'});
+		}
 	}, sampleEveryMs);
 	timer.unref();
 	return {
-		noteBody(delayMs) {
-			note('body', delayMs);
+		noteConnect(tookMs) {
+			connectedAt = now();
+			step({type: 'connected', tookMs});
 		},
 		isOverloaded: () => lateness.isOverloaded,
 		close() {
--- a/packages/entry/src/lib/step-lateness.ts
+++ b/packages/entry/src/lib/step-lateness.ts
@@ -1,24 +1,44 @@
+import type {LatenessEvent} from './lateness-event.js';
 import type {Lateness} from './lateness.js';
 
-/** The weight of one sample in the average. Timers are sampled ten times a second; bodies are as many as there are requests. */
-const sampleWeights = {timer: 0.1, body: 0.04} as const;
+/** The weight of one sample in an average. */
+const sampleWeight = 0.1;
 
 /** One long pause (a freeze that ended, a collection of garbage) is no lasting overload: samples are cut to this many bounds. */
-const mostBounds = 4;
+const mostTimerBounds = 4;
+
+/** Nor is a single endpoint that is silent: it takes several slow connections in a row. */
+const mostConnectBounds = 1;
 
 /** The parts of the bound at which overload begins and ends. Between them, the state stays as it is. */
 const beginShare = 0.5;
 const endShare = 0.1;
 
+const average = (before: number, sample: number): number => before + ((sample - before) * sampleWeight);
+
+const take = (lateness: Lateness, event: LatenessEvent, boundMs: number): Lateness => {
+	switch (event.type) {
+		case 'timer_fired': {
+			return {...lateness, timerMs: average(lateness.timerMs, Math.min(event.lateMs, boundMs * mostTimerBounds))};
+		}
+
+		case 'connected': {
+			return {...lateness, connectMs: average(lateness.connectMs, Math.min(event.tookMs, boundMs * mostConnectBounds))};
+		}
+
+		case 'connected_none': {
+			return {...lateness, connectMs: average(lateness.connectMs, 0)};
+		}
+	}
+};
+
 /**
-Moves a host's lateness on by one sample.
+Moves a host's lateness on by one event. Pure.
 
-@param source What was late: a timer of this process, or the body of a request, whose head had come before.
-@param sampleMs How late it was.
 @param boundMs How late an event of a stream may be passed on.
 */
-export const stepLateness = ({averageMs, isOverloaded}: Lateness, source: keyof typeof sampleWeights, sampleMs: number, boundMs: number): Lateness => {
-	const sample = Math.min(sampleMs, boundMs * mostBounds);
-	const next = averageMs + ((sample - averageMs) * sampleWeights[source]);
-	return {averageMs: next, isOverloaded: next > boundMs * (isOverloaded ? endShare : beginShare)};
+export const stepLateness = (before: Lateness, event: LatenessEvent, boundMs: number): Lateness => {
+	const next = take(before, event, boundMs);
+	const limitMs = boundMs * (before.isOverloaded ? endShare : beginShare);
+	return {...next, isOverloaded: Math.max(next.timerMs, next.connectMs) > limitMs};
 };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -89,7 +89,11 @@
 		config: () => config,
 		isClosing,
 		isOverloaded: lateness.isOverloaded,
-		noteBody: lateness.noteBody,
+		noteConnect(endpoint, tookMs) {
+			if (endpoint.hall === hall) {
+				lateness.noteConnect(tookMs);
+			}
+		},
 		names,
 		chooser,
 		halls,
--- a/packages/entry/src/test/send-attempt.test.ts
+++ b/packages/entry/src/test/send-attempt.test.ts
@@ -29,6 +29,7 @@
 	body: new Uint8Array(),
 	signal: new AbortController().signal,
 	connectTimeoutMs: 60_000,
+	onConnect: () => undefined,
 }, createConnectionPool(() => performance.now()), headerNames);
 
 test('an answer without a length whose connection is reset is not whole', async t => {
