--- /dev/null
+++ b/packages/entry/src/lib/run-inputs.ts
@@ -0,0 +1,15 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Admission} from './admission.js';
+
+/** What is needed to run one admitted request. */
+export type RunInputs = {
+	readonly id: string;
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly body: Uint8Array;
+	readonly admission: Admission;
+	/** Monotonic ms. */
+	readonly deadline: number;
+	/** Sets aside what one more run may cost; `false` where rights are short. */
+	readonly reserveRun: () => Promise<boolean>;
+};
--- a/packages/entry/src/lib/run-request.ts
+++ b/packages/entry/src/lib/run-request.ts
@@ -1,5 +1,4 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Admission} from './admission.js';
+import type {IncomingMessage} from 'node:http';
 import type {AttemptResult} from './attempt-result.js';
 import {copyHeaders} from './copy-headers.js';
 import type {EndpointChoice} from './endpoint-choice.js';
@@ -9,6 +8,7 @@
 import {readAnswer} from './read-answer.js';
 import {relayStream} from './relay-stream.js';
 import type {RequestRun} from './request-run.js';
+import type {RunInputs} from './run-inputs.js';
 import {sendAttempt} from './send-attempt.js';
 import {trackAttempt} from './track-attempt.js';
 
@@ -17,23 +17,11 @@
 const serverErrorStatus = 500;
 const noHeaders: ReadonlySet<string> = new Set();
 
-type Inputs = {
-	readonly id: string;
-	readonly req: IncomingMessage;
-	readonly res: ServerResponse;
-	readonly body: Uint8Array;
-	readonly admission: Admission;
-	/** Monotonic ms. */
-	readonly deadline: number;
-	/** Sets aside what one more run may cost; `false` where rights are short. */
-	readonly reserveRun: () => Promise<boolean>;
-};
-
 /** Whether one more endpoint is to be tried, after how the last try ended. */
 type Next = 'again' | 'end';
 
 /** Runs one admitted request at endpoints until it is answered or given up. */
-export const runRequest = async ({id, req, res, body, admission, deadline, reserveRun}: Inputs, context: EntryContext): Promise<RequestRun> => {
+export const runRequest = async ({id, req, res, body, admission, deadline, reserveRun}: RunInputs, context: EntryContext): Promise<RequestRun> => {
 	const {names, chooser, halls, pool, now} = context;
 	const {route, organisation, prompt} = admission;
 	const service = pickBackend(route, Math.random()) ?? '';
