A host that stays late turns requests away at once; how much is held ahead is as it was

Change: while it is late, a host refuses what is above a shrinking number of open requests, to come back after 0.1 s; a caller's next try reaches another host.

--- a/packages/entry/src/lib/create-rights-keeper.ts
+++ b/packages/entry/src/lib/create-rights-keeper.ts
@@ -73,7 +73,6 @@
 			tokensPerSecond: demandRate(accounts.of(budget)),
 			available: accounts.available(budget),
 			missing: queue.missing(budget),
-			typicalTokens: accounts.of(budget).typicalTokens,
 			halls: holdersOf(rights, holder),
 		});
 
--- a/packages/entry/src/lib/create-store-state.ts
+++ b/packages/entry/src/lib/create-store-state.ts
@@ -2,9 +2,7 @@
 import type {StoreState} from './store-state.js';
 
 const firstPauseMs = 300;
-
-/** Cuts may follow each other closely: what is missed between two of them is lacking in the second. */
-const longestPauseMs = 700;
+const longestPauseMs = 2000;
 
 /**
 Creates the state of a store that is taken to answer.
--- a/packages/entry/src/lib/entry-context.ts
+++ b/packages/entry/src/lib/entry-context.ts
@@ -16,6 +16,8 @@
 	readonly isClosing: () => boolean;
 	/** Whether this host is too late with its own work to judge others by the time that they take. */
 	readonly isOverloaded: () => boolean;
+	/** Whether one more request is better served by another host. */
+	readonly isShedding: () => boolean;
 	/** Notes how long an endpoint took to accept a connection, in ms. */
 	readonly noteConnect: (endpoint: ListedEndpoint, tookMs: number) => void;
 	readonly names: HeaderNames;
--- a/packages/entry/src/lib/host-account.ts
+++ b/packages/entry/src/lib/host-account.ts
@@ -12,8 +12,6 @@
 	readonly settled: number;
 	/** Tokens ever demanded by requests of this host. A total, so that a lender misses nothing that it was not told. */
 	readonly demanded: number;
-	/** The size of a usual request of this host, averaged over the last ones; 0 before the first. */
-	readonly typicalTokens: number;
 	/** Demand averaged over the last seconds, in tokens a second; too low as long as `observedSeconds` is short. */
 	readonly rate: number;
 	readonly observedSeconds: number;
--- a/packages/entry/src/lib/lateness.ts
+++ b/packages/entry/src/lib/lateness.ts
@@ -4,6 +4,8 @@
 	readonly timerMs: number;
 	/** How long endpoints of its own hall take to accept a connection: its link. */
 	readonly connectMs: number;
+	/** Whether an average is above what begins an overload right now. */
+	readonly isLate: boolean;
 	/** Whether callers are better served by other hosts. */
 	readonly isOverloaded: boolean;
 };
--- a/packages/entry/src/lib/plan-rights.ts
+++ b/packages/entry/src/lib/plan-rights.ts
@@ -38,7 +38,7 @@
 	}
 
 	const target = holdAhead({
-		...store, tokensPerSecond: demandRate(account), available: 0, missing: 0, halls: holders, typicalTokens: account.typicalTokens,
+		...store, tokensPerSecond: demandRate(account), available: 0, missing: 0, halls: holders,
 	});
 	if (available < target * refillBelow && store.unallocated > 0) {
 		return {type: 'draw'};
--- a/packages/entry/src/lib/refusals.ts
+++ b/packages/entry/src/lib/refusals.ts
@@ -14,6 +14,7 @@
 	badTokenCount: notRun(400, 'bad_request', 'The token count must be two whole numbers, of the prompt and the most of the answer.'),
 	budgetExhausted: notRun(402, 'budget_exhausted', 'What remains of the budget cannot hold this request. Top the budget up.'),
 	rightsUnavailable: notRun(429, 'rights_unavailable', 'This host cannot reach enough of the budget now. Come back shortly.', 2),
+	hostOverloaded: notRun(503, 'host_overloaded', 'This host has too much to do. Come back at once; another host will take it.', 0.1),
 	noEndpoint: notRun(503, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', 0.3),
 	overloaded: notRun(503, 'overloaded', 'All endpoints are full. Come back shortly.', 0.3),
 	deadlinePassed: notRun(503, 'deadline_exceeded', 'The time for this request ran out before it was sent.', 0.3),
--- a/packages/entry/src/lib/serve-request.ts
+++ b/packages/entry/src/lib/serve-request.ts
@@ -42,6 +42,12 @@
 		return;
 	}
 
+	if (context.isShedding()) {
+		req.resume();
+		refuse(refusals.hostOverloaded);
+		return;
+	}
+
 	const admission = admitted.value;
 	const {route, organisation, prompt} = admission;
 	const deadline = startedAt + admission.timeLeftMs;
--- a/packages/entry/src/lib/start-lateness-watch.ts
+++ b/packages/entry/src/lib/start-lateness-watch.ts
@@ -2,6 +2,7 @@
 import type {LatenessEvent} from './lateness-event.js';
 import type {Lateness} from './lateness.js';
 import {stepLateness} from './step-lateness.js';
+import {stepShedding} from './step-shedding.js';
 
 const sampleEveryMs = 100;
 
@@ -11,6 +12,8 @@
 type Options = {
 	/** How late an event of a stream may be passed on, in ms. */
 	readonly boundMs: number;
+	/** Requests open now. */
+	readonly open: () => number;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -21,6 +24,8 @@
 	/** Notes how long a connection within the hall took to come up, in ms. */
 	readonly noteConnect: (tookMs: number) => void;
 	readonly isOverloaded: () => boolean;
+	/** Whether so many requests are open that one more is better served by another host. */
+	readonly isShedding: () => boolean;
 	readonly close: () => void;
 };
 
@@ -28,16 +33,20 @@
 Watches how late this process's timers are, and how long connections within its hall take: a host whose core or link cannot
 keep up sends callers elsewhere, and blames no endpoint for its own delays.
 */
-export const startLatenessWatch = ({boundMs, log, now}: Options): LatenessWatch => {
-	let lateness: Lateness = {timerMs: 0, connectMs: 0, isOverloaded: false};
+export const startLatenessWatch = ({boundMs, open, log, now}: Options): LatenessWatch => {
+	let lateness: Lateness = {
+		timerMs: 0, connectMs: 0, isLate: false, isOverloaded: false,
+	};
 	let sampledAt = now();
 	let connectedAt = now();
+	/** The most requests that are kept open. */
+	let limit: number | undefined;
 
 	const step = (event: LatenessEvent): void => {
 		const next = stepLateness(lateness, event, boundMs);
 		if (next.isOverloaded !== lateness.isOverloaded) {
 			log(next.isOverloaded ? 'overload_began' : 'overload_ended', {
-				timer_ms: Math.round(next.timerMs), connect_ms: Math.round(next.connectMs), bound_ms: boundMs,
+				timer_ms: Math.round(next.timerMs), connect_ms: Math.round(next.connectMs), bound_ms: boundMs, open: open(),
 			});
 		}
 
@@ -51,6 +60,8 @@
 		if (now() - connectedAt > connectMemoryMs) {
 			step({type: 'connected_none'});
 		}
+
+		limit = stepShedding(limit, {...lateness, open: open()});
 	}, sampleEveryMs);
 	timer.unref();
 	return {
@@ -59,6 +70,7 @@
 			step({type: 'connected', tookMs});
 		},
 		isOverloaded: () => lateness.isOverloaded,
+		isShedding: () => limit !== undefined && open() > limit,
 		close() {
 			clearInterval(timer);
 		},
--- a/packages/entry/src/lib/start-rights-balance.ts
+++ b/packages/entry/src/lib/start-rights-balance.ts
@@ -78,30 +78,13 @@
 	// Who stands by, or drew once because no allocator answered, keeps an eye on what it still has of the store.
 	const isConcerned = (budget: string): boolean => allocators.drawsAhead(budget) || accounts.of(budget).granted > accounts.of(budget).settled;
 
-	const writeNow = async (slot: number): Promise<void> => {
-		writtenAt.set(slot, now());
-		if (!await writer.flush(slot)) {
-			writtenAt.delete(slot);
-		}
-	};
-
 	const writeDue = (): void => {
 		const due = [...budgets()].filter(budget => isConcerned(budget) && isDue(budget) && planBudget(budget) === 'write');
 		const slots = [...new Set(due.map(budget => writer.slotOf(budget)))];
-		if (state.isUp()) {
-			for (const slot of slots) {
-				void writeNow(slot);
-			}
-		} else if (slots.length > 0) {
-			void probeStore(slots[0]!);
-		}
-	};
-
-	// While the store is out of reach, one call tells whether it is back; the other slots are not kept waiting then.
-	const probeStore = async (slot: number): Promise<void> => {
-		await writeNow(slot);
-		if (state.isUp()) {
-			writeDue();
+		// While the store is out of reach, one call tells whether it is back.
+		for (const slot of state.isUp() ? slots : slots.slice(0, 1)) {
+			writtenAt.set(slot, now());
+			void writer.flush(slot);
 		}
 	};
 
--- a/packages/entry/src/lib/step-account.ts
+++ b/packages/entry/src/lib/step-account.ts
@@ -11,16 +11,9 @@
 	return lent === 0 ? account : {...account, given: new Map(account.given).set(to, (account.given.get(to) ?? 0) + lent)};
 };
 
-/** The weight of one request in the average of their sizes. */
-const sizeWeight = 0.2;
-
-const typicalAfter = ({typicalTokens}: HostAccount, tokens: number): number =>
-	typicalTokens === 0 ? tokens : typicalTokens + ((tokens - typicalTokens) * sizeWeight);
-
 const demand = (account: HostAccount, {by, tokens}: AccountEvent & {type: 'demanded'}): HostAccount => ({
 	...account,
 	demanded: account.demanded + (by === 'own_request' ? tokens : 0),
-	typicalTokens: by === 'own_request' ? typicalAfter(account, tokens) : account.typicalTokens,
 	rate: account.rate + (tokens / rateMemorySeconds),
 });
 
--- a/packages/entry/src/lib/step-lateness.ts
+++ b/packages/entry/src/lib/step-lateness.ts
@@ -39,6 +39,7 @@
 */
 export const stepLateness = (before: Lateness, event: LatenessEvent, boundMs: number): Lateness => {
 	const next = take(before, event, boundMs);
-	const limitMs = boundMs * (before.isOverloaded ? endShare : beginShare);
-	return {...next, isOverloaded: Math.max(next.timerMs, next.connectMs) > limitMs};
+	const worstMs = Math.max(next.timerMs, next.connectMs);
+	const isLate = worstMs > boundMs * beginShare;
+	return {...next, isLate, isOverloaded: isLate || (before.isOverloaded && worstMs > boundMs * endShare)};
 };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -65,7 +65,9 @@
 		now,
 	});
 	const news = createNews({holder, board, links: () => links});
-	const lateness = startLatenessWatch({boundMs: bounds.relayMs, log, now});
+	const lateness = startLatenessWatch({
+		boundMs: bounds.relayMs, open: () => open, log, now,
+	});
 	const halls = startHallWatch({
 		hall, probe: async address => probeAddress(address, patience.probeMs), isOverloaded: lateness.isOverloaded, log, now,
 	});
@@ -89,6 +91,7 @@
 		config: () => config,
 		isClosing,
 		isOverloaded: lateness.isOverloaded,
+		isShedding: lateness.isShedding,
 		noteConnect(endpoint, tookMs) {
 			if (endpoint.hall === hall) {
 				lateness.noteConnect(tookMs);
--- a/packages/entry/src/test/step-lateness.test.ts
+++ b/packages/entry/src/test/step-lateness.test.ts
@@ -4,7 +4,9 @@
 import {stepLateness} from '../lib/step-lateness.js';
 
 const boundMs = 100;
-const onTime: Lateness = {timerMs: 0, connectMs: 0, isOverloaded: false};
+const onTime: Lateness = {
+	timerMs: 0, connectMs: 0, isLate: false, isOverloaded: false,
+};
 
 const after = (events: readonly LatenessEvent[], from = onTime): Lateness => {
 	let lateness = from;
--- a/packages/ledger/src/demand-view.ts
+++ b/packages/ledger/src/demand-view.ts
@@ -14,6 +14,4 @@
 	readonly demandShare: number;
 	/** How many halls may ask for rights on this budget. */
 	readonly halls: number;
-	/** The size of a usual request, in tokens, where it is known. */
-	readonly typicalTokens?: number;
 };
--- a/packages/ledger/src/hold-ahead-by-rate.ts
+++ b/packages/ledger/src/hold-ahead-by-rate.ts
@@ -17,19 +17,12 @@
 Holds a part of what remains, by the holder's part of the demand, and never more than a time of its own demand.
 
 A part of what remains shrinks with the budget, so that no host corners its last tokens, and needs no knowledge
-of how long the budget has to last. Near its end, a part that cannot hold one request is not held at all: spread over
-many hosts, what remains would serve nobody. The horizon keeps what a dead host strands within bounds.
+of how long the budget has to last. The horizon keeps what a dead host strands within bounds.
 */
 export const holdAheadByRate = ({shareOfRest, horizonSeconds, idleShare}: HoldAheadByRateSettings): HoldAhead => view => {
 	const part = view.remaining * shareOfRest;
 	const idle = part * idleShare / view.halls;
 	const share = Math.min(view.demandShare, mostShares / view.halls);
-	const horizon = view.tokensPerSecond * horizonSeconds;
-	const isFragment = part * share < Math.min(horizon, view.typicalTokens ?? 0);
-	if (isFragment) {
-		return view.missing;
-	}
-
-	const busy = Math.min(part * share, horizon);
+	const busy = Math.min(part * share, view.tokensPerSecond * horizonSeconds);
 	return Math.ceil(Math.max(view.missing, Math.max(idle, busy) - view.available));
 };
