--- a/packages/entry/src/lib/lateness-event.ts
+++ b/packages/entry/src/lib/lateness-event.ts
@@ -4,5 +4,5 @@
 	| {readonly type: 'timer_fired'; readonly lateMs: number}
 	/** A connection within the hall took so long to come up, or was given up after this time. */
 	| {readonly type: 'connected'; readonly tookMs: number}
-	/** No connection was opened for some time, so nothing is known of the link. */
-	| {readonly type: 'connected_none'};
+	/** Time passed, and the last connection came up fast, or none was opened for some time. */
+	| {readonly type: 'link_calm'};
--- a/packages/entry/src/lib/start-lateness-watch.ts
+++ b/packages/entry/src/lib/start-lateness-watch.ts
@@ -6,6 +6,9 @@
 
 const sampleEveryMs = 100;
 
+/** Within a hall, a connection over a link that keeps up is faster than this. While requests are turned away there are few of them. */
+const fastConnectMs = 10;
+
 /** After this time without a new connection, nothing is known of the link. */
 const connectMemoryMs = 1000;
 
@@ -39,6 +42,8 @@
 	};
 	let sampledAt = now();
 	let connectedAt = now();
+	/** How long the last connection took. */
+	let connectMs = 0;
 	/** The most requests that are kept open. */
 	let limit: number | undefined;
 
@@ -57,8 +62,8 @@
 		const lateMs = Math.max(0, now() - sampledAt - sampleEveryMs);
 		sampledAt = now();
 		step({type: 'timer_fired', lateMs});
-		if (now() - connectedAt > connectMemoryMs) {
-			step({type: 'connected_none'});
+		if (connectMs < fastConnectMs || now() - connectedAt > connectMemoryMs) {
+			step({type: 'link_calm'});
 		}
 
 		limit = stepShedding(limit, {...lateness, open: open()});
@@ -67,6 +72,7 @@
 	return {
 		noteConnect(tookMs) {
 			connectedAt = now();
+			connectMs = tookMs;
 			step({type: 'connected', tookMs});
 		},
 		isOverloaded: () => lateness.isOverloaded,
--- a/packages/entry/src/lib/step-lateness.ts
+++ b/packages/entry/src/lib/step-lateness.ts
@@ -26,7 +26,7 @@
 			return {...lateness, connectMs: average(lateness.connectMs, Math.min(event.tookMs, boundMs * mostConnectBounds))};
 		}
 
-		case 'connected_none': {
+		case 'link_calm': {
 			return {...lateness, connectMs: average(lateness.connectMs, 0)};
 		}
 	}
--- a/packages/entry/src/test/step-lateness.test.ts
+++ b/packages/entry/src/test/step-lateness.test.ts
@@ -50,6 +50,6 @@
 
 test('a host that opens no connections any more is not overloaded for good', t => {
 	const overloaded = after(connects(250, 20));
-	const none: readonly LatenessEvent[] = Array.from({length: 30}, () => ({type: 'connected_none'}));
-	t.false(after(none, overloaded).isOverloaded);
+	const calm: readonly LatenessEvent[] = Array.from({length: 30}, () => ({type: 'link_calm'}));
+	t.false(after(calm, overloaded).isOverloaded);
 });
