Questions to peers are counted by how they ended, and how quiet their links were

Cause of the change: the log had no line for a question that a peer left without an answer, so a link that carries nothing any more (hypothesis 1 of the incident) and a peer that answers late (hypothesis 2) looked alike.

Change: a line `peer_questions` every ten seconds counts them by type and end; `quietest_ms` tells for how long nothing at all had come over a link whose peer did not answer. No decision changes.

--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -1,9 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitAddress} from '@deckwheel/core';
+import {createTally} from '@deckwheel/host-kit';
 import {openMesh, type Mesh} from '@deckwheel/mesh';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {Log} from '../../adapter/log.js';
 import type {PeerDirectory} from '../../adapter/peer-directory.js';
+import {countPeerQuestions} from './count-peer-questions.js';
 import {createPeerAnswerer} from './create-peer-answerer.js';
 import {createPeerList} from './create-peer-list.js';
 import type {PeerHandlers} from './peer-handlers.js';
@@ -75,12 +77,12 @@
 	// A host listens before it is listed, so that no peer finds it listed and not listening.
 	const listen = async (secret: string): Promise<void> => {
 		const {host, port} = splitAddress(self.address);
-		mesh = await openMesh({
+		mesh = countPeerQuestions(await openMesh({
 			self: {incarnation: self.holder, hall: self.hall},
 			secret,
 			listen: {host, port},
 			handlers: {onRequest: answer, onMessage: () => undefined},
-		});
+		}), createTally('peer_questions', log));
 		peers.setSelf({...self, address: `${host}:${mesh.port}`});
 	};
 
--- a/packages/entry/src/test/create-loan-client.test.ts
+++ b/packages/entry/src/test/create-loan-client.test.ts
@@ -9,7 +9,7 @@
 import {stepAccount} from '../lib/rights/step-account.js';
 
 const meshOf = (request: Mesh['request']): Mesh => ({
-	port: 0, request, send: () => undefined, close: async () => undefined,
+	port: 0, request, send: () => undefined, quietMs: () => undefined, close: async () => undefined,
 });
 
 const peer = (holder: string, address: string): ListedPeer => ({holder, address, hall: 'h'});
--- a/packages/entry/src/test/create-store-changes.test.ts
+++ b/packages/entry/src/test/create-store-changes.test.ts
@@ -21,7 +21,7 @@
 					asked.push(address);
 					return reply;
 				},
-				send: () => undefined,
+				send: () => undefined, quietMs: () => undefined,
 				close: async () => undefined,
 			}),
 			hallPeers: () => hall,
--- a/packages/entry/src/test/lib/start-keepers.ts
+++ b/packages/entry/src/test/lib/start-keepers.ts
@@ -40,6 +40,7 @@
 					return keeper ? succeed({lender: lender.holder, ...await keeper.lend(peer.holder, body as LoanRequest)}) : fail('unreachable');
 				},
 				send: () => undefined,
+				quietMs: () => undefined,
 				close: async () => undefined,
 			}),
 			receivedFrom: (budget, from) => rights.receivedFrom(budget, from),
--- /dev/null
+++ b/packages/host-kit/src/create-tally.ts
@@ -0,0 +1,30 @@
+import type {LogFields} from './log-fields.js';
+import type {Tally} from './tally.js';
+
+/** How often the counts are logged, in ms: often enough to see when something began, seldom enough to cost little. Chosen without a measurement. */
+const reportMs = 10_000;
+
+/**
+Creates a tally. It is logged as one line every ten seconds in which something was counted, and begins anew then.
+
+@param event The name of the line.
+*/
+export const createTally = (event: string, log: (event: string, fields: LogFields) => void): Tally => {
+	let counts: Record<string, number> = {};
+	const timer = setInterval(() => {
+		if (Object.keys(counts).length > 0) {
+			log(event, counts);
+			counts = {};
+		}
+	}, reportMs);
+	timer.unref();
+
+	return {
+		count(name) {
+			counts[name] = (counts[name] ?? 0) + 1;
+		},
+		keepMost(name, value) {
+			counts[name] = Math.max(counts[name] ?? 0, value);
+		},
+	};
+};
--- a/packages/mesh/src/lib/dial-link.ts
+++ b/packages/mesh/src/lib/dial-link.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {WebSocket} from 'ws';
 import {fail, succeed, type Outcome} from '@deckwheel/core';
 import type {LinkError} from '../link-error.js';
@@ -28,6 +29,8 @@
 	let isUp = false;
 	let isClosed = false;
 	let nextId = 1;
+	/** Monotonic ms. */
+	let heardAt = performance.now();
 	const timer = setTimeout(() => {
 		socket.terminate();
 	}, dialTimeoutMs);
@@ -63,6 +66,7 @@
 	};
 
 	socket.on('message', (data: Uint8Array) => {
+		heardAt = performance.now();
 		const frame = codec.decode(data);
 		if (frame?.type === 'hello') {
 			serverNonce = frame.nonce;
@@ -93,6 +97,7 @@
 
 	return {
 		isClosed: () => isClosed,
+		quietMs: () => performance.now() - heardAt,
 		send(body) {
 			transmit(codec.encode({type: 'message', body}));
 		},
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -14,5 +14,7 @@
 	readonly request: (address: string, body: unknown, timeoutMs: number) => Promise<Outcome<unknown, LinkError>>;
 	/** Sends a message that gets no reply. Messages to one peer arrive in order, or not at all. */
 	readonly send: (address: string, body: unknown) => void;
+	/** How long ago the last bytes of a peer came over its link, in ms; `undefined` without a link. */
+	readonly quietMs: (address: string) => number | undefined;
 	readonly close: () => Promise<void>;
 };
--- a/packages/mesh/src/open-mesh.ts
+++ b/packages/mesh/src/open-mesh.ts
@@ -44,6 +44,7 @@
 		send(address, body) {
 			linkTo(address).send(body);
 		},
+		quietMs: address => links.get(address)?.quietMs(),
 		async close() {
 			for (const link of links.values()) {
 				link.close();
