--- a/packages/stand-ins/src/start-relay.ts
+++ b/packages/stand-ins/src/start-relay.ts
@@ -11,13 +11,15 @@
 */
 export const startRelay = async (): Promise<RunningRelay> => {
 	const sockets = new Set<Socket>();
+	/** Those that carry nothing any more, not even their end. */
+	const silent = new Set<Socket>();
 	let mode: 'pass' | 'refuse' | 'stall' = 'pass';
 	let targetPort = 0;
 
 	const join = (from: Socket, to: Socket): void => {
 		sockets.add(from);
 		from.on('data', data => {
-			if (mode === 'pass') {
+			if (mode === 'pass' && !silent.has(from)) {
 				to.write(data);
 			}
 		});
@@ -26,7 +28,9 @@
 		});
 		from.on('close', () => {
 			sockets.delete(from);
-			to.destroy();
+			if (!silent.delete(from)) {
+				to.destroy();
+			}
 		});
 	};
 
@@ -59,6 +63,11 @@
 				dropAll();
 			}
 		},
+		silence() {
+			for (const socket of sockets) {
+				silent.add(socket);
+			}
+		},
 		async close() {
 			dropAll();
 			server.close();
