Connections to endpoints that may have gone silent are not kept

Cause: as with links and the store, a request that ended without a byte on a kept connection said nothing of the others that were kept.

Change: such a request, after a second, has the idle connections to its endpoint closed; a link to a peer that was found silent has all idle ones closed.

Requests that are under way on such a connection still wait for their deadline.

--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -30,6 +30,8 @@
 	readonly self: ListedPeer;
 	readonly directory: PeerDirectory;
 	readonly log: Log;
+	/** Called when a link to a peer turned out to carry nothing any more. */
+	readonly onSilentLink: () => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -39,7 +41,7 @@
 
 It owns the links (by `mesh`) and the list of peers; who of the hall is counted on is decided by `viewHall`.
 */
-export const startPeerLinks = ({self, directory, log, now, ...handlers}: Options): PeerLinks => {
+export const startPeerLinks = ({self, directory, log, onSilentLink, now, ...handlers}: Options): PeerLinks => {
 	const peers = createPeerList(self, now);
 	const answer = createPeerAnswerer({...handlers, holder: self.holder, log});
 	let mesh: Mesh | undefined;
@@ -79,6 +81,7 @@
 	const onLinkReplaced = (address: string, quietMs: number): void => {
 		peers.trust(address);
 		log('link_replaced', {address, quiet_ms: Math.round(quietMs)});
+		onSilentLink();
 	};
 
 	// A host listens before it is listed, so that no peer finds it listed and not listening.
--- a/packages/entry/src/lib/sending/create-connection-pool.ts
+++ b/packages/entry/src/lib/sending/create-connection-pool.ts
@@ -42,6 +42,7 @@
 				request.onSocket(kept ?? open(endpoint, address));
 			},
 		}) as unknown as Agent,
+		closeIdle: idle.closeOf,
 		keepOnly: idle.keepOnly,
 	};
 };
--- a/packages/entry/src/lib/sending/create-idle-sockets.ts
+++ b/packages/entry/src/lib/sending/create-idle-sockets.ts
@@ -18,6 +18,8 @@
 	readonly take: (endpoint: string) => Socket | undefined;
 	readonly keep: (endpoint: string, socket: Socket) => void;
 	readonly drop: (endpoint: string, socket: Socket) => void;
+	/** Closes those of an endpoint. */
+	readonly closeOf: (endpoint: string) => void;
 	/** Closes those of endpoints that are not among these. */
 	readonly keepOnly: (endpoints: ReadonlySet<string>) => void;
 };
@@ -34,6 +36,12 @@
 	const isUsable = ({socket, idleSince}: IdleSocket): boolean =>
 		!socket.destroyed && socket.writable && socket.readableLength === 0 && now() - idleSince < maxIdleMs;
 
+	const closeOf = (endpoint: string): void => {
+		for (const {socket} of idle.get(endpoint) ?? []) {
+			socket.destroy();
+		}
+	};
+
 	return {
 		take(endpoint) {
 			for (;;) {
@@ -70,12 +78,11 @@
 				idle.delete(endpoint);
 			}
 		},
+		closeOf,
 		keepOnly(endpoints) {
-			for (const [endpoint, kept] of idle) {
+			for (const endpoint of idle.keys()) {
 				if (!endpoints.has(endpoint)) {
-					for (const {socket} of kept) {
-						socket.destroy();
-					}
+					closeOf(endpoint);
 				}
 			}
 		},
--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -6,6 +6,13 @@
 import type {Attempt} from './attempt.js';
 import type {ConnectionPool} from './connection-pool.js';
 
+/**
+A request on a kept connection that ends without a byte of an answer after this long, in ms, casts doubt on the other
+connections that are kept to its endpoint: what silenced one has mostly silenced them all. Closing them costs a new
+connection each; an endpoint that is only slow costs as little. Chosen without a measurement.
+*/
+const doubtAfterMs = 1000;
+
 const judge = (response: IncomingMessage, id: string, headerNames: HeaderNames): AttemptResult => {
 	const {headers, statusCode} = response;
 	if (headers[headerNames.requestId] !== id && headers[headerNames.requestId] !== undefined) {
@@ -74,6 +81,10 @@
 	});
 	req.on('close', () => {
 		clearTimeout(connectTimer);
+		if (!answer && req.reusedSocket && performance.now() - sentAt >= doubtAfterMs) {
+			pool.closeIdle(endpoint.id);
+		}
+
 		resolve({type: 'lost', reason: 'closed'});
 	});
 	req.end(body);
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -38,6 +38,10 @@
 	const pool = createConnectionPool(now);
 	const peerTasks = startPeerTasks({
 		host, hall, holder, address: listen.peers, rightsStore, directory, timeouts, log, now,
+		// What silenced a link to a peer has mostly silenced kept connections to endpoints as well.
+		onSilentLink() {
+			pool.keepOnly(new Set());
+		},
 	});
 	const {rights} = peerTasks;
 	const health = startHealthWatch({
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -44,8 +44,17 @@
 	...change,
 });
 
-/** Starts an entry host. Hosts that share `peers` find each other. */
-export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', peers = new Map<string, ListedPeer>(), schedule = undefined as Schedule | undefined} = {}) => {
+type Options = {
+	readonly host?: string;
+	/** Hosts that share it find each other. */
+	readonly peers?: Map<string, ListedPeer>;
+	/** How this host finds another one: as it is listed, or behind something. */
+	readonly seenAs?: (peer: ListedPeer) => ListedPeer;
+	readonly schedule?: Schedule;
+};
+
+/** Starts an entry host. */
+export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', peers = new Map(), seenAs = peer => peer, schedule}: Options = {}) => {
 	const events: Array<{event: string; fields: Fields}> = [];
 	const waiting: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntryHost({
@@ -63,7 +72,7 @@
 				peers.set(host, self);
 				return true;
 			},
-			list: async () => [...peers.values()],
+			list: async () => [...peers].map(([name, peer]) => name === host ? peer : seenAs(peer)),
 		},
 		timeouts: unhurried,
 		schedule,
