A question for rights counts for all requests that it asked for

Cause: requests that lack rights wait for the question that is under way; the next one asks for all of them, but counted only for the one that began it. When peers brought nothing, each asked again, one after the other.

Ruled out: time-outs of single questions (150 ms, kept in all logs); the store.

Change: a request that waited while a question to the same source asked for it takes its result.

--- a/packages/entry/src/lib/lending/create-borrower.ts
+++ b/packages/entry/src/lib/lending/create-borrower.ts
@@ -4,6 +4,7 @@
 import {demandRate} from '../rights/demand-rate.js';
 import type {Borrower} from './borrower.js';
 import type {LoanClient} from './loan-client.js';
+import type {LoanNeed} from './loan-need.js';
 import {planBorrowing} from './plan-borrowing.js';
 
 type Options = {
@@ -16,12 +17,21 @@
 	readonly now: () => number;
 };
 
+/** A question that is under way. */
+type Turn = Pick<LoanNeed, 'source'> & {
+	/** Resolves with whether a peer answered that draws for this host and reaches the store. */
+	readonly hasReachedStore: Promise<boolean>;
+};
+
 /**
 Creates the borrower of a host. Only one question for a budget is under way at a time; requests that come meanwhile wait
 for what it brings, and the next question asks for all of them at once.
+
+What that one brings counts for all of them: were each to ask again when it brought too little, the last of them would wait
+for the questions of all others (17.9 s, while peers did not answer, where a fifth of a second is meant).
 */
 export const createBorrower = ({accounts, loanClient, allocatorsOf, log, now}: Options): Borrower => {
-	const underWay = new Map<string, Promise<boolean>>();
+	const underWay = new Map<string, Turn>();
 	const lastAsked = new Map<string, number>();
 	/** Tokens of all requests that wait, by budget. */
 	const waiting = new Map<string, number>();
@@ -34,39 +44,51 @@
 		waiting.set(budget, (waiting.get(budget) ?? 0) + tokens);
 	};
 
-	const borrowForAll = async (budget: string, tokens: number, peers: readonly ListedPeer[], deadline: number | undefined): Promise<boolean> => {
-		const askedAt = now();
-		let hasReachedStore = false;
-		for (let running = underWay.get(budget); running; running = underWay.get(budget)) {
-			hasReachedStore = await running;
-		}
-
-		if (peers.length === 0 || accounts.available(budget) >= tokens) {
-			return hasReachedStore;
-		}
-
+	/** Asks for all that wait, this request among them. */
+	const askForAll = async ({budget, tokens, source, peers, deadline}: LoanNeed): Promise<boolean> => {
 		lastAsked.set(budget, tokens);
 		const all = waiting.get(budget) ?? tokens;
-		const turn = loanClient.borrow({
+		const hasReachedStore = loanClient.borrow({
 			budget,
 			tokens: planOf(budget, all).wanted,
 			demanded: accounts.of(budget).demanded + all,
 			peers,
-			// Waiting for the question before this one takes nothing off the time for this one.
-			deadline: deadline === undefined ? undefined : deadline + now() - askedAt,
+			deadline,
 			isEnough: () => accounts.available(budget) >= all,
 		});
-		underWay.set(budget, turn);
-		hasReachedStore = await turn;
+		underWay.set(budget, {source, hasReachedStore});
+		await hasReachedStore;
 		underWay.delete(budget);
 		return hasReachedStore;
 	};
 
+	/** Waits while questions are under way, and asks if none of them asked for this request and it still lacks something. */
+	const borrowInTurn = async (need: LoanNeed): Promise<boolean> => {
+		const {budget, tokens, source, peers, deadline} = need;
+		const askedAt = now();
+		const earlier = underWay.get(budget);
+		let hasReachedStore = false;
+		for (let turn = earlier; turn; turn = underWay.get(budget)) {
+			hasReachedStore = await turn.hasReachedStore;
+			if (turn !== earlier && turn.source === source) {
+				return hasReachedStore;
+			}
+		}
+
+		if (peers.length === 0 || accounts.available(budget) >= tokens) {
+			return hasReachedStore;
+		}
+
+		// Waiting for the questions before this one takes nothing off the time for this one.
+		return askForAll({...need, deadline: deadline === undefined ? undefined : deadline + now() - askedAt});
+	};
+
 	return {
-		async borrow(budget, tokens, peers, deadline) {
-			waitFor(budget, tokens);
-			const hasReachedStore = await borrowForAll(budget, tokens, peers, deadline);
-			waitFor(budget, -tokens);
+		async borrow(need) {
+			waitFor(need.budget, need.tokens);
+			const hasReachedStore = await borrowInTurn(need);
+			// Later than the next question begins: what was lent for this request counts as available until it takes it.
+			waitFor(need.budget, -need.tokens);
 			return hasReachedStore;
 		},
 		handBackIdle(budget) {
--- a/packages/entry/src/lib/rights/create-rights-obtainer.ts
+++ b/packages/entry/src/lib/rights/create-rights-obtainer.ts
@@ -50,7 +50,9 @@
 			return;
 		}
 
-		await borrower.borrow(budget, tokens, holdersOf(budget), deadline);
+		await borrower.borrow({
+			budget, tokens, source: 'holders', peers: holdersOf(budget), deadline,
+		});
 		if (accounts.available(budget) < tokens) {
 			askHoldersAgainAt.set(budget, now() + holdersPauseMs);
 		}
@@ -75,7 +77,9 @@
 				}
 
 				if (last === 'allocators') {
-					hasReachedStore = await borrower.borrow(budget, tokens, allocators.others(budget), deadline);
+					hasReachedStore = await borrower.borrow({
+						budget, tokens, source: last, peers: allocators.others(budget), deadline,
+					});
 				} else if (last === 'holders') {
 					await borrowFromHolders(budget, tokens, deadline);
 				} else if (await draw(budget, tokens, Math.min(deadline, now() + timeouts.storeMs))) {
