Mutations of platform/ are built as well

The script took the first two parts of a path for the project, which is wrong for platform/src: such a mutation did not compile and so survived.

--- a/scripts/mutation-check.mjs
+++ b/scripts/mutation-check.mjs
@@ -31,7 +31,7 @@
 	}
 
 	await writeFile(target, text.replace(find, replace));
-	const build = run(['tsc', '-b', file.split('/').slice(0, 2).join('/')]);
+	const build = run(['tsc', '-b', file.slice(0, file.indexOf('/src/'))]);
 	const result = run(['ava', test]);
 	await writeFile(target, text);
 	const isRed = result.status !== 0;
