--- a/packages/stand-ins/src/start-relay.ts
+++ b/packages/stand-ins/src/start-relay.ts
@@ -7,7 +7,8 @@
 /**
 Starts a relay in front of a TCP address, to cut a link in tests.
 
-`refuse` closes every connection at once; `stall` keeps them open and passes nothing on.
+`refuse` closes every connection at once; `stall` keeps them open and passes nothing on, for new ones as well; `silence` does so
+for those that are open now, and lets new ones pass.
 */
 export const startRelay = async (): Promise<RunningRelay> => {
 	const sockets = new Set<Socket>();
