Rights handed back count for one life of a host

A host hands idle rights back by telling the total that it ever gave; the message did not say to which life of the receiver. An allocator that had stopped, given everything back and started again credited itself with totals of its earlier life: 1,250,595 tokens of that budget.

Ruled out: silent connections as the cause: it needs a restarted allocator of a large hall and a peer that has not read the list of hosts since. Loans are not touched by it: their reply names the lender's life.

Change: the message names the life, another one takes nothing and says so; the sender then keeps what it just handed back, which nobody else can have.

--- a/packages/entry/src/lib/lending/borrower.ts
+++ b/packages/entry/src/lib/lending/borrower.ts
@@ -8,6 +8,6 @@
 	@returns Whether a peer answered that draws for this host and reaches the store.
 	*/
 	readonly borrow: (need: LoanNeed) => Promise<boolean>;
-	/** Hands idle rights back to the allocator that this host borrows from. */
-	readonly handBackIdle: (budget: string) => void;
+	/** Hands idle rights back to the allocator that this host borrows from. Resolves when it answered, or did not in time. */
+	readonly handBackIdle: (budget: string) => Promise<void>;
 };
--- a/packages/entry/src/lib/lending/create-borrower.ts
+++ b/packages/entry/src/lib/lending/create-borrower.ts
@@ -91,18 +91,23 @@
 			waitFor(need.budget, -need.tokens);
 			return hasReachedStore;
 		},
-		handBackIdle(budget) {
+		async handBackIdle(budget) {
 			const [allocator] = allocatorsOf(budget);
 			const {surplus} = planOf(budget, lastAsked.get(budget) ?? 0);
 			if (surplus === 0 || !allocator || underWay.has(budget)) {
 				return;
 			}
 
+			const givenTo = (): number => accounts.of(budget).given.get(allocator.holder) ?? 0;
+			const before = givenTo();
 			accounts.step(budget, {
 				type: 'lent', to: allocator.holder, tokens: surplus, share: 1,
 			});
-			loanClient.handBack(allocator.address, budget, accounts.of(budget).given.get(allocator.holder) ?? 0);
-			log('rights_handed_back', {to: allocator.holder, budget, tokens: surplus});
+			const total = givenTo();
+			log('rights_handed_back', {to: allocator.holder, budget, tokens: total - before});
+			if (await loanClient.handBack(allocator, budget, total) === 'refused') {
+				accounts.step(budget, {type: 'not_taken', by: allocator.holder, tokens: total - before});
+			}
 		},
 	};
 };
--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -3,6 +3,7 @@
 import type {LoanClient} from './loan-client.js';
 import type {LoanReply} from './loan-reply.js';
 import type {LoanRequest} from './loan-request.js';
+import {handBackReplySchema} from './hand-back-reply-schema.js';
 import {loanReplySchema} from './loan-reply-schema.js';
 
 /** Peers asked for one request: a bound on its messages. Chosen without a measurement. */
@@ -80,8 +81,16 @@
 
 			return hasReachedStore;
 		},
-		handBack(address, budget, total) {
-			void mesh()?.request(address, {type: 'hand_back', budget, total}, askTimeoutMs);
+		async handBack({address, holder}, budget, total) {
+			const reply = await mesh()?.request(address, {
+				type: 'hand_back', to: holder, budget, total,
+			}, askTimeoutMs);
+			const told = handBackReplySchema.safeParse(reply?.ok ? reply.value : undefined);
+			if (!told.success) {
+				return 'unknown';
+			}
+
+			return told.data.isTaken ? 'taken' : 'refused';
 		},
 	};
 };
--- a/packages/entry/src/lib/peers/create-peer-answerer.ts
+++ b/packages/entry/src/lib/peers/create-peer-answerer.ts
@@ -20,8 +20,15 @@
 	const {data} = message;
 	switch (data.type) {
 		case 'hand_back': {
-			takeBack(from.incarnation, data.budget, data.total);
-			return {};
+			// A total counts for one life. The next one at this address would credit itself with all that the earlier one got.
+			const isTaken = data.to === holder;
+			if (isTaken) {
+				takeBack(from.incarnation, data.budget, data.total);
+			} else {
+				log('hand_back_refused', {from: from.incarnation, to: data.to, budget: data.budget});
+			}
+
+			return {isTaken};
 		}
 
 		// The name on the wire of a question about changes in the store.
--- a/packages/entry/src/lib/peers/peer-message-schema.ts
+++ b/packages/entry/src/lib/peers/peer-message-schema.ts
@@ -10,6 +10,8 @@
 	z.object({
 		type: z.literal('news'), topic: z.string().max(100), after: z.number().nonnegative(), holdMs: z.number().nonnegative().max(5000),
 	}),
-	/** `total`: all that the sender ever gave to the receiver on this budget. */
-	z.object({type: z.literal('hand_back'), budget: z.string(), total: z.number().nonnegative()}),
+	/** `to`: the life of the host that it is meant for; `total`: all that the sender ever gave to that life on this budget. */
+	z.object({
+		type: z.literal('hand_back'), to: z.string(), budget: z.string(), total: z.number().nonnegative(),
+	}),
 ]);
--- a/packages/entry/src/lib/rights/account-event.ts
+++ b/packages/entry/src/lib/rights/account-event.ts
@@ -6,6 +6,8 @@
 	| {readonly type: 'granted'; readonly total: number}
 	/** Rights go to a peer: up to `share` of what is available. */
 	| {readonly type: 'lent'; readonly to: string; readonly tokens: number; readonly share: number}
+	/** The last that was given to a peer did not reach it, and never will. */
+	| {readonly type: 'not_taken'; readonly by: string; readonly tokens: number}
 	/** A peer told what it gave in total. */
 	| {readonly type: 'received'; readonly from: string; readonly total: number}
 	/** A request of this host asked for tokens, or requests of one that borrows from it did. */
--- a/packages/entry/src/lib/rights/start-rights-balance.ts
+++ b/packages/entry/src/lib/rights/start-rights-balance.ts
@@ -100,7 +100,7 @@
 		}
 
 		for (const budget of accounts.budgets().filter(name => !allocators.isAllocator(name))) {
-			borrower.handBackIdle(budget);
+			void borrower.handBackIdle(budget);
 		}
 
 		if (state.mayCall()) {
--- a/packages/entry/src/lib/rights/step-account.ts
+++ b/packages/entry/src/lib/rights/step-account.ts
@@ -42,6 +42,10 @@
 			return give(account, event);
 		}
 
+		case 'not_taken': {
+			return {...account, given: new Map(account.given).set(event.by, (account.given.get(event.by) ?? 0) - event.tokens)};
+		}
+
 		case 'received': {
 			const total = Math.max(account.received.get(event.from) ?? 0, event.total);
 			return {...account, received: new Map(account.received).set(event.from, total)};
--- a/packages/entry/src/test/create-borrower.test.ts
+++ b/packages/entry/src/test/create-borrower.test.ts
@@ -24,7 +24,7 @@
 				accounts.step(budget, {type: 'received', from: allocator.holder, total: lent});
 				return true;
 			},
-			handBack: () => undefined,
+			handBack: async () => 'taken',
 		},
 		allocatorsOf: () => [allocator],
 		log: () => undefined,
