Mesh: when a peer was heard last is kept once

Each connection and the health of its link both kept it, and both kept whether the connection is closed. The health of the link has the one, the socket the other. A link that gave up on both connections no longer counts as heard at that moment; it is closed in the same step. Nothing else changes; tests as they were.

--- a/packages/mesh/src/lib/create-peer-link.ts
+++ b/packages/mesh/src/lib/create-peer-link.ts
@@ -5,15 +5,10 @@
 import type {LinkHealthEffect} from './link-health-effect.js';
 import type {LinkHealthEvent} from './link-health-event.js';
 import type {LinkHealth} from './link-health.js';
-import type {Link} from './link.js';
+import type {PeerLink} from './peer-link.js';
 import {pingWaitMs} from './ping-wait-ms.js';
 import {stepLinkHealth} from './step-link-health.js';
 
-type PeerLink = Link & {
-	/** Has the link examined, because another one turned out to carry nothing any more. */
-	readonly doubt: () => void;
-};
-
 type Options = {
 	readonly address: string;
 	readonly meshOptions: MeshOptions;
@@ -33,6 +28,8 @@
 	let replacement: DialledLink | undefined;
 	let isClosed = false;
 
+	const quietMs = (): number => performance.now() - health.heardAt;
+
 	const dial = (): DialledLink => {
 		const dialled = dialLink(address, meshOptions, {
 			onUp() {
@@ -79,16 +76,15 @@
 		}, pingWaitMs);
 	};
 
-	const replace = (): void => {
+	const replace = (wasQuietMs: number): void => {
 		const silent = link;
-		const quietMs = silent.quietMs();
 		link = replacement!;
 		replacement = undefined;
 		silent.close();
-		onReplaced(quietMs);
+		onReplaced(wasQuietMs);
 	};
 
-	const perform: Readonly<Record<LinkHealthEffect, () => void>> = {
+	const perform: Readonly<Record<LinkHealthEffect, (wasQuietMs: number) => void>> = {
 		ping,
 		dial_replacement() {
 			replacement = dial();
@@ -105,16 +101,17 @@
 			return;
 		}
 
+		const wasQuietMs = quietMs();
 		const next = stepLinkHealth(health, event, performance.now());
 		health = next.health;
 		for (const effect of next.effects) {
-			perform[effect]();
+			perform[effect](wasQuietMs);
 		}
 	};
 
 	let link = dial();
 	return {
-		quietMs: () => link.quietMs(),
+		quietMs,
 		send(body) {
 			link.send(body);
 		},
--- a/packages/mesh/src/lib/dial-link.ts
+++ b/packages/mesh/src/lib/dial-link.ts
@@ -1,4 +1,3 @@
-import {performance} from 'node:perf_hooks';
 import {WebSocket} from 'ws';
 import {succeed} from '@deckwheel/core';
 import type {MeshOptions} from '../mesh-options.js';
@@ -32,9 +31,6 @@
 	let backlog: Uint8Array[] = [];
 	let serverNonce = '';
 	let isUp = false;
-	let isClosed = false;
-	/** Monotonic ms. */
-	let heardAt = performance.now();
 	const timer = setTimeout(() => {
 		socket.terminate();
 	}, dialTimeoutMs);
@@ -64,13 +60,8 @@
 		onUp();
 	};
 
-	const hear = (): void => {
-		heardAt = performance.now();
-		onHeard();
-	};
-
 	socket.on('message', (data: Uint8Array) => {
-		hear();
+		onHeard();
 		const frame = codec.decode(data);
 		if (frame?.type === 'hello') {
 			serverNonce = frame.nonce;
@@ -85,12 +76,11 @@
 			socket.close(1002, 'unexpected frame');
 		}
 	});
-	socket.on('pong', hear);
+	socket.on('pong', onHeard);
 	socket.on('error', () => {
 		socket.terminate();
 	});
 	socket.on('close', () => {
-		isClosed = true;
 		clearTimeout(timer);
 		// Before the handshake nothing left this host, so the peer cannot have acted.
 		pending.failAll(isUp ? 'unknown' : 'unreachable');
@@ -98,8 +88,7 @@
 	});
 
 	return {
-		isUp: () => isUp && !isClosed,
-		quietMs: () => performance.now() - heardAt,
+		isUp: () => isUp && socket.readyState === socket.OPEN,
 		send(body) {
 			transmit(codec.encode({type: 'message', body}));
 		},
--- a/packages/mesh/src/lib/step-link-health.ts
+++ b/packages/mesh/src/lib/step-link-health.ts
@@ -43,7 +43,7 @@
 
 		// The peer answers on neither. A new link is dialled when it is needed.
 		case 'replacement_failed': {
-			return stage === 'replacing' ? {health: {stage: 'calm', heardAt: now}, effects: ['close']} : stay(health);
+			return stage === 'replacing' ? {health: {...health, stage: 'calm'}, effects: ['close']} : stay(health);
 		}
 	}
 };
--- a/packages/mesh/src/open-mesh.ts
+++ b/packages/mesh/src/open-mesh.ts
@@ -3,6 +3,7 @@
 import {WebSocketServer} from 'ws';
 import {createPeerLink} from './lib/create-peer-link.js';
 import {maxFrameBytes} from './lib/max-frame-bytes.js';
+import type {PeerLink} from './lib/peer-link.js';
 import {serveLink} from './lib/serve-link.js';
 import type {MeshOptions} from './mesh-options.js';
 import type {Mesh} from './mesh.js';
@@ -27,7 +28,7 @@
 		serveLink(socket, options);
 	});
 	await once(server, 'listening');
-	const links = new Map<string, ReturnType<typeof createPeerLink>>();
+	const links = new Map<string, PeerLink>();
 
 	// What silences one link of a host, such as a lost table of connections on the way, mostly silences others: they need not
 	// wait for a question that goes unanswered.
@@ -39,7 +40,7 @@
 		}
 	};
 
-	const linkTo = (address: string) => {
+	const linkTo = (address: string): PeerLink => {
 		const known = links.get(address);
 		if (known) {
 			return known;
