--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -1,9 +1,10 @@
 import type {LinkError, Mesh} from '@deckwheel/mesh';
 import type {Log} from '../../adapter/log.js';
+import {readPeerReply} from '../peers/read-peer-reply.js';
+import {handBackReplySchema} from './hand-back-reply-schema.js';
 import type {LoanClient} from './loan-client.js';
 import type {LoanReply} from './loan-reply.js';
 import type {LoanRequest} from './loan-request.js';
-import {handBackReplySchema} from './hand-back-reply-schema.js';
 import {loanReplySchema} from './loan-reply-schema.js';
 
 /** Peers asked for one request: a bound on its messages. Chosen without a measurement. */
@@ -49,14 +50,12 @@
 		}
 
 		silent.delete(address);
-		const loan = loanReplySchema.safeParse(reply.value);
-		if (!loan.success) {
-			log('peer_reply_malformed', {address, type: question.type});
-			return undefined;
+		const loan = readPeerReply(loanReplySchema, reply.value, {address, type: question.type}, log);
+		if (loan) {
+			onLoan(question.budget, loan.lender, loan.total);
 		}
 
-		onLoan(question.budget, loan.data.lender, loan.data.total);
-		return loan.data;
+		return loan;
 	};
 
 	return {
@@ -85,12 +84,12 @@
 			const reply = await mesh()?.request(address, {
 				type: 'hand_back', to: holder, budget, total,
 			}, askTimeoutMs);
-			const told = handBackReplySchema.safeParse(reply?.ok ? reply.value : undefined);
-			if (!told.success) {
+			const told = reply?.ok ? readPeerReply(handBackReplySchema, reply.value, {address, type: 'hand_back'}, log) : undefined;
+			if (!told) {
 				return 'unknown';
 			}
 
-			return told.data.isTaken ? 'taken' : 'refused';
+			return told.isTaken ? 'taken' : 'refused';
 		},
 	};
 };
--- a/packages/entry/src/lib/store-changes/create-store-changes.ts
+++ b/packages/entry/src/lib/store-changes/create-store-changes.ts
@@ -3,6 +3,7 @@
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {StoreChanges} from '../../adapter/store-changes.js';
 import type {PeerLinks} from '../peers/peer-links.js';
+import {readPeerReply} from '../peers/read-peer-reply.js';
 import {smallHall} from '../peers/small-hall.js';
 import {judgeChangeReply} from './judge-change-reply.js';
 import type {ChangeBoard} from './change-board.js';
@@ -54,13 +55,8 @@
 				return {type: 'unknown'};
 			}
 
-			const changes = changeReplySchema.safeParse(reply.value);
-			if (!changes.success) {
-				log('peer_reply_malformed', {address: follower.address, type: 'news'});
-				return {type: 'unknown'};
-			}
-
-			return judgeChangeReply(changes.data, after, freshMs);
+			const changes = readPeerReply(changeReplySchema, reply.value, {address: follower.address, type: 'news'}, log);
+			return changes ? judgeChangeReply(changes, after, freshMs) : {type: 'unknown'};
 		},
 	};
 };
--- a/packages/entry/src/test/create-loan-client.test.ts
+++ b/packages/entry/src/test/create-loan-client.test.ts
@@ -60,6 +60,23 @@
 	t.is(suspected.length, 2);
 });
 
+test('a reply to a hand-back that cannot be read is logged, and tells nothing', async t => {
+	const logged: string[] = [];
+	const loanClient = createLoanClient({
+		mesh: () => meshOf(async () => succeed({isTaken: 'yes'})),
+		onLoan: () => undefined,
+		receivedFrom: () => 0,
+		onSilence: () => undefined,
+		askTimeoutMs: defaultTimeouts.peerMs,
+		log(event) {
+			logged.push(event);
+		},
+		now: () => 0,
+	});
+	t.is(await loanClient.handBack(peer('edge-1#a', '127.0.0.1:1'), 'budget', 100), 'unknown');
+	t.deepEqual(logged, ['peer_reply_malformed']);
+});
+
 test('peers are asked only while the patience lasts', async t => {
 	let time = 0;
 	const timeouts: number[] = [];
