What a loan moved is worked out by the accounts; one name for a replaced link

Lender and borrower each took the difference of what was given before and after; the accounts tell it now. A loan without a deadline has one that never comes, as in the loan client, instead of a branch. A replaced link has one name from the mesh to the host. Behaviour and tests as they were.

--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -21,8 +21,8 @@
 	readonly directory: PeerDirectory;
 	readonly timeouts: Timeouts;
 	readonly log: Log;
-	/** Called when a link to a peer turned out to carry nothing any more. */
-	readonly onSilentLink: () => void;
+	/** Called when a link that carried nothing any more was replaced. */
+	readonly onLinkReplaced: () => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -35,7 +35,7 @@
 };
 
 /** Puts together the tasks that talk to peers: the keeper of rights, loans, change notifications, and the links they use. */
-export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onSilentLink, now}: Options): PeerTasks => {
+export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, now}: Options): PeerTasks => {
 	const loanClient = createLoanClient({
 		mesh: () => links.mesh(),
 		receivedFrom: (budget, lender) => rights.receivedFrom(budget, lender),
@@ -62,7 +62,7 @@
 		},
 		answerChanges: board.answer,
 		log,
-		onSilentLink,
+		onLinkReplaced,
 		now,
 	});
 	return {
--- a/packages/entry/src/lib/lending/create-borrower.ts
+++ b/packages/entry/src/lib/lending/create-borrower.ts
@@ -64,7 +64,7 @@
 
 	/** Waits while questions are under way, and asks if none of them asked for this request and it still lacks something. */
 	const borrowInTurn = async (need: LoanNeed): Promise<boolean> => {
-		const {budget, tokens, source, peers, deadline} = need;
+		const {budget, tokens, source, peers, deadline = Number.POSITIVE_INFINITY} = need;
 		const askedAt = now();
 		const earlier = underWay.get(budget);
 		let hasReachedStore = false;
@@ -80,7 +80,7 @@
 		}
 
 		// Waiting for the questions before this one takes nothing off the time for this one.
-		return askForAll({...need, deadline: deadline === undefined ? undefined : deadline + now() - askedAt});
+		return askForAll({...need, deadline: deadline + now() - askedAt});
 	};
 
 	return {
@@ -98,15 +98,10 @@
 				return;
 			}
 
-			const givenTo = (): number => accounts.of(budget).given.get(allocator.holder) ?? 0;
-			const before = givenTo();
-			accounts.step(budget, {
-				type: 'lent', to: allocator.holder, tokens: surplus, share: 1,
-			});
-			const total = givenTo();
-			log('rights_handed_back', {to: allocator.holder, budget, tokens: total - before});
+			const {lent, total} = accounts.lend(budget, {to: allocator.holder, tokens: surplus, share: 1});
+			log('rights_handed_back', {to: allocator.holder, budget, tokens: lent});
 			if (await loanClient.handBack(allocator, budget, total) === 'refused') {
-				accounts.step(budget, {type: 'not_taken', by: allocator.holder, tokens: total - before});
+				accounts.step(budget, {type: 'not_taken', by: allocator.holder, tokens: lent});
 			}
 		},
 	};
--- a/packages/entry/src/lib/lending/create-lender.ts
+++ b/packages/entry/src/lib/lending/create-lender.ts
@@ -32,16 +32,10 @@
 		}
 
 		// Another question of the same peer may have been answered in the meantime.
-		const given = givenTo();
-		if (!isRetiring()) {
-			accounts.step(budget, {
-				type: 'lent', to, tokens: planLoan({asked: tokens, given, received}), share,
-			});
-		}
-
-		const total = givenTo();
+		const missing = isRetiring() ? 0 : planLoan({asked: tokens, given: givenTo(), received});
+		const {lent, total} = accounts.lend(budget, {to, tokens: missing, share});
 		log('rights_lent', {
-			to, budget, asked: tokens, lent: total - given, total,
+			to, budget, asked: tokens, lent, total,
 		});
 		// Another allocator got what was at hand; nothing was drawn for it, so it may still draw for itself.
 		return {total, reachesStore: isClient && isStoreUp() && !isRetiring()};
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -30,8 +30,8 @@
 	readonly self: ListedPeer;
 	readonly directory: PeerDirectory;
 	readonly log: Log;
-	/** Called when a link to a peer turned out to carry nothing any more. */
-	readonly onSilentLink: () => void;
+	/** Called when a link that carried nothing any more was replaced. */
+	readonly onLinkReplaced: () => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -41,7 +41,7 @@
 
 It owns the links (by `mesh`) and the list of peers; who of the hall is counted on is decided by `viewHall`.
 */
-export const startPeerLinks = ({self, directory, log, onSilentLink, now, ...handlers}: Options): PeerLinks => {
+export const startPeerLinks = ({self, directory, log, onLinkReplaced, now, ...handlers}: Options): PeerLinks => {
 	const peers = createPeerList(self, now);
 	const answer = createPeerAnswerer({...handlers, holder: self.holder, log});
 	let mesh: Mesh | undefined;
@@ -78,10 +78,10 @@
 
 	// It was the link that was silent, and not the peer: hosts of a large hall that asked others meanwhile, or drew for
 	// themselves, would go on doing so for the time of the suspicion.
-	const onLinkReplaced = (address: string, quietMs: number): void => {
+	const noteReplaced = (address: string, quietMs: number): void => {
 		peers.trust(address);
 		log('link_replaced', {address, quiet_ms: Math.round(quietMs)});
-		onSilentLink();
+		onLinkReplaced();
 	};
 
 	// A host listens before it is listed, so that no peer finds it listed and not listening.
@@ -91,7 +91,7 @@
 			self: {incarnation: self.holder, hall: self.hall},
 			secret,
 			listen: {host, port},
-			handlers: {onRequest: answer, onMessage: () => undefined, onLinkReplaced},
+			handlers: {onRequest: answer, onMessage: () => undefined, onLinkReplaced: noteReplaced},
 		}), createTally('peer_questions', log));
 		peers.setSelf({...self, address: `${host}:${mesh.port}`});
 	};
--- a/packages/entry/src/lib/rights/accounts.ts
+++ b/packages/entry/src/lib/rights/accounts.ts
@@ -9,5 +9,7 @@
 	readonly step: (budget: string, event: AccountEvent) => void;
 	/** Reserves tokens if there are enough. */
 	readonly take: (budget: string, tokens: number) => boolean;
+	/** Moves up to `tokens` to a peer, at most `share` of what is available. Returns what went, and all that ever went to it. */
+	readonly lend: (budget: string, loan: {readonly to: string; readonly tokens: number; readonly share: number}) => {readonly lent: number; readonly total: number};
 	readonly budgets: () => readonly string[];
 };
--- a/packages/entry/src/lib/rights/create-accounts.ts
+++ b/packages/entry/src/lib/rights/create-accounts.ts
@@ -25,6 +25,13 @@
 
 			return isEnough;
 		},
+		lend(budget, loan) {
+			const givenTo = (): number => of(budget).given.get(loan.to) ?? 0;
+			const before = givenTo();
+			step(budget, {type: 'lent', ...loan});
+			const total = givenTo();
+			return {lent: total - before, total};
+		},
 		budgets: () => [...accounts.keys()],
 	};
 };
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -39,7 +39,7 @@
 	const peerTasks = startPeerTasks({
 		host, hall, holder, address: listen.peers, rightsStore, directory, timeouts, log, now,
 		// What silenced a link to a peer has mostly silenced kept connections to endpoints as well.
-		onSilentLink() {
+		onLinkReplaced() {
 			pool.keepOnly(new Set());
 		},
 	});
