--- a/packages/entry/src/test/silent-connections.test.ts
+++ b/packages/entry/src/test/silent-connections.test.ts
@@ -12,7 +12,7 @@
 */
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
-import {startRelay, type RunningRelay} from '@deckwheel/stand-ins';
+import {answerTogether, startRelay, type RunningRelay} from '@deckwheel/stand-ins';
 import type {ListedPeer} from '../adapter/listed-peer.js';
 import {callHost} from './lib/call-host.js';
 import {headerNames} from './lib/header-names.js';
@@ -24,21 +24,20 @@
 const shortDeadline = {[headerNames.deadline]: '1500'};
 const longDeadline = {[headerNames.deadline]: '20000'};
 
+const relayTo = (relay: RunningRelay, address: string): string => {
+	relay.aimAt(Number(address.split(':')[1]));
+	return `127.0.0.1:${relay.port}`;
+};
+
 test('one silent connection to an endpoint costs one request, however many were kept', async t => {
-	const waiting: Array<() => void> = [];
+	const hold = answerTogether(3);
 	const endpoint = await startEndpoint('e0', (req, res) => {
 		const answer = (): void => {
 			res.end('fine');
 		};
 
-		// Requests that are to be under way together wait for each other, so that each has a connection of its own.
 		if (req.url === '/together') {
-			waiting.push(answer);
-			if (waiting.length === 3) {
-				for (const end of waiting) {
-					end();
-				}
-			}
+			hold(answer);
 		} else {
 			answer();
 		}
@@ -48,9 +47,8 @@
 		await Promise.all([relay.close(), host.entry.kill()]);
 		endpoint.close();
 	});
-	relay.aimAt(Number(endpoint.listed.address.split(':')[1]));
 	host.entry.configure(makeConfig());
-	host.entry.listEndpoints([{...endpoint.listed, address: `127.0.0.1:${relay.port}`}]);
+	host.entry.listEndpoints([{...endpoint.listed, address: relayTo(relay, endpoint.listed.address)}]);
 	const together = await Promise.all([1, 2, 3].map(async () => callHost(host.callers, {path: '/together', headers: longDeadline})));
 	t.deepEqual(together.map(({status}) => status), [200, 200, 200]);
 
@@ -70,11 +68,6 @@
 /** For how long questions are asked, in ms: an end for links that stay silent. */
 const askForMs = 30_000;
 
-const relayTo = (relay: RunningRelay, address: string): string => {
-	relay.aimAt(Number(address.split(':')[1]));
-	return `127.0.0.1:${relay.port}`;
-};
-
 test('a host hears again from the one that follows the store for its hall, and uses no connection that went silent with the link', async t => {
 	const peers = new Map<string, ListedPeer>();
 	const relays = new Map(await Promise.all(hostNames.map(async name => [name, await startRelay()] as const)));
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export {answerTogether} from './answer-together.js';
 export type {EngineOptions} from './engine-options.js';
 export type {RunningRelay} from './running-relay.js';
 export type {RunningStandIn} from './running-stand-in.js';
