A transfer counts for the holder that asked for it

Cause: as with hand-backs between entry hosts, a total without the name of the life it counts for. Change: the ledger credits it only if it is that holder.

--- a/packages/ledger/src/claims/decide.ts
+++ b/packages/ledger/src/claims/decide.ts
@@ -33,7 +33,9 @@
 		}
 
 		case 'receive': {
-			return {ops: [{...request}], reply: {type: 'done'}};
+			// A total counts for one holder. The next one would credit itself with all that the earlier one got.
+			const {to, ...received} = request;
+			return {ops: to === ledger.holder ? [received] : [], reply: {type: 'done'}};
 		}
 
 		case 'grant': {
