--- a/packages/entry/src/lib/rights/create-rights-keeper.ts
+++ b/packages/entry/src/lib/rights/create-rights-keeper.ts
@@ -20,8 +20,6 @@
 import type {RightsKeeper} from './rights-keeper.js';
 import {startRightsBalance} from './start-rights-balance.js';
 
-const holdAhead = holdAheadByRate(holdAheadSettings);
-
 type Options = {
 	readonly host: string;
 	/** The name of this life of the host. */
@@ -44,6 +42,8 @@
 	const state = createStoreState(log, now);
 	let limits: BudgetLimits = {version: 0, byBudget: new Map()};
 	let isRetiring = false;
+	let largestRequest = 0;
+	const holdAhead = holdAheadByRate(holdAheadSettings, () => largestRequest);
 
 	const allocators = createAllocators({holder, links, slotOf: budget => slotOfBudget(budget, slotCount)});
 	const borrower = createBorrower({
@@ -100,6 +100,7 @@
 			limits = {version, byBudget: new Map(limited.map(({name, limit}) => [name, limit!]))};
 		},
 		async reserve(budget, tokens, deadline) {
+			largestRequest = Math.max(largestRequest, tokens);
 			const outcome = await obtainer.obtain(budget, tokens, deadline);
 			// Refused requests come back; counted each time, they would make the demand look many times larger.
 			if (outcome === 'reserved') {
--- a/packages/entry/src/test/plan-rights.test.ts
+++ b/packages/entry/src/test/plan-rights.test.ts
@@ -4,7 +4,9 @@
 import {planRights} from '../lib/rights/plan-rights.js';
 
 const holdAhead: HoldAhead = () => 10_000;
-const store = {unallocated: 1_000_000, remaining: 1_000_000, demandShare: 0.5};
+const store = {
+	unallocated: 1_000_000, remaining: 1_000_000, demandShare: 0.5, fleetTokensPerSecond: 1e6,
+};
 const base = {
 	store, holders: 2, holdAhead, isOverGranted: false, isStoreUp: true,
 };
--- a/packages/ledger/src/hold-ahead/demand-view.ts
+++ b/packages/ledger/src/hold-ahead/demand-view.ts
@@ -2,6 +2,8 @@
 export type DemandView = {
 	/** Tokens a second that this holder reserved lately. */
 	readonly tokensPerSecond: number;
+	/** Tokens a second that all holders reserved lately, as far as the store knows. */
+	readonly fleetTokensPerSecond: number;
 	/** What the store has left to grant. */
 	readonly unallocated: number;
 	/** What no holder has spent yet, as the store knows it: the rest there, and what all holders hold. */
--- a/packages/ledger/src/hold-ahead/hold-ahead-by-rate.ts
+++ b/packages/ledger/src/hold-ahead/hold-ahead-by-rate.ts
@@ -12,7 +12,7 @@
 	readonly shareOfRest: number;
 	/** No more than this many seconds of the holder's own demand. */
 	readonly horizonSeconds: number;
-	/** The part of `shareOfRest` that a holder without demand of its own holds ready, 0 to 1. */
+	/** The part of what all hold that holders without demand of their own hold ready, together, 0 to 1. */
 	readonly idleShare: number;
 };
 
@@ -22,12 +22,20 @@
 A part of what remains shrinks with the budget, so that no host corners its last tokens, and needs no knowledge
 of how long the budget has to last. The horizon keeps what a dead host strands within bounds.
 
+A holder without demand of its own holds its share of what the whole demand takes in that horizon, and at least one request
+of the largest size it has seen, so that a cut finds it ready. Bounded by what remains alone, the deaths of a hardly used
+budget's hosts left little of it: ten deaths of a single host took 67 of 100 tokens (`rights-after-deaths`).
+
 The entry host on a platform holds by this policy: its holders are hosts, which die more often than a pair of hosts of
 `deckwheeld` (`holdAheadByShare`), and what a dead host held stays charged.
+
+@param largestRequest The largest request that this holder has seen on any budget, in tokens; 0 while it has seen none.
 */
-export const holdAheadByRate = ({shareOfRest, horizonSeconds, idleShare}: HoldAheadByRateSettings): HoldAhead => view => {
+export const holdAheadByRate = ({shareOfRest, horizonSeconds, idleShare}: HoldAheadByRateSettings, largestRequest = () => 0): HoldAhead => view => {
 	const part = view.remaining * shareOfRest;
-	const idle = part * idleShare / view.holders;
+	const idlePart = part * idleShare / view.holders;
+	const idleAhead = view.fleetTokensPerSecond * horizonSeconds * idleShare / view.holders;
+	const idle = Math.min(idlePart, Math.max(idleAhead, largestRequest()));
 	const share = Math.min(view.demandShare, mostShares / view.holders);
 	const busy = Math.min(part * share, view.tokensPerSecond * horizonSeconds);
 	return Math.ceil(Math.max(idle, busy));
--- a/packages/ledger/src/store/view-store.ts
+++ b/packages/ledger/src/store/view-store.ts
@@ -17,6 +17,7 @@
 	return {
 		unallocated: Math.max(0, unallocated(rights)),
 		remaining: Math.max(0, rights.limit - spent),
+		fleetTokensPerSecond: rates,
 		demandShare: rates === 0 ? 0 : own / rates,
 	};
 };
--- a/packages/ledger/src/test/hold-ahead-by-rate.test.ts
+++ b/packages/ledger/src/test/hold-ahead-by-rate.test.ts
@@ -4,7 +4,7 @@
 
 const holdAhead = holdAheadByRate({shareOfRest: 0.35, horizonSeconds: 8, idleShare: 0.3});
 const view: DemandView = {
-	tokensPerSecond: 5000, unallocated: 1e6, remaining: 1e6, demandShare: 0.125, holders: 8,
+	tokensPerSecond: 5000, fleetTokensPerSecond: 50_000, unallocated: 1e6, remaining: 1e6, demandShare: 0.125, holders: 8,
 };
 
 test('holds a time of its own demand where much remains', t => {
@@ -18,3 +18,27 @@
 test('a holder with little demand holds a part ready all the same', t => {
 	t.is(holdAhead({...view, tokensPerSecond: 1000}), 13_125);
 });
+
+// A host that crashed again and again took a tenth of what remained with each life, though nobody used the budget.
+test('a holder of a budget that nobody uses holds nothing before it has seen a request', t => {
+	t.is(holdAhead({
+		...view, tokensPerSecond: 0, fleetTokensPerSecond: 0, demandShare: 0,
+	}), 0);
+});
+
+test('once it has seen requests it holds one of the largest, for a cut', t => {
+	const ready = holdAheadByRate({shareOfRest: 0.35, horizonSeconds: 8, idleShare: 0.3}, () => 9000);
+	const unused = {
+		...view, tokensPerSecond: 0, fleetTokensPerSecond: 0, demandShare: 0,
+	};
+	t.is(ready(unused), 9000);
+	// Where little remains, no holder corners it.
+	t.is(ready({...unused, remaining: 100_000}), 1313);
+});
+
+test('a budget that lasts for weeks loses no more to a death than its demand takes in the horizon', t => {
+	const lasting = {
+		...view, remaining: 1e9, tokensPerSecond: 0, fleetTokensPerSecond: 4000, demandShare: 0,
+	};
+	t.is(holdAhead(lasting), 4000 * 8 * 0.3 / 8);
+});
