--- a/packages/ledger/src/test/hold-ahead-by-rate.test.ts
+++ b/packages/ledger/src/test/hold-ahead-by-rate.test.ts
@@ -42,3 +42,17 @@
 	};
 	t.is(holdAhead(lasting), 4000 * 8 * 0.3 / 8);
 });
+
+// On a played day seven hosts held 3.7 s of the demand on a budget that had 13.7 s of it left, and refused it from then on, until the
+// store was back after 7 s. What they hold is lent from host to host, so only the sum counts.
+test('hosts that together lose the store for 7 s serve a budget with 14 s of demand left, and a death of all leaves the rest', t => {
+	const demand = 40_000;
+	const hosts = 7;
+	const setting = holdAheadByRate({shareOfRest: 0.6, horizonSeconds: 8, idleShare: 0.3});
+	const remaining = 14 * demand;
+	const held = hosts * setting({
+		tokensPerSecond: demand / hosts, fleetTokensPerSecond: demand, unallocated: remaining, remaining, demandShare: 1 / hosts, holders: hosts,
+	});
+	t.true(held >= 7 * demand, `${held}`);
+	t.true(remaining - held >= 5 * demand, `${held}`);
+});
