--- /dev/null
+++ b/packages/stand-ins/src/lib/chars-per-token.ts
@@ -0,0 +1,2 @@
+/** Characters that count as a token. */
+export const charsPerToken = 4;
