--- a/packages/entry/src/lib/rights/hold-ahead-settings.ts
+++ b/packages/entry/src/lib/rights/hold-ahead-settings.ts
@@ -11,6 +11,6 @@
 	shareOfRest: 0.6,
 	/** Seconds of own demand. 14 s strand too much, 6 s were no better (bfafad9); 11 s tried again and reverted (7b6126a). */
 	horizonSeconds: 8,
-	/** The part of `shareOfRest` that hosts without demand hold ready, together. Chosen without a measurement of its own. */
+	/** Hosts without demand hold ready this part of what all hold, together. Chosen without a measurement of its own. */
 	idleShare: 0.3,
 } as const;
--- a/packages/entry/src/test/refuse-for-want-of-rights.test.ts
+++ b/packages/entry/src/test/refuse-for-want-of-rights.test.ts
@@ -21,8 +21,8 @@
 	t.false(isBudgetExhausted({...inputs, rights: undefined}));
 });
 
-// On a played day one organisation sent nearly three times its usual. Its budget was used up but for what its open requests had set aside, and its callers
-// were told to come back in 2 s, 49 to 103 of them in two seconds, and refused again.
+// On a played day one organisation sent nearly three times its usual. Its budget was used up but for what its open requests had set
+// aside, and its callers were told to come back in 2 s, 24 to 103 of them in two seconds, and refused again.
 test('what open requests may still take, at their most, is not left', t => {
 	const {holders} = rights;
 	const busy = {...rights, holders: {...holders, 'b#1': {...holders['b#1']!, reserved: 290}}};
