--- a/packages/stand-ins/src/lib/create-engine-slots.ts
+++ b/packages/stand-ins/src/lib/create-engine-slots.ts
@@ -1,3 +1,4 @@
+import type {EngineLoad} from './engine-load.js';
 import type {EngineStream} from './engine-stream.js';
 
 /** The places in which an engine runs streams, and the queue before them. */
@@ -6,7 +7,7 @@
 	readonly enter: (stream: EngineStream) => void;
 	/** Takes a stream that still waits out of the queue. */
 	readonly leave: (stream: EngineStream) => void;
-	readonly load: () => {readonly running: number; readonly queued: number};
+	readonly load: () => EngineLoad;
 };
 
 /**
--- a/packages/stand-ins/src/lib/create-engine-streams.ts
+++ b/packages/stand-ins/src/lib/create-engine-streams.ts
@@ -4,24 +4,11 @@
 import {createPromptCache} from './create-prompt-cache.js';
 import type {EngineFaults} from './engine-faults.js';
 import type {EngineStream} from './engine-stream.js';
+import type {EngineStreams} from './engine-streams.js';
 
 /** Ended streams are kept this long, in ms, so that they can be resumed. */
 const keepEndedMs = 60_000;
 
-/** The streams of a stand-in for an engine. */
-type EngineStreams = {
-	readonly get: (id: string) => EngineStream | undefined;
-	readonly start: (stream: EngineStream) => void;
-	/** Ends a stream at its caller's wish, unless it has finished. */
-	readonly cancel: (stream: EngineStream) => void;
-	/** Ends a stream whose connection broke. */
-	readonly breakOff: (stream: EngineStream) => void;
-	readonly load: () => {readonly running: number; readonly queued: number};
-	readonly cacheEventsAfter: ReturnType<typeof createPromptCache>['eventsAfter'];
-	/** Tokens that each stream ever started was served. */
-	readonly served: () => ReadonlyArray<{readonly id: string; readonly served: number}>;
-};
-
 const tokenAt = ({prompt, tokens}: EngineStream): string => {
 	const at = tokens.length % Math.max(1, prompt.length);
 	return `${prompt.slice(at, at + 1) || '.'}${tokens.length} `;
--- a/packages/stand-ins/src/lib/read-engine-stream.ts
+++ b/packages/stand-ins/src/lib/read-stream-request.ts
@@ -10,7 +10,7 @@
 const defaultTokens = 16;
 
 /** Reads the request for a stream. */
-export const readEngineStream = async (ctx: Context): Promise<EngineStream> => {
+export const readStreamRequest = async (ctx: Context): Promise<EngineStream> => {
 	const {messages = [], max_tokens: wanted = defaultTokens} = await readJson<ChatBody>(ctx);
 	const prompt = messages.map(message => message.content).join('\n');
 	return {
