--- a/packages/entry/src/lib/host/run-planned-stop.ts
+++ b/packages/entry/src/lib/host/run-planned-stop.ts
@@ -23,18 +23,16 @@
 /**
 Finishes what runs and gives rights back, before the process of a host that is no longer ready may end.
 
-No request is taken after the last look for open ones: one that came while rights went back would be read, sent to an endpoint,
-and end with the process.
+No request is taken after the linger. Later ones may not end in time: one that came while rights went back, or when the time for
+open streams was over, would be read, sent to an endpoint, and end with the process.
 */
 export const runPlannedStop = async ({servers, rights, open, deadline, sleep, log}: Options): Promise<void> => {
 	const endBy = deadline - giveBackMs;
 	log('stopping', {open: open.count()});
 	servers.closeIdleConnections();
 	await sleep(lingerMs);
-	servers.closeIdleConnections();
-	await rights.retire();
-	await open.untilNone(endBy);
 	servers.stopListening();
+	await rights.retire();
 	await open.untilNone(endBy);
 	// What open requests had reserved is free now, and goes back as well.
 	await rights.retire();
--- a/packages/entry/src/lib/host/start-servers.ts
+++ b/packages/entry/src/lib/host/start-servers.ts
@@ -27,6 +27,13 @@
 			res.shouldKeepAlive = false;
 		}
 
+		// An answer whose head was sent before does not say that its connection closes; the next request would come on it.
+		res.once('finish', () => {
+			if (isClosing()) {
+				req.socket.destroySoon();
+			}
+		});
+
 		void serve(req, res);
 	});
 	const ready = createServer((_req, res) => {
--- a/packages/entry/src/test/run-planned-stop.test.ts
+++ b/packages/entry/src/test/run-planned-stop.test.ts
@@ -45,3 +45,38 @@
 	t.true(taken > 0);
 	t.deepEqual(events, ['stopping open=0', 'stopped open=0']);
 });
+
+// On another day a stream was still open 7 s after the signal; a request that came then was sent on and cut 0.1 s later.
+test('a request that comes after the linger is not taken, however long open streams last', async t => {
+	let isListening = true;
+	const steps: string[] = [];
+	const step = (name: string): void => {
+		steps.push(`${name} ${isListening ? 'listening' : 'closed'}`);
+	};
+
+	await runPlannedStop({
+		servers: {
+			closeIdleConnections: () => undefined,
+			stopListening() {
+				isListening = false;
+			},
+		},
+		rights: {
+			async retire() {
+				step('retire');
+			},
+		},
+		open: {
+			count: () => 1,
+			async untilNone() {
+				step('wait');
+			},
+		},
+		deadline: 8000,
+		async sleep() {
+			step('linger');
+		},
+		log: () => undefined,
+	});
+	t.deepEqual(steps, ['linger listening', 'retire closed', 'wait closed', 'retire closed']);
+});
--- a/packages/entry/src/test/serve-request.test.ts
+++ b/packages/entry/src/test/serve-request.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import test from 'ava';
 import {callHost} from './lib/call-host.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
@@ -324,3 +325,58 @@
 	const [holder] = Object.values(stored!.rights.budgets.org!.holders);
 	t.is(holder!.granted, 104);
 });
+
+// On a played day a stream ended 7 s after the signal to stop. Its caller sent the next request on the same connection, and the
+// process ended 0.1 s after it had sent that on.
+test('a stopping host closes a connection after the answer that was under way', async t => {
+	let finish: () => void = () => undefined;
+	let begun: () => void = () => undefined;
+	// The caller has the head of the answer, which says nothing of a stop.
+	const hasBegun = new Promise<void>(resolve => {
+		begun = resolve;
+	});
+	const {callers, entry, runs} = await serve(makeConfig({routes: [makeRoute({kind: 'stream'})]}), (req, res) => {
+		if (req.headers[headerNames.requestId] === 'next') {
+			res.end();
+			return;
+		}
+
+		res.writeHead(200, {'content-type': 'text/event-stream'});
+		res.write(writeEvents(1));
+		finish = () => {
+			res.end(writeEvents(2));
+		};
+	});
+	const [host, port] = callers.split(':');
+	const socket = connect(Number(port), host);
+	const send = (id: string): void => {
+		socket.write(`GET /p HTTP/1.1\r\nhost: fleet\r\n${headerNames.requestId}: ${id}\r\n${headerNames.apiKey}: key\r\n\r\n`);
+	};
+
+	const closed = new Promise<void>(resolve => {
+		socket.once('close', () => {
+			resolve();
+		});
+	});
+	let text = '';
+	socket.on('error', () => undefined);
+	socket.on('data', (bytes: Uint8Array) => {
+		text += new TextDecoder().decode(bytes);
+		if (text.includes('piece 1')) {
+			begun();
+		}
+
+		if (text.endsWith('0\r\n\r\n')) {
+			send('next');
+		}
+	});
+	send('first');
+	await hasBegun;
+	const stopped = entry.stop();
+	finish();
+	await closed;
+	t.false(text.toLowerCase().includes('connection: close'));
+	t.true(text.includes('piece 2'));
+	t.is(runs(), 1);
+	await stopped;
+});
