Routing: open requests outlive their endpoint's entry; an endpoint whose address another process has is left alone

Cause: a list without an endpoint dropped what was known of it, its open requests too. An entry may lapse while the store is away and come back while requests are open: each of their ends was then taken off a count of 0, and the endpoint looked emptier than any other from then on. Found by reading what a late answer settles.

Ruled out: counting by request, which needs a second table beside this one.

Change: an endpoint that is no longer listed stays in the table, unusable, while requests of this host are open there, and is forgotten with the last one.

--- a/packages/routing/src/endpoints/choose-endpoint.ts
+++ b/packages/routing/src/endpoints/choose-endpoint.ts
@@ -6,11 +6,11 @@
 import type {EndpointRequest} from './endpoint-request.js';
 
 const isUsable = (state: EndpointState, request: EndpointRequest, now: number): boolean => {
-	const {info, ejectedUntil, failures, inFlight} = state;
+	const {info, isListed, ejectedUntil, failures, inFlight} = state;
 	// After an ejection, one request at a time probes the endpoint.
 	const isProbing = failures > 0 && ejectedUntil > 0 && inFlight > 0;
 	const isInReach = info.hall === request.hall || !request.lostHalls?.has(info.hall);
-	return info.serves.includes(request.target) && isInReach && !info.isLeaving && !request.tried.includes(info.id) && ejectedUntil <= now && !isProbing;
+	return isListed && info.serves.includes(request.target) && isInReach && !info.isLeaving && !request.tried.includes(info.id) && ejectedUntil <= now && !isProbing;
 };
 
 const isBetter = (a: RatedEndpoint, b: RatedEndpoint): boolean => {
@@ -24,7 +24,7 @@
 /**
 Chooses the endpoint with the least expected cost, or `undefined` when none can serve the request.
 
-An endpoint with room is preferred to one without. Left out are endpoints that leave, were ejected (`stepEndpoints`), were
+An endpoint with room is preferred to one without. Left out are endpoints that are no longer listed or leave, were ejected (`stepEndpoints`), were
 tried by this request, or sit in another hall that was found out of reach. `deckwheeld` rates by `rateByCost`, the entry host
 on a platform by `rateByAffinity`.
 
--- a/packages/routing/src/endpoints/endpoint-state.ts
+++ b/packages/routing/src/endpoints/endpoint-state.ts
@@ -4,6 +4,8 @@
 /** What this host knows and believes of one endpoint. */
 export type EndpointState = {
 	readonly info: EndpointInfo;
+	/** Whether it is listed; one that is not stays known while requests of this host are open there. */
+	readonly isListed: boolean;
 	/** This host's own open requests there: the one figure that does not lag. */
 	readonly inFlight: number;
 	/** Requests that this host ever sent there. */
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -21,6 +21,7 @@
 
 const newState = (info: EndpointInfo): EndpointState => ({
 	info,
+	isListed: true,
 	inFlight: 0,
 	started: 0,
 	serviceMs: assumedServiceMs,
@@ -47,11 +48,20 @@
 	ejectedUntil: 0,
 });
 
-const afterFailure = (state: EndpointState, now: number): EndpointState => {
-	const failures = state.failures + 1;
-	return {
-		...state, inFlight: state.inFlight - 1, failures, ejectedUntil: ejectionEnd(failures, now),
-	};
+const afterFailure = (state: EndpointState, failures: number, now: number): EndpointState => ({
+	...state, inFlight: state.inFlight - 1, failures, ejectedUntil: ejectionEnd(failures, now),
+});
+
+// Requests that were open when a list came without the endpoint are still to end, and it may be listed again before that.
+const afterList = (table: EndpointTable, endpoints: readonly EndpointInfo[]): EndpointTable => {
+	const next = new Map(endpoints.map(info => [info.id, {...(table.get(info.id) ?? newState(info)), info, isListed: true}]));
+	for (const [id, state] of table) {
+		if (!next.has(id) && state.inFlight > 0) {
+			next.set(id, {...state, isListed: false});
+		}
+	}
+
+	return next;
 };
 
 /** Moves one endpoint on by one event. `now` is monotonic ms. */
@@ -66,7 +76,11 @@
 		}
 
 		case 'failed': {
-			return afterFailure(state, now);
+			return afterFailure(state, state.failures + 1, now);
+		}
+
+		case 'gone': {
+			return afterFailure(state, Math.max(state.failures + 1, failuresBeforeEjection), now);
 		}
 
 		case 'abandoned': {
@@ -82,14 +96,28 @@
 /**
 Moves the table of endpoints on by one event.
 
+What is known of an endpoint ends when it is no longer listed and no request is open there. Identifiers name one life of a
+process, so one that starts again begins with nothing, and what comes late of its earlier life changes nothing of it.
+
 @param now Monotonic ms.
 */
 export const stepEndpoints = (table: EndpointTable, event: EndpointEvent, now: number): EndpointTable => {
 	if (event.type === 'configured') {
-		return new Map(event.endpoints.map(info => [info.id, {...(table.get(info.id) ?? newState(info)), info}]));
+		return afterList(table, event.endpoints);
 	}
 
 	const state = table.get(event.endpoint);
-	// The endpoint may have left the bundle while a request was open there.
-	return state ? new Map(table).set(event.endpoint, stepOne(state, event, now)) : table;
+	if (!state) {
+		return table;
+	}
+
+	const next = new Map(table);
+	const stepped = stepOne(state, event, now);
+	if (stepped.isListed || stepped.inFlight > 0) {
+		next.set(event.endpoint, stepped);
+	} else {
+		next.delete(event.endpoint);
+	}
+
+	return next;
 };
--- a/packages/routing/src/test/step-endpoints.test.ts
+++ b/packages/routing/src/test/step-endpoints.test.ts
@@ -52,3 +52,33 @@
 	const reported = play(two, [{type: 'started', endpoint: 'a'}, {type: 'reported', endpoint: 'a', total: 1}]);
 	t.regex(chooseEndpoint(reported, {...request, tried: ['b']}, 0, rateByCost)!.reason, /load=1\/2/);
 });
+
+// The entry of an endpoint may lapse while the store is away. Its open requests were forgotten with it and, once it was listed
+// again, each of their ends was taken off a count of 0: the endpoint looked emptier than any other from then on.
+test('what is open at an endpoint whose entry lapsed counts when it is listed again, and when it ends', t => {
+	const open = play(two, [{type: 'started', endpoint: 'a'}, {type: 'started', endpoint: 'a'}]);
+	const lapsed = play(open, [{type: 'configured', endpoints: [info('b')]}]);
+	t.is(chooseEndpoint(lapsed, {...request, tried: ['b']}, 0, rateByCost), undefined, 'it is not chosen meanwhile');
+	const back = play(lapsed, [{type: 'abandoned', endpoint: 'a'}, {type: 'configured', endpoints: [info('a'), info('b')]}]);
+	t.is(back.get('a')!.inFlight, 1);
+	t.is(play(back, [{type: 'abandoned', endpoint: 'a'}]).get('a')!.inFlight, 0);
+});
+
+test('an endpoint that is no longer listed is forgotten with the last request that is open there', t => {
+	const open = play(two, [{type: 'started', endpoint: 'a'}, {type: 'configured', endpoints: [info('b')]}]);
+	t.deepEqual([...open.keys()].sort(), ['a', 'b']);
+	t.deepEqual([...play(open, [{type: 'failed', endpoint: 'a'}]).keys()], ['b']);
+});
+
+test('a new life begins with nothing of the one before, and what comes late of that changes nothing of it', t => {
+	const failed = play(two, [...fail, ...fail, ...fail, {type: 'started', endpoint: 'a'}]);
+	const restarted = play(failed, [{type: 'configured', endpoints: [info('a@2'), info('b')]}]);
+	const fresh = restarted.get('a@2')!;
+	t.deepEqual([fresh.inFlight, fresh.started, fresh.failures, fresh.ejectedUntil], [0, 0, 0, 0]);
+	t.is(play(restarted, [{type: 'failed', endpoint: 'a'}]).get('a@2'), fresh);
+});
+
+test('an endpoint at whose address another process answers is left alone at once', t => {
+	const gone = play(two, [{type: 'started', endpoint: 'a'}, {type: 'gone', endpoint: 'a'}]);
+	t.is(chooseEndpoint(gone, {...request, tried: ['b']}, 500, rateByCost), undefined);
+});
