The last part of a budget goes to its more urgent requests first

Change: below 15 s of more urgent demand, by the record of the store and this host's mix of priorities, a request that needs at least as much as one of those is told 429 budget_kept, or 402 where the record proves that the budget cannot hold it. Where hosts borrow, the question tells the most urgent request that waits, and who draws decides. Old and new hosts understand each other: both fields may be missing. A further run of a request is never refused for others.

--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -13,6 +13,9 @@
 /** Where no outage is known that would say more (`planRetryAfter`), in seconds. */
 const rightsRetrySeconds = 2;
 
+/** A budget that is nearly used up is topped up within a change of the configuration at best, in seconds. */
+const keptRetrySeconds = 5;
+
 const notRun = (status: number, code: HostRefusal['code'], message: string, retryAfterSeconds?: number): HostRefusal =>
 	({
 		status, code, message, ran: 'not_run', retryAfterSeconds,
@@ -27,6 +30,7 @@
 	badTokenCount: notRun(httpStatus.badRequest, 'bad_request', 'The token count must be two whole numbers, of the prompt and the most of the answer.'),
 	budgetExhausted: notRun(httpStatus.paymentRequired, 'budget_exhausted', 'What remains of the budget cannot hold this request. Top the budget up.'),
 	rightsUnavailable: notRun(httpStatus.tooManyRequests, 'rights_unavailable', 'This host cannot reach enough of the budget now. Come back shortly.', rightsRetrySeconds),
+	budgetKept: notRun(httpStatus.tooManyRequests, 'budget_kept', 'What remains of the budget is kept for more urgent requests. Top the budget up.', keptRetrySeconds),
 	hostOverloaded: notRun(httpStatus.serviceUnavailable, 'host_overloaded', 'This host has too much to do. Come back at once; another host will take it.', otherHostRetrySeconds),
 	hostStopping: notRun(httpStatus.serviceUnavailable, 'host_stopping', 'This host stops before the request might end. Come back at once; another host will take it.', otherHostRetrySeconds),
 	noEndpoint: notRun(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
--- a/packages/entry/src/lib/lending/create-borrower.ts
+++ b/packages/entry/src/lib/lending/create-borrower.ts
@@ -5,6 +5,7 @@
 import type {Borrower} from './borrower.js';
 import type {LoanClient} from './loan-client.js';
 import type {LoanNeed} from './loan-need.js';
+import {rankOfNeeds} from './rank-of-needs.js';
 import {planBorrowing} from './plan-borrowing.js';
 
 type Options = {
@@ -33,25 +34,33 @@
 export const createBorrower = ({accounts, loanClient, allocatorsOf, log, now}: Options): Borrower => {
 	const underWay = new Map<string, Turn>();
 	const lastAsked = new Map<string, number>();
-	/** Tokens of all requests that wait, by budget. */
-	const waiting = new Map<string, number>();
+	/** All requests that wait, by budget. */
+	const waiting = new Map<string, readonly LoanNeed[]>();
 
 	const planOf = (budget: string, tokens: number) => planBorrowing({
 		available: accounts.available(budget), rate: demandRate(accounts.of(budget)), tokens,
 	});
 
-	const waitFor = (budget: string, tokens: number): void => {
-		waiting.set(budget, (waiting.get(budget) ?? 0) + tokens);
+	const waitingFor = (budget: string): readonly LoanNeed[] => waiting.get(budget) ?? [];
+
+	const tokensOf = (needs: readonly LoanNeed[]): number => {
+		let sum = 0;
+		for (const {tokens} of needs) {
+			sum += tokens;
+		}
+
+		return sum;
 	};
 
 	/** Asks for all that wait, this request among them. */
 	const askForAll = async ({budget, tokens, source, peers, deadline}: LoanNeed): Promise<boolean> => {
 		lastAsked.set(budget, tokens);
-		const all = waiting.get(budget) ?? tokens;
+		const all = tokensOf(waitingFor(budget));
 		const hasReachedStore = loanClient.borrow({
 			budget,
 			tokens: planOf(budget, all).wanted,
 			demanded: accounts.of(budget).demanded + all,
+			rank: rankOfNeeds(waitingFor(budget)),
 			peers,
 			deadline,
 			isEnough: () => accounts.available(budget) >= all,
@@ -85,10 +94,10 @@
 
 	return {
 		async borrow(need) {
-			waitFor(need.budget, need.tokens);
+			waiting.set(need.budget, [...waitingFor(need.budget), need]);
 			const hasReachedStore = await borrowInTurn(need);
 			// Later than the next question begins: what was lent for this request counts as available until it takes it.
-			waitFor(need.budget, -need.tokens);
+			waiting.set(need.budget, waitingFor(need.budget).filter(entry => entry !== need));
 			return hasReachedStore;
 		},
 		async handBackIdle(budget) {
--- a/packages/entry/src/lib/lending/create-lender.ts
+++ b/packages/entry/src/lib/lending/create-lender.ts
@@ -1,5 +1,6 @@
 import type {Log} from '../../adapter/log.js';
 import type {Accounts} from '../rights/accounts.js';
+import type {LastPart} from '../rights/last-part.js';
 import type {RightsObtainer} from '../rights/rights-obtainer.js';
 import type {Allocators} from './allocators.js';
 import {createClientDemand} from './create-client-demand.js';
@@ -12,32 +13,40 @@
 	readonly accounts: Accounts;
 	readonly allocators: Allocators;
 	readonly obtainer: Pick<RightsObtainer, 'obtainForClient'>;
+	readonly lastPart: LastPart;
 	readonly isStoreUp: () => boolean;
 	readonly isRetiring: () => boolean;
 	readonly log: Log;
 };
 
 /** Creates the function that answers a peer that asks for rights. Rights leave this host's account before the reply is sent. */
-export const createLender = ({accounts, allocators, obtainer, isStoreUp, isRetiring, log}: Options) => {
+export const createLender = ({accounts, allocators, obtainer, lastPart, isStoreUp, isRetiring, log}: Options) => {
 	const clientDemand = createClientDemand();
 
-	return async (to: string, {budget, tokens, demanded, received}: LoanRequest): Promise<LoanReply> => {
+	return async (to: string, {budget, tokens, demanded, received, rank}: LoanRequest): Promise<LoanReply> => {
 		const givenTo = (): number => accounts.of(budget).given.get(to) ?? 0;
 		const isClient = allocators.isClient(to, budget);
 		const share = loanShare(isClient);
+		const isRefused = isClient && rank !== undefined && lastPart.isKept(budget, rank.tokens, rank.priority);
 		// Hosts that draw for themselves, here or in other halls, are peers in need and no lasting demand on this one.
 		if (isClient) {
 			accounts.step(budget, {type: 'demanded', by: 'client', tokens: clientDemand.note(to, budget, demanded)});
-			await obtainer.obtainForClient(budget, Math.ceil(planLoan({asked: tokens, given: givenTo(), received}) / share));
+			if (!isRefused) {
+				await obtainer.obtainForClient(budget, Math.ceil(planLoan({asked: tokens, given: givenTo(), received}) / share));
+			}
 		}
 
 		// Another question of the same peer may have been answered in the meantime.
-		const missing = isRetiring() ? 0 : planLoan({asked: tokens, given: givenTo(), received});
+		const missing = isRetiring() || isRefused ? 0 : planLoan({asked: tokens, given: givenTo(), received});
 		const {lent, total} = accounts.lend(budget, {to, tokens: missing, share});
+		if (isClient && rank && lent > 0) {
+			lastPart.note(budget, rank.priority, rank.tokens);
+		}
+
 		log('rights_lent', {
-			to, budget, asked: tokens, lent, total,
+			to, budget, asked: tokens, lent, total, kept: isRefused,
 		});
 		// Another allocator got what was at hand; nothing was drawn for it, so it may still draw for itself.
-		return {total, reachesStore: isClient && isStoreUp() && !isRetiring()};
+		return {total, reachesStore: isClient && isStoreUp() && !isRetiring(), isKept: isRefused};
 	};
 };
--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -59,7 +59,7 @@
 	};
 
 	return {
-		async borrow({budget, tokens, demanded, peers, deadline = Number.POSITIVE_INFINITY, isEnough}) {
+		async borrow({budget, tokens, demanded, rank, peers, deadline = Number.POSITIVE_INFINITY, isEnough}) {
 			const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
 			let hasReachedStore = false;
 			for (const [address, holder] of [...byAddress].slice(0, maxAsked)) {
@@ -70,10 +70,10 @@
 				}
 
 				const reply = await ask(link, address, {
-					type: 'lend', budget, tokens, demanded, received: receivedFrom(budget, holder),
+					type: 'lend', budget, tokens, demanded, received: receivedFrom(budget, holder), ...(rank && {rank}),
 				}, timeoutMs);
 				hasReachedStore ||= reply?.reachesStore ?? false;
-				if (isEnough()) {
+				if (isEnough() || reply?.isKept) {
 					break;
 				}
 			}
--- a/packages/entry/src/lib/lending/loan-need.ts
+++ b/packages/entry/src/lib/lending/loan-need.ts
@@ -5,6 +5,8 @@
 export type LoanNeed = {
 	readonly budget: string;
 	readonly tokens: number;
+	/** How urgent the request is, 0 the most; `undefined` where nothing is kept from it. */
+	readonly priority?: number;
 	/** What the peers are. A question to the same source that was asked while this request waited counts for it. */
 	readonly source: Exclude<RightsSource, 'store'>;
 	/** In the order in which they are asked. */
--- a/packages/entry/src/lib/lending/loan-question.ts
+++ b/packages/entry/src/lib/lending/loan-question.ts
@@ -4,6 +4,8 @@
 export type LoanQuestion = {
 	readonly budget: string;
 	readonly tokens: number;
+	/** How urgent the most urgent request is that waits for it, 0 the most, and what it needs; `undefined` where nothing is kept from it. */
+	readonly rank?: {readonly priority: number; readonly tokens: number};
 	/** Tokens ever demanded by requests of this host. */
 	readonly demanded: number;
 	/** In the order in which they are asked. */
--- a/packages/entry/src/lib/peers/peer-message-schema.ts
+++ b/packages/entry/src/lib/peers/peer-message-schema.ts
@@ -2,9 +2,14 @@
 
 /** What hosts ask of each other. Amounts are tokens. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
-	/** `demanded`: tokens ever demanded by requests of the asker; `received`: all that it knows to have got from the lender. */
+	/** `demanded`: tokens ever demanded by requests of the asker; `received`: all that it knows to have got from the lender; `rank`: the most urgent request that waits for it. */
 	z.object({
-		type: z.literal('lend'), budget: z.string(), tokens: z.number().positive(), demanded: z.number().nonnegative(), received: z.number().nonnegative(),
+		type: z.literal('lend'),
+		budget: z.string(),
+		tokens: z.number().positive(),
+		demanded: z.number().nonnegative(),
+		received: z.number().nonnegative(),
+		rank: z.object({priority: z.number(), tokens: z.number().nonnegative()}).optional(),
 	}),
 	/** Whether a topic of the store changed after a revision; the answer may be held. */
 	z.object({
--- a/packages/entry/src/lib/request/create-reservation.ts
+++ b/packages/entry/src/lib/request/create-reservation.ts
@@ -13,18 +13,22 @@
 export const createReservation = (budget: string | undefined, {route, deadline}: AdmittedRequest, {rights, now}: Pick<HostServices, 'rights' | 'now'>): Reservation => {
 	let reserved = 0;
 	return {
-		async reserve(tokens) {
+		async reserve(tokens, isFirstRun) {
 			if (budget === undefined) {
 				return undefined;
 			}
 
 			const until = Math.min(now() + (route.goalMs * rightsWaitShare), deadline);
-			const outcome = await rights.reserve(budget, tokens, until);
+			const outcome = await rights.reserve(budget, tokens, until, isFirstRun ? route.priority : undefined);
 			if (outcome === 'reserved') {
 				reserved += tokens;
 				return undefined;
 			}
 
+			if (outcome === 'kept') {
+				return hostRefusals.budgetKept;
+			}
+
 			return outcome === 'exhausted' ? hostRefusals.budgetExhausted : {...hostRefusals.rightsUnavailable, retryAfterSeconds: rights.retryAfterSeconds()};
 		},
 		reserved: () => reserved,
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -25,7 +25,7 @@
 	}
 
 	const reservation = createReservation(budget, admitted, host);
-	const shortage = await reservation.reserve(worstCase);
+	const shortage = await reservation.reserve(worstCase, true);
 	if (shortage) {
 		// A stopping host draws nothing more, and another one may have what this request needs.
 		const isOwnShortage = host.isStopping() && shortage.code === hostRefusals.rightsUnavailable.code;
@@ -33,7 +33,7 @@
 		return;
 	}
 
-	const result = await runRequest({...received, reserveRun: async () => await reservation.reserve(repeatCost) === undefined}, host);
+	const result = await runRequest({...received, reserveRun: async () => await reservation.reserve(repeatCost, false) === undefined}, host);
 	const reserved = reservation.reserved();
 	const used = chargeOfResult(result, reserved, admitted.prompt);
 	reservation.settle(used);
--- a/packages/entry/src/lib/rights/create-rights-keeper.ts
+++ b/packages/entry/src/lib/rights/create-rights-keeper.ts
@@ -13,8 +13,10 @@
 import {slotCount} from '../rights-store/slot-count.js';
 import type {BudgetLimits} from './budget-limits.js';
 import {createAccounts} from './create-accounts.js';
+import {createLastPart} from './create-last-part.js';
 import {createRightsObtainer} from './create-rights-obtainer.js';
 import {holdAheadSettings} from './hold-ahead-settings.js';
+import {isBudgetExhausted} from './is-budget-exhausted.js';
 import {planDrawAmount} from './plan-draw-amount.js';
 import {planHorizon} from './plan-horizon.js';
 import {planRetryAfter} from './plan-retry-after.js';
@@ -43,6 +45,9 @@
 	const state = createStoreState(log, now);
 	let limits: BudgetLimits = {version: 0, byBudget: new Map()};
 	let isRetiring = false;
+	const lastPart = createLastPart({
+		holder, accounts, rightsOf: budget => writer.rightsOf(budget), now,
+	});
 	let largestRequest = 0;
 	const holdAhead = holdAheadByRate(holdAheadSettings, () => largestRequest, () => planHorizon(state.upMs(), holdAheadSettings.horizonSeconds));
 
@@ -77,7 +82,7 @@
 		isRetiring: () => isRetiring,
 	});
 	const lend = createLender({
-		accounts, allocators, obtainer, isStoreUp: state.isUp, isRetiring: () => isRetiring, log,
+		accounts, allocators, obtainer, lastPart, isStoreUp: state.isUp, isRetiring: () => isRetiring, log,
 	});
 
 	const credit = (event: string, budget: string, from: string, total: number): void => {
@@ -100,12 +105,24 @@
 			const limited = [...organisationsByKey.values()].filter(({limit}) => limit !== undefined);
 			limits = {version, byBudget: new Map(limited.map(({name, limit}) => [name, limit!]))};
 		},
-		async reserve(budget, tokens, deadline) {
+		async reserve(budget, tokens, deadline, priority) {
 			largestRequest = Math.max(largestRequest, tokens);
-			const outcome = await obtainer.obtain(budget, tokens, deadline);
+			if (priority !== undefined && lastPart.isKept(budget, tokens, priority)) {
+				const isExhausted = isBudgetExhausted({
+					rights: writer.rightsOf(budget), ageMs: writer.ageOf(budget), holder, tokens,
+				});
+				return isExhausted ? 'exhausted' : 'kept';
+			}
+
+			const outcome = await obtainer.obtain({
+				budget, tokens, deadline, priority,
+			});
 			// Refused requests come back; counted each time, they would make the demand look many times larger.
 			if (outcome === 'reserved') {
 				accounts.step(budget, {type: 'demanded', by: 'own_request', tokens});
+				if (priority !== undefined) {
+					lastPart.note(budget, priority, tokens);
+				}
 			}
 
 			return outcome;
--- a/packages/entry/src/lib/rights/create-rights-obtainer.ts
+++ b/packages/entry/src/lib/rights/create-rights-obtainer.ts
@@ -62,7 +62,7 @@
 		await queue.draw(budget, tokens, deadline) === 'reserved';
 
 	return {
-		async obtain(budget, tokens, deadline) {
+		async obtain({budget, tokens, deadline, priority}) {
 			let last: RightsSource | undefined;
 			let hasReachedStore = false;
 			while (!accounts.take(budget, tokens)) {
@@ -78,7 +78,7 @@
 
 				if (last === 'allocators') {
 					hasReachedStore = await borrower.borrow({
-						budget, tokens, source: last, peers: allocators.others(budget), deadline,
+						budget, tokens, priority, source: last, peers: allocators.others(budget), deadline,
 					});
 				} else if (last === 'holders') {
 					await borrowFromHolders(budget, tokens, deadline);
--- a/packages/entry/src/lib/rights/reserve-outcome.ts
+++ b/packages/entry/src/lib/rights/reserve-outcome.ts
@@ -1,2 +1,5 @@
-/** Whether tokens could be set aside. `exhausted`: the budget is used up; `unavailable`: what remains is out of reach. */
-export type ReserveOutcome = 'reserved' | 'exhausted' | 'unavailable';
+/**
+Whether tokens could be set aside. `exhausted`: the budget is used up; `unavailable`: what remains is out of reach;
+`kept`: what remains is for more urgent requests.
+*/
+export type ReserveOutcome = 'reserved' | 'exhausted' | 'unavailable' | 'kept';
--- a/packages/entry/src/lib/rights/rights-keeper.ts
+++ b/packages/entry/src/lib/rights/rights-keeper.ts
@@ -6,8 +6,12 @@
 /** This host's rights on budgets. */
 export type RightsKeeper = {
 	readonly configure: (config: FleetConfig) => void;
-	/** Sets tokens aside for a request's worst case; where rights are short, looks for some until `deadline` (monotonic ms). */
-	readonly reserve: (budget: string, tokens: number, deadline: number) => Promise<ReserveOutcome>;
+	/**
+	Sets tokens aside for a request's worst case; where rights are short, looks for some until `deadline` (monotonic ms).
+
+	@param priority How urgent it is, 0 the most; `undefined` where nothing is kept from it, as from a further run of a request.
+	*/
+	readonly reserve: (budget: string, tokens: number, deadline: number, priority?: number) => Promise<ReserveOutcome>;
 	/** Ends a reservation: `used` of its tokens are spent, the others are free again. */
 	readonly settle: (budget: string, reserved: number, used: number) => void;
 	/** Gives rights to a peer that asks. */
--- a/packages/entry/src/lib/rights/rights-obtainer.ts
+++ b/packages/entry/src/lib/rights/rights-obtainer.ts
@@ -1,9 +1,19 @@
 import type {ReserveOutcome} from './reserve-outcome.js';
 
+/** What a request needs. */
+type RightsNeed = {
+	readonly budget: string;
+	readonly tokens: number;
+	/** Monotonic ms. */
+	readonly deadline: number;
+	/** How urgent it is, 0 the most; `undefined` where nothing is kept from it. */
+	readonly priority: number | undefined;
+};
+
 /** Gets rights that this host lacks, from wherever they may come. */
 export type RightsObtainer = {
-	/** For a request of this host: reserves them, or tells why not. `deadline` is monotonic ms. */
-	readonly obtain: (budget: string, tokens: number, deadline: number) => Promise<ReserveOutcome>;
+	/** For a request of this host: reserves them, or tells why not. */
+	readonly obtain: (need: RightsNeed) => Promise<ReserveOutcome>;
 	/** For a host that borrows from this one: makes them available. */
 	readonly obtainForClient: (budget: string, tokens: number) => Promise<void>;
 };
--- a/packages/entry/src/test/large-hall.test.ts
+++ b/packages/entry/src/test/large-hall.test.ts
@@ -2,6 +2,7 @@
 import {slotOfBudget} from '@deckwheel/ledger';
 import type {ListedPeer} from '../adapter/listed-peer.js';
 import {rankAllocators} from '../lib/lending/rank-allocators.js';
+import {rankOfNeeds} from '../lib/lending/rank-of-needs.js';
 import {slotCount} from '../lib/rights-store/slot-count.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {startHost} from './lib/start-host.js';
@@ -87,3 +88,24 @@
 	follower!.entry.storeChanges.tell('config', {at: 12, changedAt: 12});
 	t.deepEqual(await held, {type: 'changed'});
 });
+
+// In a hall whose hosts borrow, each of them sees a few requests of a budget, and only who draws sees how urgent the others are.
+test('near the end of a budget, who draws keeps what is left for more urgent requests of all its hall', async t => {
+	const {clients} = startHall(t);
+	const [first, second, third] = clients.map(({rights}) => rights);
+	t.is(await first!.reserve('org', 10_000, deadline, 0), 'reserved');
+	t.is(await third!.reserve('org', 10_000, deadline, 0), 'reserved');
+	t.is(await second!.reserve('org', 12_000, deadline, 1), 'unavailable', 'a large one of a host that saw nothing urgent itself');
+	t.is(await third!.reserve('org', 2000, deadline, 1), 'reserved', 'a small one takes its turn');
+	t.is(await second!.reserve('org', 6000, deadline, 0), 'reserved');
+	t.is(await second!.reserve('org', 12_000, deadline), 'reserved', 'a further run of a request is never refused for others');
+});
+
+test('a question that is asked for several requests counts as the most urgent of them', t => {
+	const need = (priority: number | undefined, tokens: number) => ({
+		budget: 'org', tokens, priority, source: 'allocators' as const, peers: [],
+	});
+	t.deepEqual(rankOfNeeds([need(2, 100), need(0, 300), need(1, 200)]), {priority: 0, tokens: 300});
+	t.is(rankOfNeeds([need(2, 100), need(undefined, 300)]), undefined);
+	t.is(rankOfNeeds([]), undefined);
+});
--- a/packages/entry/src/test/lib/play-death-of-all.ts
+++ b/packages/entry/src/test/lib/play-death-of-all.ts
@@ -8,6 +8,7 @@
 import {hostOfHolder} from '../../lib/rights-store/host-of-holder.js';
 import {createRightsKeeper} from '../../lib/rights/create-rights-keeper.js';
 import type {RightsKeeper} from '../../lib/rights/rights-keeper.js';
+import type {ReserveOutcome} from '../../lib/rights/reserve-outcome.js';
 import {createMemoryRightsStore} from './memory-rights-store.js';
 import {makeConfig} from './start-host.js';
 import {startVirtualTimers} from './start-virtual-timers.js';
@@ -40,7 +41,7 @@
 	readonly end: number;
 };
 
-type PlayedRequest = {readonly at: number; readonly outcome: 'reserved' | 'unavailable' | 'exhausted'};
+type PlayedRequest = {readonly at: number; readonly outcome: ReserveOutcome};
 
 type PlayedCourse = {
 	readonly requests: readonly PlayedRequest[];
--- a/packages/entry/src/test/serve-request.test.ts
+++ b/packages/entry/src/test/serve-request.test.ts
@@ -237,6 +237,24 @@
 	t.is(answer.status, 0);
 });
 
+test('near the end of a budget, a large request is told that what is left is kept for more urgent ones, and they are served', async t => {
+	const endpoint = await launchEndpoint('e1', ok);
+	const host = await launch(createMemoryRightsStore());
+	const urgent = makeRoute({name: 'urgent', pathPrefix: '/urgent/', priority: 0});
+	const other = makeRoute({name: 'other', pathPrefix: '/other/', priority: 1});
+	host.entry.configure(makeConfig({routes: [urgent, other]}, 2000));
+	host.entry.listEndpoints([endpoint.listed]);
+	const call = async (path: string, size: number) => callHost(host.callers, {path, headers: {[headerNames.tokenCount]: `${size},0`, [headerNames.prefix]: `p:${size}`}});
+	t.is((await call('/urgent/', 500)).status, 200);
+	const kept = await call('/other/', 1000);
+	t.is(kept.status, 429);
+	t.regex(kept.body, /budget_kept/);
+	t.true(Number(kept.headers['retry-after']) > 0);
+	t.is((await call('/other/', 100)).status, 200, 'a small one takes its turn');
+	t.is((await call('/urgent/', 1000)).status, 200);
+	t.is(endpoint.seen.length, 3);
+});
+
 test('a budget that cannot hold a request refuses it before any endpoint sees it', async t => {
 	const {callers, runs} = await serve(makeConfig({routes: [makeRoute({kind: 'stream'})]}, 119), stream(1));
 	const answer = await callHost(callers, {headers: tokens});
