The horizon after an outage takes the moment of the store's return, not a duration

Cause: the house stores deadlines and moments, not durations. Change: planHorizon takes when the store answered again, and now.

--- a/packages/entry/src/lib/rights-store/create-store-state.ts
+++ b/packages/entry/src/lib/rights-store/create-store-state.ts
@@ -20,7 +20,7 @@
 	let retryAt = 0;
 	return {
 		isUp: () => isUp,
-		upMs: () => isUp ? now() - changedAt : 0,
+		upSince: () => isUp ? changedAt : now(),
 		downMs: () => isUp ? 0 : now() - changedAt,
 		mayCall: () => now() >= retryAt,
 		note(isAnswered) {
--- a/packages/entry/src/lib/rights/create-rights-keeper.ts
+++ b/packages/entry/src/lib/rights/create-rights-keeper.ts
@@ -49,7 +49,7 @@
 		holder, accounts, rightsOf: budget => writer.rightsOf(budget), now,
 	});
 	let largestRequest = 0;
-	const holdAhead = holdAheadByRate(holdAheadSettings, () => largestRequest, () => planHorizon(state.upMs(), holdAheadSettings.horizonSeconds));
+	const holdAhead = holdAheadByRate(holdAheadSettings, () => largestRequest, () => planHorizon(state.upSince(), now(), holdAheadSettings.horizonSeconds));
 
 	const allocators = createAllocators({holder, links, slotOf: budget => slotOfBudget(budget, slotCount)});
 	const borrower = createBorrower({
--- a/packages/entry/src/lib/rights/plan-horizon.ts
+++ b/packages/entry/src/lib/rights/plan-horizon.ts
@@ -11,8 +11,9 @@
 /**
 Decides how far ahead a host holds rights, in seconds of its demand. Pure.
 
-@param upMs For how long the store has answered since it was last out of reach, in ms; infinite where it never was.
+@param upSince When the store answered again after it was last out of reach, in monotonic ms; minus infinity where it never was.
+@param now Monotonic ms.
 @param quietSeconds How far ahead in quiet times, in seconds.
 */
-export const planHorizon = (upMs: number, quietSeconds: number): number =>
-	Math.min(quietSeconds, firstSeconds + (upMs / 1000 * secondsPerSecond));
+export const planHorizon = (upSince: number, now: number, quietSeconds: number): number =>
+	Math.min(quietSeconds, firstSeconds + ((now - upSince) / 1000 * secondsPerSecond));
