The last part is not worked out where nobody more urgent asks; bare constants say so

Ruled out: keeping the sums between requests, which is state that can be derived.

Behaviour is as it was.

--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -13,7 +13,7 @@
 /** Where no outage is known that would say more (`planRetryAfter`), in seconds. */
 const rightsRetrySeconds = 2;
 
-/** A budget that is nearly used up is topped up within a change of the configuration at best, in seconds. */
+/** A budget that is nearly used up is topped up within a change of the configuration at best, in seconds. Chosen without a measurement. */
 const keptRetrySeconds = 5;
 
 const notRun = (status: number, code: HostRefusal['code'], message: string, retryAfterSeconds?: number): HostRefusal =>
--- a/packages/entry/src/lib/last-part/create-last-part.ts
+++ b/packages/entry/src/lib/last-part/create-last-part.ts
@@ -1,6 +1,5 @@
-import {openReservations, type BudgetRights} from '@deckwheel/ledger';
+import {openReservations, viewStore, type BudgetRights} from '@deckwheel/ledger';
 import {remainingTokens} from '../rights-store/remaining-tokens.js';
-import {viewRights} from '../rights-store/view-rights.js';
 import type {Accounts} from '../rights/accounts.js';
 import {demandRate} from '../rights/demand-rate.js';
 import {createUrgencyRecord} from './create-urgency-record.js';
@@ -22,17 +21,18 @@
 	const urgency = createUrgencyRecord(now);
 	return {
 		isKept(budget, tokens, priority) {
+			const {share: urgentShare, meanTokens: urgentTokens} = urgency.moreUrgent(budget, priority);
 			const rights = rightsOf(budget);
-			if (!rights) {
+			// Where nobody more urgent asks, the record need not be summed up.
+			if (!rights || urgentShare === 0) {
 				return false;
 			}
 
 			const account = accounts.of(budget);
-			const {share: urgentShare, meanTokens: urgentTokens} = urgency.moreUrgent(budget, priority);
 			return isKeptForUrgent({
 				tokens,
 				left: remainingTokens(rights, holder, account) - openReservations(rights),
-				fleetRate: viewRights(rights, holder, demandRate(account)).fleetTokensPerSecond,
+				fleetRate: viewStore(rights, holder, demandRate(account)).fleetTokensPerSecond,
 				urgentShare,
 				urgentTokens,
 			});
