Sight: where a budget's tokens are when it refuses, and what an ended life leaves charged

Ruled out: a line with each draw (70 writes a second for the fleet; the sums matter when somebody is refused); a command (the store's object has the same sums only for as long as it is not written again). Change: budget_short, at most one line in two seconds a budget and host, with limit, unallocated, charged, open, held and stranded; rights_stranded, once for each life that a write folds. Two pure functions and a test each. What hosts decide is as it was.

--- a/packages/entry/src/lib/rights-store/create-slot-writer.ts
+++ b/packages/entry/src/lib/rights-store/create-slot-writer.ts
@@ -5,6 +5,7 @@
 import type {Accounts} from '../rights/accounts.js';
 import type {BudgetLimits} from '../rights/budget-limits.js';
 import {createSlotCache} from './create-slot-cache.js';
+import {findStranded} from './find-stranded.js';
 import type {KnownSlot} from './known-slot.js';
 import {planSlotWrite} from './plan-slot-write.js';
 import {slotCount} from './slot-count.js';
@@ -69,6 +70,10 @@
 		if (outcome.ok) {
 			state.note(true);
 			cache.note(slot, outcome.value);
+			for (const stranded of findStranded(known.rights, plan.rights)) {
+				log('rights_stranded', stranded);
+			}
+
 			for (const {budget, granted} of plan.grants) {
 				takeGrant(budget, granted, plan.rest.get(budget));
 			}
--- a/packages/entry/src/lib/rights-store/prepare-rights.ts
+++ b/packages/entry/src/lib/rights-store/prepare-rights.ts
@@ -1,7 +1,5 @@
 import type {BudgetRights, HolderRights, RightsObject} from '@deckwheel/ledger';
-
-/** The holder that stands for hosts' lives that have ended. What they held stays spent. */
-const retiredHolder = 'retired';
+import {retiredHolder} from './retired-holder.js';
 
 type Inputs = {
 	readonly host: string;
--- a/packages/entry/src/lib/rights/create-rights-keeper.ts
+++ b/packages/entry/src/lib/rights/create-rights-keeper.ts
@@ -15,6 +15,7 @@
 import type {BudgetLimits} from './budget-limits.js';
 import {createAccounts} from './create-accounts.js';
 import {createRightsObtainer} from './create-rights-obtainer.js';
+import {createShortageLog} from './create-shortage-log.js';
 import {holdAheadSettings} from './hold-ahead-settings.js';
 import {isBudgetExhausted} from './is-budget-exhausted.js';
 import {planDrawAmount} from './plan-draw-amount.js';
@@ -48,6 +49,9 @@
 	const lastPart = createLastPart({
 		holder, accounts, rightsOf: budget => writer.rightsOf(budget), now,
 	});
+	const shortageLog = createShortageLog({
+		rightsOf: budget => writer.rightsOf(budget), ageOf: budget => writer.ageOf(budget), log, now,
+	});
 	let largestRequest = 0;
 	const holdAhead = holdAheadByRate(holdAheadSettings, () => largestRequest, () => planHorizon(state.upSince(), now(), holdAheadSettings.horizonSeconds));
 
@@ -111,6 +115,7 @@
 				const isExhausted = isBudgetExhausted({
 					rights: writer.rightsOf(budget), ageMs: writer.ageOf(budget), holder, tokens,
 				});
+				shortageLog.note(budget);
 				return isExhausted ? 'exhausted' : 'kept';
 			}
 
@@ -123,6 +128,8 @@
 				if (priority !== undefined) {
 					lastPart.note(budget, priority, tokens);
 				}
+			} else {
+				shortageLog.note(budget);
 			}
 
 			return outcome;
--- /dev/null
+++ b/packages/entry/src/test/sum-up-budget.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import type {BudgetRights, HolderRights} from '@deckwheel/ledger';
+import {createShortageLog} from '../lib/rights/create-shortage-log.js';
+import {findStranded} from '../lib/rights-store/find-stranded.js';
+import {prepareRights} from '../lib/rights-store/prepare-rights.js';
+import {sumUpBudget} from '../lib/rights-store/sum-up-budget.js';
+
+const entry = (granted: number, settled: number, reserved: number): HolderRights => ({
+	epoch: 0, granted, transferred: 0, rate: 0, settled, billed: settled, reserved,
+});
+const rights: BudgetRights = {
+	organisation: 'org', limit: 1000, topUps: [], holders: {'a#1': entry(300, 100, 50), 'b#1': entry(200, 200, 0)},
+};
+const next = {
+	host: 'a', holder: 'a#2', limits: new Map([['org', 1000]]), version: 1,
+};
+
+test('the sums of a budget add up to its limit, before and after a life has ended', t => {
+	t.deepEqual(sumUpBudget(rights), {
+		limit: 1000, unallocated: 500, charged: 300, open: 50, held: 150, stranded: 0,
+	});
+	t.deepEqual(sumUpBudget(prepareRights({budgets: {org: rights}}, next).budgets.org!), {
+		limit: 1000, unallocated: 500, charged: 300, open: 0, held: 0, stranded: 200,
+	});
+});
+
+test('what an ended life leaves charged is told once, when it is folded', t => {
+	const before = {budgets: {org: rights}};
+	const after = prepareRights(before, next);
+	t.deepEqual(findStranded(before, after), [{
+		budget: 'org', holder: 'a#1', open: 50, held: 150,
+	}]);
+	t.deepEqual(findStranded(after, prepareRights(after, next)), []);
+});
+
+test('a budget that goes on refusing has one line in two seconds', t => {
+	let time = 0;
+	const lines: unknown[] = [];
+	const log = createShortageLog({
+		rightsOf: budget => budget === 'org' ? rights : undefined,
+		ageOf: () => 12.4,
+		log(event, fields) {
+			lines.push([event, fields]);
+		},
+		now: () => time,
+	});
+	for (time of [0, 100, 1999, 2000]) {
+		log.note('org');
+		log.note('unknown');
+	}
+
+	t.is(lines.length, 2);
+	t.deepEqual(lines[0], ['budget_short', {
+		budget: 'org', limit: 1000, unallocated: 500, charged: 300, open: 50, held: 150, stranded: 0, age_ms: 12,
+	}]);
+});
