Failing test: what is left of a budget after a death of all hosts is gone 12 s later

Cause: what is left goes to whoever comes first, at the full rate, and large requests take most of it. Change: last-part-after-a-death.test.ts plays the keepers as shipped; the course of a death may say how urgent requests are.

--- a/packages/entry/src/test/lib/play-death-of-all.ts
+++ b/packages/entry/src/test/lib/play-death-of-all.ts
@@ -28,6 +28,8 @@
 	readonly limit: number;
 	/** What requests reserve and use, in tokens; one after the other, again and again. */
 	readonly requestTokens: readonly number[];
+	/** How urgent those are, 0 the most, in the same order; nothing is kept from them where it is left out. */
+	readonly priorities?: readonly number[];
 	/** How often the first host is asked, in ms. The others are asked once, at the start. */
 	readonly requestGapMs: number;
 	/** What that one request of the others reserves and uses, in tokens. */
@@ -122,8 +124,8 @@
 	let drawableAfterDeath = 0;
 	let ends: ReadonlyArray<{readonly at: number; readonly keeper: RightsKeeper; readonly tokens: number}> = [];
 
-	const request = async (keeper: RightsKeeper, at: number, tokens: number): Promise<void> => {
-		const outcome = await keeper.reserve('org', tokens, at + defaultTimeouts.storeMs);
+	const request = async (keeper: RightsKeeper, at: number, tokens: number, priority?: number): Promise<void> => {
+		const outcome = await keeper.reserve('org', tokens, at + defaultTimeouts.storeMs, priority);
 		requests.push({at, outcome});
 		if (outcome === 'reserved') {
 			spent += tokens;
@@ -156,7 +158,8 @@
 		ends = ends.filter(({at}) => at > time);
 		for (const [index, keeper] of [...keepers.values()].entries()) {
 			if (index === 0 && time % course.requestGapMs === 0) {
-				void request(keeper, time, course.requestTokens[(time / course.requestGapMs) % course.requestTokens.length]!);
+				const turn = (time / course.requestGapMs) % course.requestTokens.length;
+				void request(keeper, time, course.requestTokens[turn]!, course.priorities?.[turn]);
 			} else if (time === index * stepMs) {
 				void request(keeper, time, course.firstTokens);
 			}
