After a restart, what is left of a budget is spread over 20 s

After a death of all hosts what is left of a budget went to whoever came first, large requests took most of it, and from 9 s on next to nobody was served until a top-up. Change: for 20 s after a restart a host spends its part of what is left no faster than would use it up then (plan-lasting, step-pace, is-ahead-of-pace: pure), where the budget does not last that long anyway; else 429 budget_kept, and budget_short says kept_for_later. No state in the store, no new setting.

--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -30,7 +30,7 @@
 	badTokenCount: notRun(httpStatus.badRequest, 'bad_request', 'The token count must be two whole numbers, of the prompt and the most of the answer.'),
 	budgetExhausted: notRun(httpStatus.paymentRequired, 'budget_exhausted', 'What remains of the budget cannot hold this request. Top the budget up.'),
 	rightsUnavailable: notRun(httpStatus.tooManyRequests, 'rights_unavailable', 'This host cannot reach enough of the budget now. Come back shortly.', rightsRetrySeconds),
-	budgetKept: notRun(httpStatus.tooManyRequests, 'budget_kept', 'What remains of the budget is kept for more urgent requests. Top the budget up.', keptRetrySeconds),
+	budgetKept: notRun(httpStatus.tooManyRequests, 'budget_kept', 'What remains of the budget is kept for more urgent or for later requests. Top the budget up.', keptRetrySeconds),
 	hostOverloaded: notRun(httpStatus.serviceUnavailable, 'host_overloaded', 'This host has too much to do. Come back at once; another host will take it.', otherHostRetrySeconds),
 	hostStopping: notRun(httpStatus.serviceUnavailable, 'host_stopping', 'This host stops before the request might end. Come back at once; another host will take it.', otherHostRetrySeconds),
 	noEndpoint: notRun(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
--- a/packages/entry/src/lib/last-part/last-part.ts
+++ b/packages/entry/src/lib/last-part/last-part.ts
@@ -1,7 +1,11 @@
-/** The last part of budgets, which more urgent requests get before others. */
+/** The last part of budgets: more urgent requests get it before others, and after a restart it is spread over some time. */
 export type LastPart = {
-	/** Whether a request of this many tokens is turned away since what is left is kept for more urgent ones. `priority`: 0 is the most urgent. */
-	readonly isKept: (budget: string, tokens: number, priority: number) => boolean;
+	/**
+	For whom what is left is kept from a request of this many tokens: for more urgent requests, or for later ones. `undefined`: it is not.
+
+	@param priority 0 is the most urgent.
+	*/
+	readonly keptFor: (budget: string, tokens: number, priority: number) => 'urgent' | 'later' | undefined;
 	/** Notes a request that got its rights. */
 	readonly note: (budget: string, priority: number, tokens: number) => void;
 };
--- /dev/null
+++ b/packages/entry/src/lib/last-part/plan-lasting.ts
@@ -0,0 +1,14 @@
+/**
+For this long after a restart, what is left of a budget is spread over the time, in seconds. Callers who lost their answers come back
+at once, and what the dead held is charged: unspread, all that is left goes to the first of them within seconds, and nobody is served
+from then on until somebody tops the budget up.
+*/
+const spreadSeconds = 20;
+
+/**
+Decides how long what is left of a budget has to last at a host, in seconds; 0 where it need not. Pure.
+
+@param startedAt When this life of the host began, in monotonic ms.
+@param now Monotonic ms.
+*/
+export const planLasting = (startedAt: number, now: number): number => Math.max(0, spreadSeconds - ((now - startedAt) / 1000));
--- /dev/null
+++ b/packages/entry/src/lib/last-part/step-pace.ts
@@ -0,0 +1,32 @@
+import type {Pace} from './pace.js';
+
+/** A host may catch up on so much of its part, in seconds of the pace: requests come in bursts. Chosen without a measurement. */
+const burstSeconds = 3;
+
+/** The shortest time over which anything is spread, in seconds: the last of it is not worth a rule. */
+const leastSeconds = 1;
+
+type Inputs = {
+	/** What is neither spent nor set aside for open requests of any host, by the newest record, in tokens. */
+	readonly left: number;
+	/** How long that has to last, in seconds. */
+	readonly lasting: number;
+	/** This host's part of the demand on the budget, 0 to 1. */
+	readonly share: number;
+	/** Monotonic ms. */
+	readonly now: number;
+};
+
+/**
+Of the most that can be saved up, a host has this part at first: what is small beside the pace is served at once. With all of it, the
+first request at each host would pass whatever its size, and together they took a third of what was left.
+*/
+const firstPart = 0.5;
+
+/** Moves a host's pace on one budget on to `now`. Pure. */
+export const stepPace = (pace: Pace | undefined, {left, lasting, share, now}: Inputs): Pace => {
+	const perSecond = Math.max(0, left) * share / Math.max(leastSeconds, lasting);
+	const most = perSecond * burstSeconds;
+	const allowed = pace === undefined ? most * firstPart : Math.min(most, pace.allowed + (perSecond * (now - pace.at) / 1000));
+	return {allowed, most, at: now};
+};
--- a/packages/entry/src/lib/lending/create-lender.ts
+++ b/packages/entry/src/lib/lending/create-lender.ts
@@ -27,7 +27,7 @@
 		const givenTo = (): number => accounts.of(budget).given.get(to) ?? 0;
 		const isClient = allocators.isClient(to, budget);
 		const share = loanShare(isClient);
-		const isRefused = isClient && rank !== undefined && lastPart.isKept(budget, rank.tokens, rank.priority);
+		const isRefused = isClient && rank !== undefined && lastPart.keptFor(budget, rank.tokens, rank.priority) !== undefined;
 		// Hosts that draw for themselves, here or in other halls, are peers in need and no lasting demand on this one.
 		if (isClient) {
 			accounts.step(budget, {type: 'demanded', by: 'client', tokens: clientDemand.note(to, budget, demanded)});
--- a/packages/entry/src/lib/rights/create-rights-keeper.ts
+++ b/packages/entry/src/lib/rights/create-rights-keeper.ts
@@ -47,7 +47,7 @@
 	let limits: BudgetLimits = {version: 0, byBudget: new Map()};
 	let isRetiring = false;
 	const lastPart = createLastPart({
-		holder, accounts, rightsOf: budget => writer.rightsOf(budget), now,
+		holder, accounts, rightsOf: budget => writer.rightsOf(budget), startedAt: now(), now,
 	});
 	const shortageLog = createShortageLog({
 		rightsOf: budget => writer.rightsOf(budget), ageOf: budget => writer.ageOf(budget), log, now,
@@ -111,12 +111,14 @@
 		},
 		async reserve(budget, tokens, deadline, priority) {
 			largestRequest = Math.max(largestRequest, tokens);
-			if (priority !== undefined && lastPart.isKept(budget, tokens, priority)) {
+			const keptFor = priority === undefined ? undefined : lastPart.keptFor(budget, tokens, priority);
+			if (keptFor) {
 				const isExhausted = isBudgetExhausted({
 					rights: writer.rightsOf(budget), ageMs: writer.ageOf(budget), holder, tokens,
 				});
-				shortageLog.note(budget);
-				return isExhausted ? 'exhausted' : 'kept';
+				const refused = isExhausted ? 'exhausted' : 'kept';
+				shortageLog.note(budget, isExhausted ? refused : `kept_for_${keptFor}`);
+				return refused;
 			}
 
 			const outcome = await obtainer.obtain({
@@ -129,7 +131,7 @@
 					lastPart.note(budget, priority, tokens);
 				}
 			} else {
-				shortageLog.note(budget);
+				shortageLog.note(budget, outcome);
 			}
 
 			return outcome;
--- a/packages/entry/src/lib/rights/create-shortage-log.ts
+++ b/packages/entry/src/lib/rights/create-shortage-log.ts
@@ -17,21 +17,24 @@
 
 /** What is logged of budgets that requests were refused on. */
 type ShortageLog = {
-	readonly note: (budget: string) => void;
+	/** @param why Why the request was refused. */
+	readonly note: (budget: string, why: string) => void;
 };
 
 /** Creates the log that says where a budget's tokens are when a request is refused for want of rights. It owns when it told of each. */
 export const createShortageLog = ({rightsOf, ageOf, log, now}: Options): ShortageLog => {
 	const nextLineAt = new Map<string, number>();
 	return {
-		note(budget) {
+		note(budget, why) {
 			const rights = rightsOf(budget);
 			if (!rights || now() < (nextLineAt.get(budget) ?? 0)) {
 				return;
 			}
 
 			nextLineAt.set(budget, now() + lineGapMs);
-			log('budget_short', {budget, ...sumUpBudget(rights), age_ms: Math.round(ageOf(budget))});
+			log('budget_short', {
+				budget, refused: why, ...sumUpBudget(rights), age_ms: Math.round(ageOf(budget)),
+			});
 		},
 	};
 };
--- a/packages/entry/src/test/last-part-after-a-death.test.ts
+++ b/packages/entry/src/test/last-part-after-a-death.test.ts
@@ -23,16 +23,24 @@
 const tokensPerSecond = requestTokens.reduce((sum, tokens) => sum + tokens) / requestTokens.length * 1000 / requestGapMs;
 
 const death = {from: 20_000, until: 21_800};
+const course = {
+	hosts: 7, requestTokens, priorities: [0, 1, 1, 1, 1], requestGapMs, firstTokens: 9600, outages: [], cut: {from: 0, until: 0}, death,
+};
 
 test.serial('what is left of a budget after a death of all hosts still serves a quarter of the requests 12 s later', async t => {
 	for (const limit of [1_000_000, 1_100_000, 1_200_000]) {
-		const {requests, drawableAfterDeath} = await playDeathOfAll({
-			hosts: 7, limit, requestTokens, priorities: [0, 1, 1, 1, 1], requestGapMs, firstTokens: 9600,
-			outages: [], cut: {from: 0, until: 0}, death, end: death.until + recoveryMs + lookedAtMs,
-		});
+		const {requests, drawableAfterDeath} = await playDeathOfAll({...course, limit, end: death.until + recoveryMs + lookedAtMs});
 		const late = requests.filter(({at}) => at >= death.until + recoveryMs);
 		const served = late.filter(({outcome}) => outcome === 'reserved').length;
 		t.log(`${Math.round(drawableAfterDeath / tokensPerSecond)} s of demand left at the return; ${served} of ${late.length} served 12 s later`);
 		t.true(late.length > 0 && served >= late.length / 4);
 	}
 });
+
+test.serial('a budget with plenty left is not spread out: whoever asks after the death is served', async t => {
+	const {requests} = await playDeathOfAll({
+		...course, limit: 4_000_000, end: death.until + 10_000,
+	});
+	const after = requests.filter(({at}) => at >= death.until + 1000);
+	t.true(after.length > 0 && after.every(({outcome}) => outcome === 'reserved'));
+});
--- /dev/null
+++ b/packages/entry/src/test/step-pace.test.ts
@@ -0,0 +1,57 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {isAheadOfPace} from '../lib/last-part/is-ahead-of-pace.js';
+import type {Pace} from '../lib/last-part/pace.js';
+import {planLasting} from '../lib/last-part/plan-lasting.js';
+import {stepPace} from '../lib/last-part/step-pace.js';
+
+test('what is left has to last for less and less of the time after a restart, and then no more', t => {
+	t.deepEqual([0, 5000, 20_000, 60_000].map(age => planLasting(1000, 1000 + age)), [20, 15, 0, 0]);
+});
+
+test('a request that is large beside the pace waits until all that can be saved up is there, and is served then', t => {
+	const inputs = {left: 20_000, lasting: 20, share: 0.5};
+	const first = stepPace(undefined, {...inputs, now: 0});
+	t.false(isAheadOfPace(first, 700));
+	t.true(isAheadOfPace(first, 9000));
+	const saved = stepPace(first, {...inputs, now: 3000});
+	t.false(isAheadOfPace(saved, 9000));
+	const indebted = {...saved, allowed: saved.allowed - 9000};
+	t.true(isAheadOfPace(stepPace(indebted, {...inputs, now: 6000}), 700), 'it has gone ahead of the pace');
+});
+
+test('a budget with nothing left is not for the pace to refuse: it is used up', t => {
+	t.false(isAheadOfPace(stepPace(undefined, {
+		left: -500, lasting: 20, share: 1, now: 0,
+	}), 100));
+});
+
+// Whatever is asked, and however the time goes, what is served stays within the pace: what was left, over the time it has to last, with
+// what may be saved up at first and one request more.
+const anyRequests = fc.array(fc.record({afterMs: fc.integer({min: 1, max: 2000}), tokens: fc.integer({min: 1, max: 12_000})}), {minLength: 5, maxLength: 200});
+
+test('whatever is asked, no more is served than the pace allows and one request', t => {
+	fc.assert(fc.property(anyRequests, fc.integer({min: 10_000, max: 500_000}), (requests, prepaid) => {
+		let now = 0;
+		let left = prepaid;
+		let pace: Pace | undefined;
+		for (const {afterMs, tokens} of requests) {
+			now += afterMs;
+			const lasting = planLasting(0, now);
+			if (lasting <= 1) {
+				return;
+			}
+
+			pace = stepPace(pace, {
+				left, lasting, share: 1, now,
+			});
+			if (!isAheadOfPace(pace, tokens) && tokens <= left) {
+				pace = {...pace, allowed: pace.allowed - tokens};
+				left -= tokens;
+				const spent = prepaid - left;
+				const paced = prepaid * ((now / 1000 / 20) + (3 / 20));
+				t.true(spent <= paced + tokens + 1);
+			}
+		}
+	}), {numRuns: 200, seed: 38});
+});
--- a/packages/entry/src/test/sum-up-budget.test.ts
+++ b/packages/entry/src/test/sum-up-budget.test.ts
@@ -45,12 +45,12 @@
 		now: () => time,
 	});
 	for (time of [0, 100, 1999, 2000]) {
-		log.note('org');
-		log.note('unknown');
+		log.note('org', 'exhausted');
+		log.note('unknown', 'exhausted');
 	}
 
 	t.is(lines.length, 2);
 	t.deepEqual(lines[0], ['budget_short', {
-		budget: 'org', limit: 1000, unallocated: 500, charged: 300, open: 50, held: 150, stranded: 0, age_ms: 12,
+		budget: 'org', refused: 'exhausted', limit: 1000, unallocated: 500, charged: 300, open: 50, held: 150, stranded: 0, age_ms: 12,
 	}]);
 });
