The last part of a budget: one view of it, summed up only where it is needed; the log of shortages beside its sums

Ruled out: a cache of the sums (a record changes with most writes). Change: create-last-part decides first whether there is anybody to keep for; isExhausted belongs to the obtainer; create-shortage-log moved to rights-store. Behaviour as it was.

--- a/packages/entry/src/lib/last-part/create-last-part.ts
+++ b/packages/entry/src/lib/last-part/create-last-part.ts
@@ -24,6 +24,22 @@
 	readonly now: () => number;
 };
 
+/** What a host knows of the last part of a budget. Tokens, and tokens a second. */
+type LeftOfBudget = {
+	/** What is neither spent nor set aside for open requests of any host, by the newest record. */
+	readonly left: number;
+	/** How long that has to last, in seconds. */
+	readonly lasting: number;
+	/** The demand at this host. */
+	readonly rate: number;
+	/** The demand at all hosts, as far as they have written it. */
+	readonly fleetRate: number;
+	/** This host's part of that, 0 to 1. */
+	readonly demandShare: number;
+	/** Hosts that hold rights. */
+	readonly holders: number;
+};
+
 /**
 Creates the task that keeps the last part of budgets for more urgent and for later requests. It owns the record of how urgent the
 demand is, and how far this host is ahead of the pace on each budget.
@@ -32,41 +48,50 @@
 	const urgency = createUrgencyRecord(now);
 	const paces = new Map<string, Pace>();
 
-	/** Whether what is left would be spent too fast. Where no life has ended yet, nobody was told that an answer was lost. */
-	const isTooFast = (budget: string, tokens: number, rights: BudgetRights, left: number): boolean => {
-		const lasting = planLasting(startedAt, now());
-		if (lasting === 0 || rights.holders[retiredHolder] === undefined) {
-			return false;
-		}
+	/** How long what is left has to last, in seconds. Where no life has ended yet, nobody was told that an answer was lost. */
+	const lastingOf = ({holders}: BudgetRights): number => holders[retiredHolder] === undefined ? 0 : planLasting(startedAt, now());
 
-		const holders = holdersOf(rights, holder);
-		const rate = demandRate(accounts.of(budget));
-		const {fleetTokensPerSecond, demandShare} = viewStore(rights, holder, rate);
+	const isTooFast = (budget: string, tokens: number, {left, lasting, rate, fleetRate, demandShare, holders}: LeftOfBudget): boolean => {
 		const pace = stepPace(paces.get(budget), {
 			left, lasting, share: Math.max(demandShare, 1 / holders), now: now(),
 		});
 		paces.set(budget, pace);
 		// Others that began a moment ago have not written their demand yet.
-		return left < Math.max(fleetTokensPerSecond, rate * holders) * lasting && isAheadOfPace(pace, tokens);
+		const isLasting = left >= Math.max(fleetRate, rate * holders) * lasting;
+		return !isLasting && isAheadOfPace(pace, tokens);
+	};
+
+	const viewLeft = (budget: string, rights: BudgetRights, lasting: number): LeftOfBudget => {
+		const account = accounts.of(budget);
+		const rate = demandRate(account);
+		const {fleetTokensPerSecond, demandShare} = viewStore(rights, holder, rate);
+		return {
+			left: remainingTokens(rights, holder, account) - openReservations(rights),
+			lasting,
+			rate,
+			fleetRate: fleetTokensPerSecond,
+			demandShare,
+			holders: holdersOf(rights, holder),
+		};
 	};
 
 	return {
 		keptFor(budget, tokens, priority) {
 			const rights = rightsOf(budget);
-			if (!rights) {
+			const lasting = rights ? lastingOf(rights) : 0;
+			const {share: urgentShare, meanTokens: urgentTokens} = urgency.moreUrgent(budget, priority);
+			// Mostly there is nobody to keep anything for, and the record need not be summed up.
+			if (!rights || (lasting === 0 && urgentShare === 0)) {
 				return undefined;
 			}
 
-			const account = accounts.of(budget);
-			const left = remainingTokens(rights, holder, account) - openReservations(rights);
-			if (isTooFast(budget, tokens, rights, left)) {
+			const view = viewLeft(budget, rights, lasting);
+			if (lasting > 0 && isTooFast(budget, tokens, view)) {
 				return 'later';
 			}
 
-			const {share: urgentShare, meanTokens: urgentTokens} = urgency.moreUrgent(budget, priority);
-			// Where nobody more urgent asks, the record need not be summed up.
-			const isKept = urgentShare > 0 && isKeptForUrgent({
-				tokens, left, fleetRate: viewStore(rights, holder, demandRate(account)).fleetTokensPerSecond, urgentShare, urgentTokens,
+			const isKept = isKeptForUrgent({
+				tokens, left: view.left, fleetRate: view.fleetRate, urgentShare, urgentTokens,
 			});
 			return isKept ? 'urgent' : undefined;
 		},
--- a/packages/entry/src/lib/rights/create-shortage-log.ts
+++ b/packages/entry/src/lib/rights-store/create-shortage-log.ts
@@ -1,6 +1,6 @@
 import type {BudgetRights} from '@deckwheel/ledger';
 import type {Log} from '../../adapter/log.js';
-import {sumUpBudget} from '../rights-store/sum-up-budget.js';
+import {sumUpBudget} from './sum-up-budget.js';
 
 /** A budget that is short has one line in this time, in ms: enough to follow how it ends, and nothing beside the lines of its refused requests. */
 const lineGapMs = 2000;
--- a/packages/entry/src/lib/rights/create-rights-keeper.ts
+++ b/packages/entry/src/lib/rights/create-rights-keeper.ts
@@ -8,6 +8,7 @@
 import type {LoanClient} from '../lending/loan-client.js';
 import type {PeerLinks} from '../peers/peer-links.js';
 import {createDrawQueue} from '../rights-store/create-draw-queue.js';
+import {createShortageLog} from '../rights-store/create-shortage-log.js';
 import {createSlotWriter} from '../rights-store/create-slot-writer.js';
 import {createStoreState} from '../rights-store/create-store-state.js';
 import {slotCount} from '../rights-store/slot-count.js';
@@ -15,9 +16,7 @@
 import type {BudgetLimits} from './budget-limits.js';
 import {createAccounts} from './create-accounts.js';
 import {createRightsObtainer} from './create-rights-obtainer.js';
-import {createShortageLog} from './create-shortage-log.js';
 import {holdAheadSettings} from './hold-ahead-settings.js';
-import {isBudgetExhausted} from './is-budget-exhausted.js';
 import {planDrawAmount} from './plan-draw-amount.js';
 import {planHorizon} from './plan-horizon.js';
 import {planRetryAfter} from './plan-retry-after.js';
@@ -113,9 +112,7 @@
 			largestRequest = Math.max(largestRequest, tokens);
 			const keptFor = priority === undefined ? undefined : lastPart.keptFor(budget, tokens, priority);
 			if (keptFor) {
-				const isExhausted = isBudgetExhausted({
-					rights: writer.rightsOf(budget), ageMs: writer.ageOf(budget), holder, tokens,
-				});
+				const isExhausted = obtainer.isExhausted(budget, tokens);
 				const refused = isExhausted ? 'exhausted' : 'kept';
 				shortageLog.note(budget, isExhausted ? refused : `kept_for_${keptFor}`);
 				return refused;
--- a/packages/entry/src/lib/rights/create-rights-obtainer.ts
+++ b/packages/entry/src/lib/rights/create-rights-obtainer.ts
@@ -61,7 +61,12 @@
 	const draw = async (budget: string, tokens: number, deadline: number): Promise<boolean> =>
 		await queue.draw(budget, tokens, deadline) === 'reserved';
 
+	const isExhausted: RightsObtainer['isExhausted'] = (budget, tokens) => isBudgetExhausted({
+		rights: writer.rightsOf(budget), ageMs: writer.ageOf(budget), holder, tokens,
+	});
+
 	return {
+		isExhausted,
 		async obtain({budget, tokens, deadline, priority}) {
 			let last: RightsSource | undefined;
 			let hasReachedStore = false;
@@ -70,10 +75,7 @@
 					last, isRetiring: isRetiring(), isAllocator: allocators.isAllocator(budget), hasReachedStore, mayDraw: balance.mayDraw(budget),
 				});
 				if (last === undefined) {
-					const isExhausted = isBudgetExhausted({
-						rights: writer.rightsOf(budget), ageMs: writer.ageOf(budget), holder, tokens,
-					});
-					return isExhausted ? 'exhausted' : 'unavailable';
+					return isExhausted(budget, tokens) ? 'exhausted' : 'unavailable';
 				}
 
 				if (last === 'allocators') {
--- a/packages/entry/src/lib/rights/rights-obtainer.ts
+++ b/packages/entry/src/lib/rights/rights-obtainer.ts
@@ -16,4 +16,6 @@
 	readonly obtain: (need: RightsNeed) => Promise<ReserveOutcome>;
 	/** For a host that borrows from this one: makes them available. */
 	readonly obtainForClient: (budget: string, tokens: number) => Promise<void>;
+	/** Whether a budget is known to be used up for a request of this many tokens. */
+	readonly isExhausted: (budget: string, tokens: number) => boolean;
 };
--- a/packages/entry/src/test/sum-up-budget.test.ts
+++ b/packages/entry/src/test/sum-up-budget.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type {BudgetRights, HolderRights} from '@deckwheel/ledger';
-import {createShortageLog} from '../lib/rights/create-shortage-log.js';
+import {createShortageLog} from '../lib/rights-store/create-shortage-log.js';
 import {findStranded} from '../lib/rights-store/find-stranded.js';
 import {prepareRights} from '../lib/rights-store/prepare-rights.js';
 import {sumUpBudget} from '../lib/rights-store/sum-up-budget.js';
