--- a/packages/entry/src/lib/lending/loan-reply.ts
+++ b/packages/entry/src/lib/lending/loan-reply.ts
@@ -4,6 +4,6 @@
 	readonly total: number;
 	/** Whether this host draws for the peer and reaches the store: then it lent what there is. */
 	readonly reachesStore: boolean;
-	/** Whether what is left is kept for more urgent requests; others that draw for the peer are not asked then. */
+	/** Whether what is left is kept for more urgent or for later requests; others that draw for the peer are not asked then. */
 	readonly isKept?: boolean;
 };
