The pace after a restart: only where most hosts died, and front-loaded

Hosts that were stopped in turn as planned paced budgets for 20 s each, and after a death of all a quarter of what was left lay unused at the end. Change: is-after-deaths tells by a budget's record whether most of what was ever charged was charged by ended lives that left a tenth of the rest stranded; a host may spend at twice the even pace, so what is left falls with the square of the time that remains.

--- a/packages/entry/src/lib/last-part/create-last-part.ts
+++ b/packages/entry/src/lib/last-part/create-last-part.ts
@@ -1,10 +1,10 @@
 import {openReservations, viewStore, type BudgetRights} from '@deckwheel/ledger';
 import {holdersOf} from '../rights-store/holders-of.js';
 import {remainingTokens} from '../rights-store/remaining-tokens.js';
-import {retiredHolder} from '../rights-store/retired-holder.js';
 import type {Accounts} from '../rights/accounts.js';
 import {demandRate} from '../rights/demand-rate.js';
 import {createUrgencyRecord} from './create-urgency-record.js';
+import {isAfterDeaths} from './is-after-deaths.js';
 import {isAheadOfPace} from './is-ahead-of-pace.js';
 import {isKeptForUrgent} from './is-kept-for-urgent.js';
 import type {LastPart} from './last-part.js';
@@ -28,8 +28,6 @@
 type LeftOfBudget = {
 	/** What is neither spent nor set aside for open requests of any host, by the newest record. */
 	readonly left: number;
-	/** How long that has to last, in seconds. */
-	readonly lasting: number;
 	/** The demand at this host. */
 	readonly rate: number;
 	/** The demand at all hosts, as far as they have written it. */
@@ -48,10 +46,7 @@
 	const urgency = createUrgencyRecord(now);
 	const paces = new Map<string, Pace>();
 
-	/** How long what is left has to last, in seconds. Where no life has ended yet, nobody was told that an answer was lost. */
-	const lastingOf = ({holders}: BudgetRights): number => holders[retiredHolder] === undefined ? 0 : planLasting(startedAt, now());
-
-	const isTooFast = (budget: string, tokens: number, {left, lasting, rate, fleetRate, demandShare, holders}: LeftOfBudget): boolean => {
+	const isTooFast = (budget: string, tokens: number, lasting: number, {left, rate, fleetRate, demandShare, holders}: LeftOfBudget): boolean => {
 		const pace = stepPace(paces.get(budget), {
 			left, lasting, share: Math.max(demandShare, 1 / holders), now: now(),
 		});
@@ -61,13 +56,12 @@
 		return !isLasting && isAheadOfPace(pace, tokens);
 	};
 
-	const viewLeft = (budget: string, rights: BudgetRights, lasting: number): LeftOfBudget => {
+	const viewLeft = (budget: string, rights: BudgetRights): LeftOfBudget => {
 		const account = accounts.of(budget);
 		const rate = demandRate(account);
 		const {fleetTokensPerSecond, demandShare} = viewStore(rights, holder, rate);
 		return {
 			left: remainingTokens(rights, holder, account) - openReservations(rights),
-			lasting,
 			rate,
 			fleetRate: fleetTokensPerSecond,
 			demandShare,
@@ -78,15 +72,15 @@
 	return {
 		keptFor(budget, tokens, priority) {
 			const rights = rightsOf(budget);
-			const lasting = rights ? lastingOf(rights) : 0;
+			const lasting = planLasting(startedAt, now());
 			const {share: urgentShare, meanTokens: urgentTokens} = urgency.moreUrgent(budget, priority);
 			// Mostly there is nobody to keep anything for, and the record need not be summed up.
 			if (!rights || (lasting === 0 && urgentShare === 0)) {
 				return undefined;
 			}
 
-			const view = viewLeft(budget, rights, lasting);
-			if (lasting > 0 && isTooFast(budget, tokens, view)) {
+			const view = viewLeft(budget, rights);
+			if (lasting > 0 && isAfterDeaths(rights, view.left) && isTooFast(budget, tokens, lasting, view)) {
 				return 'later';
 			}
 
--- a/packages/entry/src/lib/last-part/step-pace.ts
+++ b/packages/entry/src/lib/last-part/step-pace.ts
@@ -3,6 +3,12 @@
 /** A host may catch up on so much of its part, in seconds of the pace: requests come in bursts. Chosen without a measurement. */
 const burstSeconds = 3;
 
+/**
+A host may spend this many times as fast as would use its part up evenly. What is left then falls with the square of the time that
+remains: most goes to the callers who come back at once, a tenth to those of the third quarter of the time, and little is left unused.
+*/
+const frontLoad = 2;
+
 /** The shortest time over which anything is spread, in seconds: the last of it is not worth a rule. */
 const leastSeconds = 1;
 
@@ -25,7 +31,7 @@
 
 /** Moves a host's pace on one budget on to `now`. Pure. */
 export const stepPace = (pace: Pace | undefined, {left, lasting, share, now}: Inputs): Pace => {
-	const perSecond = Math.max(0, left) * share / Math.max(leastSeconds, lasting);
+	const perSecond = Math.max(0, left) * share * frontLoad / Math.max(leastSeconds, lasting);
 	const most = perSecond * burstSeconds;
 	const allowed = pace === undefined ? most * firstPart : Math.min(most, pace.allowed + (perSecond * (now - pace.at) / 1000));
 	return {allowed, most, at: now};
