--- a/packages/entry/src/lib/last-part/step-pace.ts
+++ b/packages/entry/src/lib/last-part/step-pace.ts
@@ -5,10 +5,17 @@
 
 /**
 A host may spend this many times as fast as would use its part up evenly. What is left then falls with the square of the time that
-remains: most goes to the callers who come back at once, a tenth to those of the third quarter of the time, and little is left unused.
+remains: three quarters go to the callers of the first half of the time, a fifth to those of its third quarter, and little is left
+unused.
 */
 const frontLoad = 2;
 
+/**
+Of the most that can be saved up, a host has this part at first: what is small beside the pace is served at once. With all of it, the
+first request at each host would pass whatever its size.
+*/
+const firstPart = 0.5;
+
 /** The shortest time over which anything is spread, in seconds: the last of it is not worth a rule. */
 const leastSeconds = 1;
 
@@ -23,12 +30,6 @@
 	readonly now: number;
 };
 
-/**
-Of the most that can be saved up, a host has this part at first: what is small beside the pace is served at once. With all of it, the
-first request at each host would pass whatever its size, and together they took a third of what was left.
-*/
-const firstPart = 0.5;
-
 /** Moves a host's pace on one budget on to `now`. Pure. */
 export const stepPace = (pace: Pace | undefined, {left, lasting, share, now}: Inputs): Pace => {
 	const perSecond = Math.max(0, left) * share * frontLoad / Math.max(leastSeconds, lasting);
