Postmortem: the timeline's counts summed up anew from the play's record

Ruled out: that a conclusion hangs on them; the hypotheses and their judgement stand as written. The hypotheses are as first written.

--- a/packages/entry/src/test/last-part-after-a-death.test.ts
+++ b/packages/entry/src/test/last-part-after-a-death.test.ts
@@ -6,9 +6,9 @@
 in the store, whoever comes first gets all. Large requests, a fifth of them all, take most of it. Then callers of all kinds are refused,
 by hosts that are ready and endpoints that have room, until somebody tops the budgets up.
 
-Evidence: in the users' play budgets with 314,000 tokens left at the return had 0 left in the store after 0.3 to 3 s, and 1 summary and 8
-notes of 359 were served from 9 s on. In a day of our own the sums of `budget_short` then had nothing held, open or unallocated, and
-as stranded 17, 21 and 26 of 100 tokens ever prepaid.
+Evidence: of five budgets with 314,000 tokens left in the store at the return, four had 0 left there after 0.3 to 1.2 s, and from 8 s on 9
+of 359 requests with a budget were served. On days of our own the sums of `budget_short` then had next to nothing held, open or
+unallocated, and as stranded 17, 21 and 26 of 100 tokens ever prepaid.
 */
 import test from 'ava';
 import {playDeathOfAll} from './lib/play-death-of-all.js';
