--- a/packages/entry/src/lib/rights-store/sum-up-budget.ts
+++ b/packages/entry/src/lib/rights-store/sum-up-budget.ts
@@ -18,7 +18,7 @@
 };
 
 /**
-Sums up a budget for the log. Pure. Hosts tell of the others as of their last writes; what was lent to hosts that do not write is in
+Sums up a budget. Pure. Hosts tell of the others as of their last writes; what was lent to hosts that do not write is in
 none of the sums.
 */
 export const sumUpBudget = (rights: BudgetRights): BudgetSums => {
