--- a/packages/entry/src/lib/last-part/plan-lasting.ts
+++ b/packages/entry/src/lib/last-part/plan-lasting.ts
@@ -1,7 +1,7 @@
 /**
 Where most hosts have died, what is left of a budget is spread over this long after a host's start, in seconds. Callers who lost their
-answers come back at once, and what the dead held is charged: unspread, all that is left goes to the first of them within seconds, and nobody is served
-from then on until somebody tops the budget up.
+answers come back at once, and what the dead held is charged: unspread, all that is left goes to the first of them within seconds, and
+nobody is served from then on until somebody tops the budget up.
 */
 const spreadSeconds = 20;
 
