A play of a death draws the same chance in every run

Cause: hosts spread their first looks and their conflicts by chance, and the plays of back-to-service and last-part-after-a-death took it from the process: 15 to 18 of 50 requests served in 30 runs (13 asked), so a verdict might differ between runs. A run of all tests failed once today; whether by this is not shown. Ruled out: a lower bound; it comes from the stated aim. Change: seed-random, used by play-death-of-all. No check changed.

--- a/packages/entry/src/test/lib/play-death-of-all.ts
+++ b/packages/entry/src/test/lib/play-death-of-all.ts
@@ -11,11 +11,15 @@
 import type {ReserveOutcome} from '../../lib/rights/reserve-outcome.js';
 import {createMemoryRightsStore} from './memory-rights-store.js';
 import {makeConfig} from './start-host.js';
+import {seedRandom} from './seed-random.js';
 import {startVirtualTimers} from './start-virtual-timers.js';
 
 /** A step of virtual time, in ms. */
 const stepMs = 50;
 
+/** Hosts spread their first looks and their conflicts by chance; a play draws the same numbers each time. */
+const randomSeed = 38;
+
 /** How long a request runs, in ms. */
 const runMs = 1000;
 
@@ -56,6 +60,7 @@
 /** Plays steady callers at hosts that each draw for themselves, with the keepers of rights as shipped, in virtual time. */
 export const playDeathOfAll = async (course: DeathCourse): Promise<PlayedCourse> => {
 	const timers = startVirtualTimers();
+	const restoreRandom = seedRandom(randomSeed);
 	const {now} = timers;
 	const store = createMemoryRightsStore();
 	const requests: PlayedRequest[] = [];
@@ -174,6 +179,7 @@
 		keeper.close();
 	}
 
+	restoreRandom();
 	timers.stop();
 	return {requests, remainingAtDeath, drawableAfterDeath};
 };
