--- a/packages/entry/src/lib/hall-health/probe-address.ts
+++ b/packages/entry/src/lib/hall-health/probe-address.ts
@@ -1,23 +1,24 @@
 import {connect} from 'node:net';
 import {splitAddress} from '@deckwheel/core';
+import type {ProbeResult} from './probe-result.js';
 
-/** Whether an `ip:port` takes a connection in time. A refusal says nothing: cuts and dead ports refuse alike. */
-export const probeAddress = async (address: string, timeoutMs: number): Promise<boolean> => new Promise(resolve => {
+/** Tries a connection to an `ip:port`, and closes it at once. A reset counts as silence: a crowded endpoint resets as well. */
+export const probeAddress = async (address: string, timeoutMs: number): Promise<ProbeResult> => new Promise(resolve => {
 	const socket = connect(splitAddress(address));
-	const end = (isReached: boolean): void => {
+	const end = (result: ProbeResult): void => {
 		clearTimeout(timer);
-		resolve(isReached);
+		resolve(result);
 		socket.destroy();
 	};
 
 	const timer = setTimeout(() => {
 		// A connection that came while this process was busy elsewhere is reported before this.
-		setImmediate(end, false);
+		setImmediate(end, 'silent');
 	}, timeoutMs);
 	socket.on('connect', () => {
-		end(true);
+		end('reached');
 	});
-	socket.on('error', () => {
-		end(false);
+	socket.on('error', (error: NodeJS.ErrnoException) => {
+		end(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
 	});
 });
--- a/packages/entry/src/lib/host/start-health-watch.ts
+++ b/packages/entry/src/lib/host/start-health-watch.ts
@@ -34,7 +34,7 @@
 		boundMs: bounds.relayMs, open, log, now,
 	});
 	const halls = startHallWatch({
-		hall, probe: async address => probeAddress(address, timeouts.probeMs), isOverloaded: lateness.isOverloaded, log, now,
+		hall, probe: async address => await probeAddress(address, timeouts.probeMs) === 'reached', isOverloaded: lateness.isOverloaded, log, now,
 	});
 	return {
 		lateness,
--- /dev/null
+++ b/packages/entry/src/lib/poison/lost-run.ts
@@ -0,0 +1,11 @@
+import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+
+/** A run that an endpoint broke off, with nobody else to blame. */
+export type LostRun = {
+	/** Identifier of the request, for the log. */
+	readonly id: string;
+	readonly fingerprint: () => string;
+	readonly endpoint: ListedEndpoint;
+	/** Monotonic ms. */
+	readonly sentAt: number;
+};
--- a/packages/entry/src/lib/request/host-services.ts
+++ b/packages/entry/src/lib/request/host-services.ts
@@ -5,6 +5,7 @@
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
+import type {PoisonWatch} from '../poison/poison-watch.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
 import type {HallWatch} from '../hall-health/hall-watch.js';
@@ -30,6 +31,7 @@
 	readonly headerNames: HeaderNames;
 	readonly chooser: EndpointChooser;
 	readonly halls: HallWatch;
+	readonly poison: PoisonWatch;
 	readonly rights: RightsKeeper;
 	readonly pool: ConnectionPool;
 	readonly retries: RetryLimiter;
--- a/packages/entry/src/lib/request/request-inputs.ts
+++ b/packages/entry/src/lib/request/request-inputs.ts
@@ -9,6 +9,8 @@
 	readonly res: ServerResponse;
 	readonly body: Uint8Array;
 	readonly admitted: AdmittedRequest;
+	/** The same each time that the caller sends the request again (`fingerprintOf`). */
+	readonly fingerprint: () => string;
 	/** Sets aside what one more run may cost; `false` where rights are short. */
 	readonly reserveRun: () => Promise<boolean>;
 };
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -119,6 +119,12 @@
 		noteEnd({
 			end, endpoint, startedAt, isOver, outputTokens: progress.events * tokensPerEvent,
 		}, host);
+		if (end.type === 'lost' && !isOver) {
+			host.poison.runLost({
+				id: request.id, fingerprint: request.fingerprint, endpoint, sentAt: startedAt,
+			});
+		}
+
 		return end;
 	};
 
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -2,6 +2,7 @@
 import {admitRequest} from '../admission/admit-request.js';
 import {hostRefusals} from '../admission/host-refusals.js';
 import {readBody} from '../admission/read-body.js';
+import {createFingerprint} from '../poison/create-fingerprint.js';
 import {chargeOfResult} from './charge-of-result.js';
 import {costOfRequest} from './cost-of-request.js';
 import {createRequestLog} from './create-request-log.js';
@@ -85,7 +86,10 @@
 		host.retries.noteRequest(service);
 	}
 
+	const fingerprint = createFingerprint({
+		method: req.method!, host: req.headers.host ?? '', path: req.url!, caller: admitted.value.organisation?.name, body,
+	});
 	await serveReceived({
-		id, req, res, body, admitted: admitted.value,
+		id, req, res, body, admitted: admitted.value, fingerprint,
 	}, requestLog, host);
 };
