--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -46,6 +46,7 @@
 
 type Options = {
 	readonly host?: string;
+	readonly hall?: string;
 	/** Hosts that share it find each other. */
 	readonly peers?: Map<string, ListedPeer>;
 	/** How this host finds another one: as it is listed, or behind something. */
@@ -55,12 +56,12 @@
 };
 
 /** Starts an entry host. */
-export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', peers = new Map(), seenAs = peer => peer, schedule, now}: Options = {}) => {
+export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now}: Options = {}) => {
 	const events: Array<{event: string; fields: Fields}> = [];
 	const waiting: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntryHost({
 		host,
-		hall: 'hall-a',
+		hall,
 		listen: {callers: anyPort, ready: anyPort, peers: anyPort},
 		bounds: {
 			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000,
