--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -21,6 +21,9 @@
 		status, code, message, ran: 'not_run', retryAfterSeconds,
 	});
 
+/** Where no end of the block is known that would say more (`blockedUntil`), in seconds. */
+const blockedRetrySeconds = 600;
+
 /** The final answers that an entry host gives of its own. docs/OPERATIONS.md tells what to look at for each code. */
 export const hostRefusals = {
 	notReady: notRun(httpStatus.serviceUnavailable, 'not_ready', 'This host has no configuration yet. Come back shortly.', notReadyRetrySeconds),
@@ -33,6 +36,7 @@
 	budgetKept: notRun(httpStatus.tooManyRequests, 'budget_kept', 'What remains of the budget is kept for more urgent or for later requests. Top the budget up.', keptRetrySeconds),
 	hostOverloaded: notRun(httpStatus.serviceUnavailable, 'host_overloaded', 'This host has too much to do. Come back at once; another host will take it.', otherHostRetrySeconds),
 	hostStopping: notRun(httpStatus.serviceUnavailable, 'host_stopping', 'This host stops before the request might end. Come back at once; another host will take it.', otherHostRetrySeconds),
+	requestBlocked: notRun(httpStatus.tooManyRequests, 'request_blocked', 'Endpoints ended one after the other while they ran this request. Coming back earlier is of no use.', blockedRetrySeconds),
 	noEndpoint: notRun(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
 	overloaded: notRun(httpStatus.serviceUnavailable, 'overloaded', 'All endpoints are full. Come back shortly.', endpointRetrySeconds),
 	deadlinePassed: notRun(httpStatus.serviceUnavailable, 'deadline_exceeded', 'The time for this request ran out before it was sent.', endpointRetrySeconds),
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -4,11 +4,18 @@
 import type {StoreChanges} from '../../adapter/store-changes.js';
 import type {Timeouts} from '../../timeouts.js';
 import {createLoanClient} from '../lending/create-loan-client.js';
+import {probeAddress} from '../hall-health/probe-address.js';
 import {startPeerLinks} from '../peers/start-peer-links.js';
+import {readPeerReply} from '../peers/read-peer-reply.js';
+import {createEndpointEnds} from '../poison/create-endpoint-ends.js';
+import {createPoisonWatch} from '../poison/create-poison-watch.js';
+import type {PoisonWatch} from '../poison/poison-watch.js';
+import {suspicionsReplySchema} from '../poison/suspicions-reply-schema.js';
 import {createRightsKeeper} from '../rights/create-rights-keeper.js';
 import type {RightsKeeper} from '../rights/rights-keeper.js';
 import {createChangeBoard} from '../store-changes/create-change-board.js';
 import {createStoreChanges} from '../store-changes/create-store-changes.js';
+import {repeatByTimer} from './repeat-by-timer.js';
 
 type Options = {
 	readonly host: string;
@@ -30,6 +37,7 @@
 /** What a host shares with its peers: rights on budgets, and what it sees of the store. */
 type PeerTasks = {
 	readonly rights: RightsKeeper;
+	readonly poison: PoisonWatch;
 	readonly storeChanges: StoreChanges;
 	readonly close: () => Promise<void>;
 };
@@ -52,6 +60,19 @@
 	const rights = createRightsKeeper({
 		host, holder, store: rightsStore, loanClient, links: () => links, timeouts, log, now,
 	});
+	const poison = createPoisonWatch({
+		self: () => links.self(),
+		peers: () => links.others(),
+		async ask({address: asked}, question) {
+			const reply = await links.mesh()?.request(asked, {type: 'suspicions', ...question}, timeouts.peerMs);
+			return reply?.ok ? readPeerReply(suspicionsReplySchema, reply.value, {address: asked, type: 'suspicions'}, log) : undefined;
+		},
+		ends: createEndpointEnds(async endpoint => probeAddress(endpoint, timeouts.probeMs)),
+		every: repeatByTimer,
+		random: Math.random,
+		log,
+		now,
+	});
 	const board = createChangeBoard(now);
 	const links = startPeerLinks({
 		self: {holder, address, hall},
@@ -61,16 +82,20 @@
 			rights.takeBack(budget, from, total);
 		},
 		answerChanges: board.answer,
+		answerSuspicions: poison.answer,
+		onListed: poison.peersListed,
 		log,
 		onLinkReplaced,
 		now,
 	});
 	return {
 		rights,
+		poison,
 		storeChanges: createStoreChanges({
 			holder, board, links: () => links, log,
 		}),
 		async close() {
+			poison.close();
 			rights.close();
 			await links.close();
 		},
--- a/packages/entry/src/lib/peers/create-peer-answerer.ts
+++ b/packages/entry/src/lib/peers/create-peer-answerer.ts
@@ -10,7 +10,7 @@
 };
 
 /** Creates the function that checks what peers ask and passes it to who answers it. */
-export const createPeerAnswerer = ({lend, takeBack, answerChanges, holder, log}: Options) => async (from: Identity, body: unknown): Promise<unknown> => {
+export const createPeerAnswerer = ({lend, takeBack, answerChanges, answerSuspicions, holder, log}: Options) => async (from: Identity, body: unknown): Promise<unknown> => {
 	const message = peerMessageSchema.safeParse(body);
 	if (!message.success) {
 		log('peer_message_malformed', {from: from.incarnation});
@@ -36,6 +36,10 @@
 			return answerChanges(data.topic, data.after, data.holdMs);
 		}
 
+		case 'suspicions': {
+			return answerSuspicions(from.hall, data);
+		}
+
 		case 'lend': {
 			return {lender: holder, ...await lend(from.incarnation, data)};
 		}
--- a/packages/entry/src/lib/peers/create-peer-list.ts
+++ b/packages/entry/src/lib/peers/create-peer-list.ts
@@ -15,6 +15,8 @@
 	/** Takes in this host as peers find it. */
 	readonly setSelf: (self: ListedPeer) => void;
 	readonly self: () => ListedPeer;
+	/** All that are listed but for this host, and for its earlier lives at its own address. */
+	readonly others: () => readonly ListedPeer[];
 	readonly ofHolder: (holder: string) => ListedPeer | undefined;
 	readonly suspect: (address: string) => void;
 	/** Counts on a peer again at once. */
@@ -52,6 +54,7 @@
 			view = undefined;
 		},
 		self: () => self,
+		others: () => [...listed.values()].filter(({address}) => address !== self.address),
 		ofHolder: holder => listed.get(holder),
 		suspect(address) {
 			suspectedUntil.set(address, now() + suspicionMs);
--- a/packages/entry/src/lib/peers/peer-handlers.ts
+++ b/packages/entry/src/lib/peers/peer-handlers.ts
@@ -1,5 +1,7 @@
 import type {LoanReply} from '../lending/loan-reply.js';
 import type {LoanRequest} from '../lending/loan-request.js';
+import type {SuspicionsQuestion} from '../poison/suspicions-question.js';
+import type {SuspicionsReply} from '../poison/suspicions-reply.js';
 import type {ChangeReply} from '../store-changes/change-reply.js';
 
 /** Who answers which message of a peer. */
@@ -10,4 +12,6 @@
 	readonly takeBack: (from: string, budget: string, total: number) => void;
 	/** Answers a peer that asks whether something changed in the store. */
 	readonly answerChanges: (topic: string, after: number, holdMs: number) => Promise<ChangeReply>;
+	/** Answers a peer of a hall that tells of requests that end endpoints. */
+	readonly answerSuspicions: (hall: string, question: SuspicionsQuestion) => SuspicionsReply;
 };
--- a/packages/entry/src/lib/peers/peer-links.ts
+++ b/packages/entry/src/lib/peers/peer-links.ts
@@ -5,6 +5,10 @@
 export type PeerLinks = {
 	/** `undefined` until this host is listed. */
 	readonly mesh: () => Mesh | undefined;
+	/** This host, as it is listed. */
+	readonly self: () => ListedPeer;
+	/** All other hosts that are listed, of every hall, in reach or not. */
+	readonly others: () => readonly ListedPeer[];
 	/** A peer by its name as a holder. An unknown one has the directory read again. */
 	readonly peerOf: (holder: string) => ListedPeer | undefined;
 	/** Hosts of this hall that were in reach lately, this one among them. The same array until it changes. */
--- a/packages/entry/src/lib/peers/peer-message-schema.ts
+++ b/packages/entry/src/lib/peers/peer-message-schema.ts
@@ -1,4 +1,8 @@
 import {z} from 'zod';
+import {toldSuspicionSchema} from '../poison/told-suspicion-schema.js';
+
+/** Requests that one message may tell of. */
+const maxSuspicions = 100;
 
 /** What hosts ask of each other. Amounts are tokens. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
@@ -19,4 +23,8 @@
 	z.object({
 		type: z.literal('hand_back'), to: z.string(), budget: z.string(), total: z.number().nonnegative(),
 	}),
+	/** What the sender knows of requests that end endpoints; `wantsBlocked` asks for all that are blocked. */
+	z.object({
+		type: z.literal('suspicions'), suspicions: z.array(toldSuspicionSchema).max(maxSuspicions), wantsBlocked: z.boolean(),
+	}),
 ]);
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -30,6 +30,8 @@
 	readonly self: ListedPeer;
 	readonly directory: PeerDirectory;
 	readonly log: Log;
+	/** Called when the directory was read. */
+	readonly onListed: () => void;
 	/** Called when a link that carried nothing any more was replaced. */
 	readonly onLinkReplaced: () => void;
 	/** Monotonic ms. */
@@ -41,7 +43,7 @@
 
 It owns the links (by `mesh`) and the list of peers; who of the hall is counted on is decided by `viewHall`.
 */
-export const startPeerLinks = ({self, directory, log, onLinkReplaced, now, ...handlers}: Options): PeerLinks => {
+export const startPeerLinks = ({self, directory, log, onListed, onLinkReplaced, now, ...handlers}: Options): PeerLinks => {
 	const peers = createPeerList(self, now);
 	const answer = createPeerAnswerer({...handlers, holder: self.holder, log});
 	let mesh: Mesh | undefined;
@@ -54,6 +56,7 @@
 		if (found) {
 			peers.setListed(found);
 			log('peers_listed', {count: found.length});
+			onListed();
 		}
 	};
 
@@ -115,6 +118,8 @@
 	void join();
 	return {
 		mesh: () => mesh,
+		self: peers.self,
+		others: peers.others,
 		peerOf(holder) {
 			const peer = peers.ofHolder(holder);
 			// Names without a `#` stand for lives that have ended.
--- /dev/null
+++ b/packages/entry/src/lib/poison/pick-gossip-peers.ts
@@ -0,0 +1,23 @@
+import type {ListedPeer} from '../../adapter/listed-peer.js';
+
+/** Peers of the own hall told in one round: with two, nearly all hosts of a hall of any size have heard after a few rounds. */
+const nearPeers = 2;
+
+/** Peers of other halls told in one round. */
+const farPeers = 1;
+
+const pickSome = (peers: readonly ListedPeer[], count: number, random: () => number): readonly ListedPeer[] => {
+	const left = [...peers];
+	const picked: ListedPeer[] = [];
+	while (picked.length < count && left.length > 0) {
+		picked.push(...left.splice(Math.floor(random() * left.length), 1));
+	}
+
+	return picked;
+};
+
+/** Picks the peers for one round of gossip. `random` is from 0 up to 1. */
+export const pickGossipPeers = (hall: string, peers: readonly ListedPeer[], random: () => number): readonly ListedPeer[] => [
+	...pickSome(peers.filter(peer => peer.hall === hall), nearPeers, random),
+	...pickSome(peers.filter(peer => peer.hall !== hall), farPeers, random),
+];
--- /dev/null
+++ b/packages/entry/src/lib/poison/suspicions-question.ts
@@ -0,0 +1,8 @@
+import type {ToldSuspicion} from './told-suspicion.js';
+
+/** What a host tells a peer of suspected requests; the peer answers with what it knows beyond that. */
+export type SuspicionsQuestion = {
+	readonly suspicions: readonly ToldSuspicion[];
+	/** Whether to answer with all requests that are blocked. */
+	readonly wantsBlocked: boolean;
+};
--- a/packages/entry/src/lib/request/refusal-of-result.ts
+++ b/packages/entry/src/lib/request/refusal-of-result.ts
@@ -6,6 +6,7 @@
 const refusalsOfNotRun: ReadonlyMap<string, HostRefusal> = new Map<string, HostRefusal>([
 	['deadline', hostRefusals.deadlinePassed],
 	['host_stopping', hostRefusals.hostStopping],
+	['request_blocked', hostRefusals.requestBlocked],
 	['not_run', hostRefusals.overloaded],
 ]);
 
@@ -16,6 +17,7 @@
 | --- | --- | --- |
 | not_run | deadline | 503 deadline_exceeded |
 | not_run | host_stopping: no time for a try | 503 host_stopping |
+| not_run | request_blocked: it ended endpoints | 429 request_blocked |
 | not_run | not_run: the endpoints said so | 503 overloaded |
 | not_run | any other: none in reach | 503 no_endpoint |
 | timed_out | | 504 deadline_exceeded |
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -37,6 +37,9 @@
 	return end.type === 'lost' ? end.reason : end.type;
 };
 
+/** Whether the endpoint lived through the run. */
+const isAnswer = ({type}: AttemptEnd): boolean => type === 'whole' || type === 'streamed' || type === 'server_error';
+
 /** Tells the chooser and the watch of halls how a try ended. */
 const noteEnd = ({end, endpoint: {id, hall}, startedAt, isOver, outputTokens}: EndedAttempt, host: HostServices): void => {
 	const judgement = judgeEndpoint({end: end.type, isOver, isOverloaded: host.isOverloaded()});
@@ -50,6 +53,17 @@
 	}
 };
 
+/** Tells the watch of requests that end endpoints how a try ended. */
+const notePoison = ({id, fingerprint}: RequestInputs, {end, endpoint, startedAt, isOver}: Omit<EndedAttempt, 'outputTokens'>, {poison}: HostServices): void => {
+	if (isAnswer(end)) {
+		poison.runAnswered(fingerprint);
+	} else if (end.type === 'lost' && !isOver) {
+		poison.runLost({
+			id, fingerprint, endpoint, sentAt: startedAt,
+		});
+	}
+};
+
 /**
 Runs one admitted request at endpoints until it is answered or given up.
 
@@ -119,11 +133,9 @@
 		noteEnd({
 			end, endpoint, startedAt, isOver, outputTokens: progress.events * tokensPerEvent,
 		}, host);
-		if (end.type === 'lost' && !isOver) {
-			host.poison.runLost({
-				id: request.id, fingerprint: request.fingerprint, endpoint, sentAt: startedAt,
-			});
-		}
+		notePoison(request, {
+			end, endpoint, startedAt, isOver,
+		}, host);
 
 		return end;
 	};
@@ -137,6 +149,10 @@
 			return giveUp('host_stopping');
 		}
 
+		if (host.poison.blockedUntil(request.fingerprint) !== undefined) {
+			return giveUp('request_blocked');
+		}
+
 		const choice = chooser.choose(service, prompt?.parts ?? [], progress.tried, progress.avoidedHalls);
 		if (!choice) {
 			return giveUp('no_endpoint');
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -25,6 +25,13 @@
 		return;
 	}
 
+	const blockedUntil = host.poison.blockedUntil(received.fingerprint);
+	if (blockedUntil !== undefined) {
+		const retryAfterSeconds = Math.ceil((blockedUntil - host.now()) / 1000);
+		requestLog.refused({...hostRefusals.requestBlocked, retryAfterSeconds}, {route: admitted.route.name, budget, request: received.fingerprint()});
+		return;
+	}
+
 	const reservation = createReservation(budget, admitted, host);
 	const shortage = await reservation.reserve(worstCase, true);
 	if (shortage) {
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -19,9 +19,6 @@
 import {startServers} from './lib/host/start-servers.js';
 import {startPeerTasks} from './lib/host/start-peer-tasks.js';
 import type {StopPlan} from './lib/host/stop-plan.js';
-import {probeAddress} from './lib/hall-health/probe-address.js';
-import {createEndpointEnds} from './lib/poison/create-endpoint-ends.js';
-import {createPoisonWatch} from './lib/poison/create-poison-watch.js';
 import type {HostServices} from './lib/request/host-services.js';
 import {serveRequest} from './lib/request/serve-request.js';
 import {createConnectionPool} from './lib/sending/create-connection-pool.js';
@@ -88,9 +85,7 @@
 		headerNames,
 		chooser,
 		halls,
-		poison: createPoisonWatch({
-			ends: createEndpointEnds(async address => probeAddress(address, timeouts.probeMs)), log, now,
-		}),
+		poison: peerTasks.poison,
 		rights,
 		pool,
 		retries: createRetryLimiter(bounds, now),
--- a/packages/entry/src/test/hand-back.test.ts
+++ b/packages/entry/src/test/hand-back.test.ts
@@ -27,6 +27,7 @@
 		log: () => undefined,
 		lend: async () => ({total: 0, reachesStore: true}),
 		answerChanges: async () => ({at: 0, changedAt: 0, ageMs: 0}),
+		answerSuspicions: () => ({suspicions: []}),
 		takeBack(_from, _budget, total) {
 			taken.push(total);
 		},
