--- a/packages/entry/src/adapter/header-names.ts
+++ b/packages/entry/src/adapter/header-names.ts
@@ -9,6 +9,8 @@
 	readonly stamp: string;
 	/** Said by an endpoint that did not run the request. */
 	readonly notRun: string;
+	/** `1` in the answers of an endpoint that ends before long. */
+	readonly leaving: string;
 	/** The endpoint that a request is meant for; any other answers 421. */
 	readonly expectedEndpoint: string;
 	readonly tokenCount: string;
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -6,6 +6,8 @@
 import {relayStream} from '../relaying/relay-stream.js';
 import type {AttemptResult} from '../sending/attempt-result.js';
 import {forwardedHeaders} from '../sending/forwarded-headers.js';
+import type {EndpointNotice} from '../sending/endpoint-notice.js';
+import {readNotice} from '../sending/read-notice.js';
 import {sendAttempt} from '../sending/send-attempt.js';
 import {trackAttempt} from '../sending/track-attempt.js';
 import type {AttemptEnd} from './attempt-end.js';
@@ -27,6 +29,10 @@
 const hasBody = ({req, body}: RequestInputs): boolean =>
 	body.length > 0 || req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
 
+const noteNotice = ({id}: ListedEndpoint, {isLeaving, restUntil}: EndpointNotice, {log, now}: HostServices): void => {
+	log('endpoint_notice', {endpoint: id, leaving: isLeaving, rest_ms: restUntil === undefined ? undefined : Math.round(restUntil - now())});
+};
+
 const send = async ({request, endpoint, lastEventId}: Options, sentAt: number, signal: AbortSignal, host: HostServices): Promise<AttemptResult> => {
 	const {req, admitted, body} = request;
 	return sendAttempt({
@@ -40,6 +46,12 @@
 		onConnect(tookMs) {
 			host.noteConnect(endpoint, tookMs);
 		},
+		onHead(head) {
+			const notice = readNotice(head, host.headerNames, host.now());
+			if (notice) {
+				noteNotice(endpoint, notice, host);
+			}
+		},
 		headers: forwardedHeaders({
 			raw: req.rawHeaders,
 			headerNames: host.headerNames,
--- a/packages/entry/src/lib/sending/attempt.ts
+++ b/packages/entry/src/lib/sending/attempt.ts
@@ -1,3 +1,4 @@
+import type {IncomingMessage} from 'node:http';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 
 /** One try at one endpoint. */
@@ -13,6 +14,8 @@
 	readonly connectBy: number;
 	/** Called when a new connection came up, or was given up, with the time that it took in ms. */
 	readonly onConnect: (tookMs: number) => void;
+	/** Called with the head of an answer that the endpoint itself gave, whatever it says. */
+	readonly onHead: (head: IncomingMessage) => void;
 	/** Ends the try. */
 	readonly signal: AbortSignal;
 };
--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -35,7 +35,7 @@
 
 /** Sends a request to an endpoint and waits for the head of its answer. */
 export const sendAttempt = async (attempt: Attempt, pool: ConnectionPool, headerNames: HeaderNames): Promise<AttemptResult> => new Promise(resolve => {
-	const {endpoint, id, method, path, headers, body, signal, connectBy, onConnect} = attempt;
+	const {endpoint, id, method, path, headers, body, signal, connectBy, onConnect, onHead} = attempt;
 	const sentAt = performance.now();
 	let isConnected = false;
 	let answer: IncomingMessage | undefined;
@@ -75,7 +75,13 @@
 		// A connection may break later on; whoever reads the answer hears of it.
 		response.on('error', () => undefined);
 		answer = response;
-		resolve(judge(response, id, headerNames));
+		const result = judge(response, id, headerNames);
+		// Another process at the endpoint's address speaks for itself.
+		if (result.type === 'answered' || result.type === 'not_run') {
+			onHead(response);
+		}
+
+		resolve(result);
 	});
 	req.on('error', error => {
 		clearTimeout(connectTimer);
--- a/packages/entry/src/test/lib/header-names.ts
+++ b/packages/entry/src/test/lib/header-names.ts
@@ -8,6 +8,7 @@
 	organisation: 'x-organisation',
 	stamp: 'x-stamp',
 	notRun: 'x-not-run',
+	leaving: 'x-leaving',
 	expectedEndpoint: 'x-endpoint',
 	tokenCount: 'x-tokens',
 	prefix: 'x-prefix',
--- a/packages/entry/src/test/send-attempt.test.ts
+++ b/packages/entry/src/test/send-attempt.test.ts
@@ -31,6 +31,7 @@
 	signal: new AbortController().signal,
 	connectBy: performance.now() + 60_000,
 	onConnect: () => undefined,
+	onHead: () => undefined,
 }, createConnectionPool(() => performance.now()), headerNames);
 
 test('an answer without a length whose connection is reset is not whole', async t => {
