--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -24,12 +24,17 @@
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
 
+	// Prompts are not to be read first where no request goes any more.
+	const listPreferred = (): void => {
+		preferredEndpoints.list([...byId.values()].filter(({id}) => !table.get(id)!.info.isLeaving));
+	};
+
 	return {
 		list(endpoints) {
 			byId = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]));
 			table = stepEndpoints(table, {type: 'configured', endpoints}, now());
 			halls = [...new Set(endpoints.map(endpoint => endpoint.hall))];
-			preferredEndpoints.list(endpoints);
+			listPreferred();
 		},
 		choose(service, parts, tried, avoided) {
 			const key = affinityKey(parts);
@@ -51,7 +56,11 @@
 			return {endpoint: byId.get(choice.endpoint)!, reason: choice.reason};
 		},
 		note(event) {
+			const wasLeaving = table.get(event.endpoint)?.hasSaidLeaving;
 			table = stepEndpoints(table, event, now());
+			if (event.type === 'leaving' && !wasLeaving) {
+				listPreferred();
+			}
 		},
 	};
 };
--- a/packages/entry/src/lib/choice/endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/endpoint-chooser.ts
@@ -8,5 +8,6 @@
 	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
 	/** `avoided`: halls in which this request found an endpoint out of reach. */
 	readonly choose: (service: string, parts: readonly PromptPart[], tried: readonly string[], avoided: readonly string[]) => ChosenEndpoint | undefined;
-	readonly note: (event: EndpointEvent) => void;
+	/** Takes in what was learnt of one endpoint. */
+	readonly note: (event: Exclude<EndpointEvent, {type: 'configured'}>) => void;
 };
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -29,7 +29,11 @@
 const hasBody = ({req, body}: RequestInputs): boolean =>
 	body.length > 0 || req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
 
-const noteNotice = ({id}: ListedEndpoint, {isLeaving, restUntil}: EndpointNotice, {log, now}: HostServices): void => {
+const noteNotice = ({id}: ListedEndpoint, {isLeaving, restUntil}: EndpointNotice, {chooser, log, now}: HostServices): void => {
+	if (isLeaving) {
+		chooser.note({type: 'leaving', endpoint: id});
+	}
+
 	log('endpoint_notice', {endpoint: id, leaving: isLeaving, rest_ms: restUntil === undefined ? undefined : Math.round(restUntil - now())});
 };
 
--- a/packages/entry/src/test/endpoint-notices.test.ts
+++ b/packages/entry/src/test/endpoint-notices.test.ts
@@ -5,6 +5,10 @@
 Order of events: an endpoint says in the head of an answer that it leaves, while the store is out of reach and the host's list
 still has it as ready; or it refuses a request with 503 and says for how long it wants none. The host passes the answer on and
 chooses the endpoint for the next request.
+
+Cause: what an endpoint says of itself reached a host by the store's list alone, and a refusal said nothing against it. Evidence:
+with each such answer logged, 40 of 40 requests went to the endpoint that leaves beside one that has room, and 40 of 40 were
+offered first to the one that asks for rest.
 */
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
--- a/packages/routing/src/endpoints/endpoint-event.ts
+++ b/packages/routing/src/endpoints/endpoint-event.ts
@@ -10,6 +10,8 @@
 	| {readonly type: 'failed'; readonly endpoint: string}
 	/** Another process answers at the endpoint's address, so it has ended. Its entry goes in time. */
 	| {readonly type: 'gone'; readonly endpoint: string}
+	/** It said itself that it ends before long, whatever is listed. */
+	| {readonly type: 'leaving'; readonly endpoint: string}
 	/** The request ended early for a reason that says nothing about the endpoint. */
 	| {readonly type: 'abandoned'; readonly endpoint: string}
 	| {readonly type: 'reported'; readonly endpoint: string; readonly total: number};
--- a/packages/routing/src/endpoints/endpoint-state.ts
+++ b/packages/routing/src/endpoints/endpoint-state.ts
@@ -3,9 +3,14 @@
 
 /** What this host knows and believes of one endpoint. */
 export type EndpointState = {
+	/** As it was listed; `isLeaving` by its own word as well. */
 	readonly info: EndpointInfo;
-	/** Whether it is listed; one that is not stays known while requests of this host are open there. */
+	/** Whether it is listed; one that is not stays known while requests of this host are open there, or what it said holds on. */
 	readonly isListed: boolean;
+	/** When it was last listed, in monotonic ms. */
+	readonly listedAt: number;
+	/** Whether it said itself that it leaves. A list may be older than its word, so none takes this back; its next life has another identifier. */
+	readonly hasSaidLeaving: boolean;
 	/** This host's own open requests there: the one figure that does not lag. */
 	readonly inFlight: number;
 	/** Requests that this host ever sent there. */
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -19,9 +19,17 @@
 /** The time from token to token that is assumed of it, in ms. Chosen without a measurement. */
 const assumedMsPerToken = 20;
 
-const newState = (info: EndpointInfo): EndpointState => ({
+/**
+How long the word of an endpoint that it leaves is remembered after its entry went, in ms: an entry that lapsed while the store was
+away comes back, as ready.
+*/
+const leavingMemoryMs = 600_000;
+
+const newState = (info: EndpointInfo, now: number): EndpointState => ({
 	info,
 	isListed: true,
+	listedAt: now,
+	hasSaidLeaving: false,
 	inFlight: 0,
 	started: 0,
 	serviceMs: assumedServiceMs,
@@ -52,12 +60,20 @@
 	...state, inFlight: state.inFlight - 1, failures, ejectedUntil: ejectionEnd(failures, now),
 });
 
+const listed = (state: EndpointState, info: EndpointInfo, now: number): EndpointState => ({
+	...state, info: {...info, isLeaving: info.isLeaving || state.hasSaidLeaving}, isListed: true, listedAt: now,
+});
+
+const isRemembered = ({isListed, inFlight, hasSaidLeaving, listedAt}: EndpointState, now: number): boolean =>
+	isListed || inFlight > 0 || (hasSaidLeaving && now - listedAt < leavingMemoryMs);
+
 // Requests that were open when a list came without the endpoint are still to end, and it may be listed again before that.
-const afterList = (table: EndpointTable, endpoints: readonly EndpointInfo[]): EndpointTable => {
-	const next = new Map(endpoints.map(info => [info.id, {...(table.get(info.id) ?? newState(info)), info, isListed: true}]));
+const afterList = (table: EndpointTable, endpoints: readonly EndpointInfo[], now: number): EndpointTable => {
+	const next = new Map(endpoints.map(info => [info.id, listed(table.get(info.id) ?? newState(info, now), info, now)]));
 	for (const [id, state] of table) {
-		if (!next.has(id) && state.inFlight > 0) {
-			next.set(id, {...state, isListed: false});
+		const unlisted = {...state, isListed: false};
+		if (!next.has(id) && isRemembered(unlisted, now)) {
+			next.set(id, unlisted);
 		}
 	}
 
@@ -83,6 +99,10 @@
 			return afterFailure(state, Math.max(state.failures + 1, failuresBeforeEjection), now);
 		}
 
+		case 'leaving': {
+			return {...state, info: {...state.info, isLeaving: true}, hasSaidLeaving: true};
+		}
+
 		case 'abandoned': {
 			return {...state, inFlight: state.inFlight - 1};
 		}
@@ -96,14 +116,14 @@
 /**
 Moves the table of endpoints on by one event.
 
-What is known of an endpoint ends when it is no longer listed and no request is open there. Identifiers name one life of a
+What is known of an endpoint ends when it is no longer listed, no request is open there, and it has not said lately that it leaves. Identifiers name one life of a
 process, so one that starts again begins with nothing, and what comes late of its earlier life changes nothing of it.
 
 @param now Monotonic ms.
 */
 export const stepEndpoints = (table: EndpointTable, event: EndpointEvent, now: number): EndpointTable => {
 	if (event.type === 'configured') {
-		return afterList(table, event.endpoints);
+		return afterList(table, event.endpoints, now);
 	}
 
 	const state = table.get(event.endpoint);
@@ -113,7 +133,7 @@
 
 	const next = new Map(table);
 	const stepped = stepOne(state, event, now);
-	if (stepped.isListed || stepped.inFlight > 0) {
+	if (isRemembered(stepped, now)) {
 		next.set(event.endpoint, stepped);
 	} else {
 		next.delete(event.endpoint);
--- a/packages/routing/src/test/step-endpoints.test.ts
+++ b/packages/routing/src/test/step-endpoints.test.ts
@@ -82,3 +82,17 @@
 	const gone = play(two, [{type: 'started', endpoint: 'a'}, {type: 'gone', endpoint: 'a'}]);
 	t.is(chooseEndpoint(gone, {...request, tried: ['b']}, 500, rateByCost), undefined);
 });
+
+test('an endpoint that says that it leaves gets nothing new, whatever is listed, and though its entry lapses meanwhile', t => {
+	const said = play(two, [{type: 'leaving', endpoint: 'a'}]);
+	const lists: readonly EndpointEvent[] = [{type: 'configured', endpoints: [info('b')]}, {type: 'configured', endpoints: [info('a'), info('b')]}];
+	t.is(chooseEndpoint(said, {...request, tried: ['b']}, 0, rateByCost), undefined);
+	t.is(chooseEndpoint(play(said, lists), {...request, tried: ['b']}, 0, rateByCost), undefined);
+	t.is(chooseEndpoint(play(said, [{type: 'configured', endpoints: [info('a in its next life')]}]), request, 0, rateByCost)?.endpoint, 'a in its next life');
+});
+
+test('its word is forgotten some time after its entry went', t => {
+	const gone = play(two, [{type: 'leaving', endpoint: 'a'}, {type: 'configured', endpoints: [info('b')]}]);
+	t.true(gone.has('a'));
+	t.false(play(gone, [{type: 'configured', endpoints: [info('b')]}], 600_000).has('a'));
+});
