--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -38,6 +38,7 @@
 	hostStopping: notRun(httpStatus.serviceUnavailable, 'host_stopping', 'This host stops before the request might end. Come back at once; another host will take it.', otherHostRetrySeconds),
 	requestBlocked: notRun(httpStatus.tooManyRequests, 'request_blocked', 'Endpoints ended one after the other while they ran this request. Coming back earlier is of no use.', blockedRetrySeconds),
 	noEndpoint: notRun(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
+	endpointsResting: notRun(httpStatus.serviceUnavailable, 'endpoints_resting', 'All endpoints want no request for a while.', endpointRetrySeconds),
 	overloaded: notRun(httpStatus.serviceUnavailable, 'overloaded', 'All endpoints are full. Come back shortly.', endpointRetrySeconds),
 	deadlinePassed: notRun(httpStatus.serviceUnavailable, 'deadline_exceeded', 'The time for this request ran out before it was sent.', endpointRetrySeconds),
 	timedOut: {
--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -1,5 +1,5 @@
 import {
-	chooseEndpoint, rateByAffinity, stepEndpoints, type EndpointTable,
+	chooseEndpoint, rateByAffinity, restOfAll, stepEndpoints, type EndpointTable,
 } from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {PromptPart} from '../admission/prompt-part.js';
@@ -24,6 +24,8 @@
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
 
+	const lostHalls = (): ReadonlySet<string> => new Set(halls.filter(name => isLost(name)));
+
 	// Prompts are not to be read first where no request goes any more.
 	const listPreferred = (): void => {
 		preferredEndpoints.list([...byId.values()].filter(({id}) => !table.get(id)!.info.isLeaving));
@@ -44,7 +46,7 @@
 				hall,
 				cachedTokens: endpoint => cacheEstimate.cachedTokens(endpoint, parts, preferred),
 				promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0),
-				lostHalls: new Set(halls.filter(name => isLost(name))),
+				lostHalls: lostHalls(),
 				avoidedHalls: avoided,
 				tried,
 			}, now(), rateByAffinity);
@@ -55,6 +57,7 @@
 			cacheEstimate.note(choice.endpoint, parts);
 			return {endpoint: byId.get(choice.endpoint)!, reason: choice.reason};
 		},
+		restOfAll: service => restOfAll(table, {target: service, hall, lostHalls: lostHalls()}, now()),
 		note(event) {
 			const wasLeaving = table.get(event.endpoint)?.hasSaidLeaving;
 			table = stepEndpoints(table, event, now());
--- a/packages/entry/src/lib/choice/endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/endpoint-chooser.ts
@@ -8,6 +8,8 @@
 	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
 	/** `avoided`: halls in which this request found an endpoint out of reach. */
 	readonly choose: (service: string, parts: readonly PromptPart[], tried: readonly string[], avoided: readonly string[]) => ChosenEndpoint | undefined;
+	/** When the first endpoint of a service takes requests again, in monotonic ms, where all asked for rest; else `undefined`. */
+	readonly restOfAll: (service: string) => number | undefined;
 	/** Takes in what was learnt of one endpoint. */
 	readonly note: (event: Exclude<EndpointEvent, {type: 'configured'}>) => void;
 };
--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -9,6 +9,8 @@
 	readonly outputTokens: number;
 	/** HTTP status that the caller got from an endpoint, if any. */
 	readonly status?: number;
+	/** When it is worth coming back, in monotonic ms, where more is known of it than the refusal says. */
+	readonly retryAt?: number;
 	/** For the log: why it ended so, and where it was sent. */
 	readonly reason: string;
 	readonly endpoint: string;
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -34,6 +34,10 @@
 		chooser.note({type: 'leaving', endpoint: id});
 	}
 
+	if (restUntil !== undefined) {
+		chooser.note({type: 'rest_asked', endpoint: id, until: restUntil});
+	}
+
 	log('endpoint_notice', {endpoint: id, leaving: isLeaving, rest_ms: restUntil === undefined ? undefined : Math.round(restUntil - now())});
 };
 
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -18,6 +18,9 @@
 
 const mayRunAgain = ({kind, isResumable}: Route): boolean => kind === 'repeatable' || (kind === 'stream' && isResumable);
 
+/** Whether a request was given up since no endpoint would take it. */
+const isWantOfEndpoints = (reason: string): boolean => reason === 'no_endpoint' || reason === 'not_run';
+
 type EndedAttempt = {
 	readonly end: AttemptEnd;
 	readonly endpoint: ListedEndpoint;
@@ -82,31 +85,36 @@
 	});
 	let progress: RequestProgress = noProgress;
 
-	const finish = (outcome: RequestResult['outcome'], reason: string, status?: number): RequestResult => {
+	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt}: Pick<RequestResult, 'status' | 'retryAt'> = {}): RequestResult => {
 		requestEnd.close();
 		const {arrivals, lostRuns, tried, events} = progress;
 		return {
-			outcome, arrivals, lostRuns, status, reason, endpoint: tried.at(-1) ?? '', outputTokens: events * tokensPerEvent,
+			outcome, arrivals, lostRuns, status, retryAt, reason, endpoint: tried.at(-1) ?? '', outputTokens: events * tokensPerEvent,
 		};
 	};
 
 	const maySendOn = (): boolean => host.maySendOn(deadline);
 
-	const giveUp = (reason: string): RequestResult => {
+	const giveUp = (reason: string, retryAt?: number): RequestResult => {
 		const endedBy = requestEnd.endedBy();
 		const outcome = decideOutcome({progress, endedBy, hasAnswerBegun: writer.hasBegun()});
-		return finish(outcome, outcome === 'not_run' && endedBy === 'deadline' ? 'deadline' : reason);
+		const restEnd = outcome === 'not_run' && isWantOfEndpoints(reason) ? chooser.restOfAll(service) : undefined;
+		if (restEnd !== undefined) {
+			return finish(outcome, 'endpoints_resting', {retryAt: restEnd});
+		}
+
+		return finish(outcome, outcome === 'not_run' && endedBy === 'deadline' ? 'deadline' : reason, {retryAt});
 	};
 
 	const passOn = ({response, body}: AttemptEnd & {readonly type: 'whole' | 'server_error'}, reason: string): RequestResult => {
 		const status = response.statusCode!;
 		// The beginning of a stream cannot be followed by another answer.
 		if (writer.hasBegun()) {
-			return finish('broken', 'endpoint_error', status);
+			return finish('broken', 'endpoint_error', {status});
 		}
 
 		writer.writeWhole(response, body);
-		return finish('answered', reason, status);
+		return finish('answered', reason, {status});
 	};
 
 	// Takes what another try needs. The step that is left is taken.
@@ -149,8 +157,9 @@
 			return giveUp('host_stopping');
 		}
 
-		if (host.poison.blockedUntil(request.fingerprint) !== undefined) {
-			return giveUp('request_blocked');
+		const blockedUntil = host.poison.blockedUntil(request.fingerprint);
+		if (blockedUntil !== undefined) {
+			return giveUp('request_blocked', blockedUntil);
 		}
 
 		const choice = chooser.choose(service, prompt?.parts ?? [], progress.tried, progress.avoidedHalls);
@@ -169,7 +178,7 @@
 
 		if (end.type === 'streamed') {
 			writer.endStream();
-			return finish('answered', choice.reason, end.status);
+			return finish('answered', choice.reason, {status: end.status});
 		}
 
 		if (step === 'pass_on' && (end.type === 'whole' || end.type === 'server_error')) {
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -2,6 +2,7 @@
 import {admitRequest} from '../admission/admit-request.js';
 import {hostRefusals} from '../admission/host-refusals.js';
 import {readBody} from '../admission/read-body.js';
+import {secondsUntil} from '../admission/seconds-until.js';
 import {createFingerprint} from '../poison/create-fingerprint.js';
 import {chargeOfResult} from './charge-of-result.js';
 import {costOfRequest} from './cost-of-request.js';
@@ -27,7 +28,7 @@
 
 	const blockedUntil = host.poison.blockedUntil(received.fingerprint);
 	if (blockedUntil !== undefined) {
-		const retryAfterSeconds = Math.ceil((blockedUntil - host.now()) / 1000);
+		const retryAfterSeconds = secondsUntil(blockedUntil, host.now());
 		requestLog.refused({...hostRefusals.requestBlocked, retryAfterSeconds}, {route: admitted.route.name, budget, request: received.fingerprint()});
 		return;
 	}
@@ -53,7 +54,7 @@
 	} else if (result.outcome === 'caller_left') {
 		requestLog.left(fields);
 	} else {
-		requestLog.refused(refusalOfResult(result), fields);
+		requestLog.refused(refusalOfResult(result, host.now()), fields);
 	}
 };
 
--- a/packages/entry/src/test/end-of-request.test.ts
+++ b/packages/entry/src/test/end-of-request.test.ts
@@ -25,7 +25,7 @@
 		['broken', 'broken', 502, 'endpoint_failed'],
 	] as const;
 	for (const [outcome, reason, status, code] of cases) {
-		const refusal = refusalOfResult({outcome, reason});
+		const refusal = refusalOfResult({outcome, reason}, 0);
 		t.is(refusal.status, status);
 		t.is(refusal.code, code);
 		t.is(refusal.retryAfterSeconds !== undefined, outcome === 'not_run');
--- a/packages/routing/src/endpoints/choose-endpoint.ts
+++ b/packages/routing/src/endpoints/choose-endpoint.ts
@@ -1,17 +1,9 @@
 import type {RateEndpoint} from '../ratings/rate-endpoint.js';
 import type {RatedEndpoint} from '../ratings/rated-endpoint.js';
-import type {EndpointState} from './endpoint-state.js';
 import type {EndpointTable} from './endpoint-table.js';
 import type {EndpointChoice} from './endpoint-choice.js';
 import type {EndpointRequest} from './endpoint-request.js';
-
-const isUsable = (state: EndpointState, request: EndpointRequest, now: number): boolean => {
-	const {info, isListed, ejectedUntil, failures, inFlight} = state;
-	// After an ejection, one request at a time probes the endpoint.
-	const isProbing = failures > 0 && ejectedUntil > 0 && inFlight > 0;
-	const isInReach = info.hall === request.hall || !request.lostHalls?.has(info.hall);
-	return isListed && info.serves.includes(request.target) && isInReach && !info.isLeaving && !request.tried.includes(info.id) && ejectedUntil <= now && !isProbing;
-};
+import {isServing} from './is-serving.js';
 
 const isBetter = (a: RatedEndpoint, b: RatedEndpoint): boolean => {
 	if (a.hasRoom !== b.hasRoom) {
@@ -24,7 +16,7 @@
 /**
 Chooses the endpoint with the least expected cost, or `undefined` when none can serve the request.
 
-An endpoint with room is preferred to one without. Left out are endpoints that are no longer listed or leave, were ejected (`stepEndpoints`), were
+An endpoint with room is preferred to one without. Left out are endpoints that are no longer listed or leave, were ejected (`stepEndpoints`), asked for rest, were
 tried by this request, or sit in another hall that was found out of reach. `deckwheeld` rates by `rateByCost`, the entry host
 on a platform by `rateByAffinity`.
 
@@ -33,7 +25,7 @@
 export const chooseEndpoint = <R extends EndpointRequest>(table: EndpointTable, request: R, now: number, rate: RateEndpoint<R>): EndpointChoice | undefined => {
 	let best: RatedEndpoint | undefined;
 	for (const state of table.values()) {
-		const rated = isUsable(state, request, now) ? rate(state, request, now) : undefined;
+		const rated = isServing(state, request, now) && !request.tried.includes(state.info.id) && state.restUntil <= now ? rate(state, request, now) : undefined;
 		if (rated && (!best || isBetter(rated, best))) {
 			best = rated;
 		}
--- a/packages/routing/src/endpoints/endpoint-event.ts
+++ b/packages/routing/src/endpoints/endpoint-event.ts
@@ -12,6 +12,8 @@
 	| {readonly type: 'gone'; readonly endpoint: string}
 	/** It said itself that it ends before long, whatever is listed. */
 	| {readonly type: 'leaving'; readonly endpoint: string}
+	/** It turned a request away and wants none of this host until then, in monotonic ms. */
+	| {readonly type: 'rest_asked'; readonly endpoint: string; readonly until: number}
 	/** The request ended early for a reason that says nothing about the endpoint. */
 	| {readonly type: 'abandoned'; readonly endpoint: string}
 	| {readonly type: 'reported'; readonly endpoint: string; readonly total: number};
--- a/packages/routing/src/endpoints/endpoint-state.ts
+++ b/packages/routing/src/endpoints/endpoint-state.ts
@@ -11,6 +11,8 @@
 	readonly listedAt: number;
 	/** Whether it said itself that it leaves. A list may be older than its word, so none takes this back; its next life has another identifier. */
 	readonly hasSaidLeaving: boolean;
+	/** Monotonic ms until which it wants no request of this host; 0 when it never asked for rest. */
+	readonly restUntil: number;
 	/** This host's own open requests there: the one figure that does not lag. */
 	readonly inFlight: number;
 	/** Requests that this host ever sent there. */
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -30,6 +30,7 @@
 	isListed: true,
 	listedAt: now,
 	hasSaidLeaving: false,
+	restUntil: 0,
 	inFlight: 0,
 	started: 0,
 	serviceMs: assumedServiceMs,
@@ -64,8 +65,8 @@
 	...state, info: {...info, isLeaving: info.isLeaving || state.hasSaidLeaving}, isListed: true, listedAt: now,
 });
 
-const isRemembered = ({isListed, inFlight, hasSaidLeaving, listedAt}: EndpointState, now: number): boolean =>
-	isListed || inFlight > 0 || (hasSaidLeaving && now - listedAt < leavingMemoryMs);
+const isRemembered = ({isListed, inFlight, hasSaidLeaving, listedAt, restUntil}: EndpointState, now: number): boolean =>
+	isListed || inFlight > 0 || restUntil > now || (hasSaidLeaving && now - listedAt < leavingMemoryMs);
 
 // Requests that were open when a list came without the endpoint are still to end, and it may be listed again before that.
 const afterList = (table: EndpointTable, endpoints: readonly EndpointInfo[], now: number): EndpointTable => {
@@ -103,6 +104,10 @@
 			return {...state, info: {...state.info, isLeaving: true}, hasSaidLeaving: true};
 		}
 
+		case 'rest_asked': {
+			return {...state, restUntil: Math.max(state.restUntil, event.until)};
+		}
+
 		case 'abandoned': {
 			return {...state, inFlight: state.inFlight - 1};
 		}
@@ -116,7 +121,8 @@
 /**
 Moves the table of endpoints on by one event.
 
-What is known of an endpoint ends when it is no longer listed, no request is open there, and it has not said lately that it leaves. Identifiers name one life of a
+What is known of an endpoint ends when it is no longer listed, no request is open there, it has not said lately that it leaves,
+and its rest is over. Identifiers name one life of a
 process, so one that starts again begins with nothing, and what comes late of its earlier life changes nothing of it.
 
 @param now Monotonic ms.
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,5 @@
 export {chooseEndpoint} from './endpoints/choose-endpoint.js';
+export {restOfAll} from './endpoints/rest-of-all.js';
 export type {CostRequest} from './ratings/cost-request.js';
 export {emptyWaitingRoom} from './waiting-room/empty-waiting-room.js';
 export type {EndpointChoice} from './endpoints/endpoint-choice.js';
