--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export {assertInvariant} from './assert-invariant.js';
 export type {Clock} from './clock.js';
+export {createElapsedClock} from './create-elapsed-clock.js';
 export {fail} from './fail.js';
 export type {Fault} from './fault.js';
 export {findFaults} from './find-faults.js';
--- a/packages/entry/src/adapter/store-changes.ts
+++ b/packages/entry/src/adapter/store-changes.ts
@@ -12,10 +12,10 @@
 	readonly isFollower: (topic: string) => boolean;
 	/**
 	Tells peers how this host sees a topic: known whole up to the store's revision `at`, last changed at `changedAt` or before.
-	`undefined` when it cannot follow the topic now.
+	`undefined` when it cannot follow the topic now. It counts until `validUntil`, in elapsed ms, or until it is told anew.
 	*/
-	readonly tell: (topic: string, seen: {readonly at: number; readonly changedAt: number} | undefined) => void;
-	/** Notes that the store was in reach of this host, at `at` in monotonic ms. */
+	readonly tell: (topic: string, seen: {readonly at: number; readonly changedAt: number; readonly validUntil?: number} | undefined) => void;
+	/** Notes that the store was in reach of this host, at `at` in elapsed ms. */
 	readonly noteStoreAnswer: (at: number) => void;
 	/** Whether peers rely on this host at the moment. */
 	readonly hasAskers: () => boolean;
--- a/packages/entry/src/entry-host-options.ts
+++ b/packages/entry/src/entry-host-options.ts
@@ -23,4 +23,6 @@
 	readonly schedule?: Schedule;
 	/** Monotonic ms; by default the process's own clock. */
 	readonly now?: () => number;
+	/** Elapsed ms, suspensions of the machine included: what others said, and kept connections, grow old by it. By default as `now`. */
+	readonly elapsed?: () => number;
 };
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -32,6 +32,8 @@
 	readonly onLinkReplaced: () => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
+	/** Elapsed ms, suspensions included. */
+	readonly elapsed: () => number;
 };
 
 /** What a host shares with its peers: rights on budgets, and what it sees of the store. */
@@ -43,7 +45,7 @@
 };
 
 /** Puts together the tasks that talk to peers: the keeper of rights, loans, change notifications, and the links they use. */
-export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, now}: Options): PeerTasks => {
+export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, now, elapsed}: Options): PeerTasks => {
 	const loanClient = createLoanClient({
 		mesh: () => links.mesh(),
 		receivedFrom: (budget, lender) => rights.receivedFrom(budget, lender),
@@ -73,7 +75,7 @@
 		log,
 		now,
 	});
-	const board = createChangeBoard(now);
+	const board = createChangeBoard(elapsed);
 	const links = startPeerLinks({
 		self: {holder, address, hall},
 		directory,
--- a/packages/entry/src/lib/sending/create-connection-pool.ts
+++ b/packages/entry/src/lib/sending/create-connection-pool.ts
@@ -12,10 +12,10 @@
 
 node:http's own agent is not used, since bytes that arrive on an idle connection have to end it (`createIdleSockets`).
 
-@param now Monotonic ms.
+@param elapsed Elapsed ms.
 */
-export const createConnectionPool = (now: () => number): ConnectionPool => {
-	const idle = createIdleSockets(now);
+export const createConnectionPool = (elapsed: () => number): ConnectionPool => {
+	const idle = createIdleSockets(elapsed);
 
 	const open = (endpoint: string, address: string): Socket => {
 		const socket = openSocket(address);
--- a/packages/entry/src/lib/sending/create-idle-sockets.ts
+++ b/packages/entry/src/lib/sending/create-idle-sockets.ts
@@ -8,7 +8,7 @@
 
 type IdleSocket = {
 	readonly socket: Socket;
-	/** Monotonic ms. */
+	/** Elapsed ms. */
 	readonly idleSince: number;
 };
 
@@ -28,13 +28,13 @@
 Creates an empty store of connections. Bytes that arrive on an idle one end it: they are a surplus answer, and would be
 read as the answer to the next request.
 
-@param now Monotonic ms.
+@param elapsed Elapsed ms: endpoints close idle connections while this machine is suspended as well.
 */
-export const createIdleSockets = (now: () => number): IdleSockets => {
+export const createIdleSockets = (elapsed: () => number): IdleSockets => {
 	const idle = new Map<string, IdleSocket[]>();
 
 	const isUsable = ({socket, idleSince}: IdleSocket): boolean =>
-		!socket.destroyed && socket.writable && socket.readableLength === 0 && now() - idleSince < maxIdleMs;
+		!socket.destroyed && socket.writable && socket.readableLength === 0 && elapsed() - idleSince < maxIdleMs;
 
 	const closeOf = (endpoint: string): void => {
 		for (const {socket} of idle.get(endpoint) ?? []) {
@@ -67,7 +67,7 @@
 				socket.destroy();
 			});
 			const kept = idle.get(endpoint) ?? [];
-			kept.push({socket, idleSince: now()});
+			kept.push({socket, idleSince: elapsed()});
 			idle.set(endpoint, kept);
 		},
 		drop(endpoint, socket) {
--- a/packages/entry/src/lib/store-changes/create-change-board.ts
+++ b/packages/entry/src/lib/store-changes/create-change-board.ts
@@ -3,15 +3,15 @@
 /** Peers that asked within this time, in ms, rely on this host. Longer than a question is held; chosen without a measurement. */
 const askerMemoryMs = 5000;
 
-type Seen = {readonly at: number; readonly changedAt: number};
+type Seen = {readonly at: number; readonly changedAt: number; readonly validUntil?: number};
 type Waiter = {readonly topic: string; readonly after: number; readonly resolve: () => void};
 
 /**
 Creates an empty board.
 
-@param now Monotonic ms.
+@param elapsed Elapsed ms: a host that wakes from a suspension must not tell what it knew before as new.
 */
-export const createChangeBoard = (now: () => number): ChangeBoard => {
+export const createChangeBoard = (elapsed: () => number): ChangeBoard => {
 	const topics = new Map<string, Seen>();
 	let waiters: readonly Waiter[] = [];
 	let aliveAt = Number.NEGATIVE_INFINITY;
@@ -54,18 +54,21 @@
 		noteStoreAnswer(at) {
 			aliveAt = Math.max(aliveAt, at);
 		},
-		hasAskers: () => now() - askedAt < askerMemoryMs,
+		hasAskers: () => elapsed() - askedAt < askerMemoryMs,
 		async answer(topic, after, holdMs) {
-			askedAt = now();
+			askedAt = elapsed();
 			const seen = topics.get(topic);
 			if (seen && seen.changedAt <= after) {
 				await untilChange(topic, after, holdMs);
 			}
 
 			const known = topics.get(topic);
-			return known
-				? {...known, ageMs: Math.min(Number.MAX_SAFE_INTEGER, now() - aliveAt)}
-				: {at: 0, changedAt: 0, ageMs: Number.MAX_SAFE_INTEGER};
+			if (!known || (known.validUntil ?? Number.POSITIVE_INFINITY) <= elapsed()) {
+				return {at: 0, changedAt: 0, ageMs: Number.MAX_SAFE_INTEGER};
+			}
+
+			const {at, changedAt} = known;
+			return {at, changedAt, ageMs: Math.min(Number.MAX_SAFE_INTEGER, elapsed() - aliveAt)};
 		},
 	};
 };
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -34,12 +34,12 @@
 It owns the configuration in force; each other state belongs to one of the tasks that are put together here.
 */
 export const startEntryHost = async (options: EntryHostOptions): Promise<EntryHost> => {
-	const {host, hall, listen, bounds, headers: headerNames, rightsStore, peers: directory, log, timeouts = defaultTimeouts, schedule = scheduleByTimer, now = monotonicMs} = options;
+	const {host, hall, listen, bounds, headers: headerNames, rightsStore, peers: directory, log, timeouts = defaultTimeouts, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
 	const holder = newHolder(host);
 	const open = createRequestCounter(now);
-	const pool = createConnectionPool(now);
+	const pool = createConnectionPool(elapsed);
 	const peerTasks = startPeerTasks({
-		host, hall, holder, address: listen.peers, rightsStore, directory, timeouts, log, now,
+		host, hall, holder, address: listen.peers, rightsStore, directory, timeouts, log, now, elapsed,
 		// What silenced a link to a peer has mostly silenced kept connections to endpoints as well.
 		onLinkReplaced() {
 			pool.keepOnly(new Set());
--- a/packages/entry/src/test/create-change-board.test.ts
+++ b/packages/entry/src/test/create-change-board.test.ts
@@ -48,3 +48,14 @@
 	clock.now += 10_000;
 	t.false(board.hasAskers());
 });
+
+// While a machine is suspended its timers stand still, so nothing has taken back what it told before.
+test('a host that wakes from a suspension tells peers nothing that it knew before', async t => {
+	const {board, clock} = createBoard();
+	board.tell('config', {at: 10, changedAt: 8, validUntil: 2300});
+	board.noteStoreAnswer(1000);
+	t.deepEqual(judgeChangeReply(await board.answer('config', 10, 0), 10, 1000), {type: 'unchanged', at: 10});
+	clock.now += 5000;
+	board.noteStoreAnswer(clock.now);
+	t.deepEqual(judgeChangeReply(await board.answer('config', 10, 0), 10, 1000), {type: 'unknown'});
+});
