--- a/packages/cli/src/lib/ask-host.ts
+++ b/packages/cli/src/lib/ask-host.ts
@@ -2,7 +2,7 @@
 import got from 'got';
 import {operatorToken} from './operator-token.js';
 
-/** How long a host may take to answer an operator, in ms. Chosen without a measurement. */
+/** How long a host may take to answer an operator, in ms. */
 const timeoutMs = 5000;
 
 type ErrorBody = {readonly error?: {readonly message?: string}};
--- a/packages/daemon/src/lib/draws/create-demand-meter.ts
+++ b/packages/daemon/src/lib/draws/create-demand-meter.ts
@@ -2,7 +2,7 @@
 import {LRUCache} from 'lru-cache';
 import type {DemandMeter} from './demand-meter.js';
 
-/** Budgets whose demand is remembered: a bound on memory. Chosen without a measurement. */
+/** Budgets whose demand is remembered: a bound on memory. */
 const maxBudgets = 20_000;
 
 type Meter = {readonly perSecond: number; readonly at: number};
--- a/packages/daemon/src/lib/draws/start-draw-task.ts
+++ b/packages/daemon/src/lib/draws/start-draw-task.ts
@@ -18,10 +18,10 @@
 /** Before a waiting request is told that a budget is used up, the store is read at least this lately, in ms. */
 const freshMs = 250;
 
-/** The part of what remains that is held where the bundle says nothing: half strands less and refuses more (docs/design/hold-ahead.md). */
+/** The part of what remains that is held where the bundle says nothing: less strands less and refuses more. */
 const defaultShareOfRest = 0.5;
 
-/** Seconds over which demand is averaged where the bundle says nothing: 30 s split rights wrongly, 1200 s lagged (docs/design/hold-ahead.md). */
+/** Seconds over which demand is averaged where the bundle says nothing: a short time splits rights by chance, a long one lags behind. */
 const defaultMemorySeconds = 300;
 
 type Options = {
--- a/packages/daemon/src/lib/membership/silence-limits.ts
+++ b/packages/daemon/src/lib/membership/silence-limits.ts
@@ -1,16 +1,16 @@
-/** Heartbeats missed before a host counts as gone. Chosen without a measurement. */
+/** Heartbeats missed before a host counts as gone. */
 const missedBeforeGone = 5;
 
-/** Heartbeats that a host may miss before nothing new is planned with it. Chosen without a measurement. */
+/** Heartbeats that a host may miss before nothing new is planned with it. */
 const missedBeforeDoubt = 2.5;
 
-/** Heartbeats that a host may miss before it is taken to have lost its memory. Chosen without a measurement. */
+/** Heartbeats that a host may miss before it is taken to have lost its memory. */
 const missedBeforeLost = 8;
 
-/** A host is not taken for gone before this silence, in ms, however fast heartbeats are. Chosen without a measurement. */
+/** A host is not taken for gone before this silence, in ms, however fast heartbeats are. */
 const leastSilenceMs = 1500;
 
-/** Nor for lost before this one, in ms. Chosen without a measurement. */
+/** Nor for lost before this one, in ms. */
 const leastLostMs = 5000;
 
 /** After how much silence a host is judged, in ms. */
--- a/packages/daemon/src/lib/membership/start-membership.ts
+++ b/packages/daemon/src/lib/membership/start-membership.ts
@@ -14,23 +14,23 @@
 
 /**
 Hosts of the hall that get a heartbeat each time, in turn, besides the partners in pairs: so the cost does not grow with the
-hall. Chosen without a measurement of its own.
+hall.
 */
 const hostsBeatenInTurn = 8;
 
-/** How often the list of hosts is read, in ms, by the readers of the turn. Chosen without a measurement. */
+/** How often the list of hosts is read, in ms, by the readers of the turn. */
 const listEveryMs = 3000;
 
 /** Hosts of a hall that read the list in each such time, between them. The others learn of hosts from their peers. */
 const readersPerTurn = 2;
 
-/** How often a host that knows no peer reads it, in ms. Chosen without a measurement. */
+/** How often a host that knows no peer reads it, in ms. */
 const lonelyListMs = 1000;
 
-/** How long a peer may take to answer a heartbeat, in ms. Chosen without a measurement. */
+/** How long a peer may take to answer a heartbeat, in ms. */
 const heartbeatTimeoutMs = 1000;
 
-/** Hosts of each other hall that are known at a time: enough for one that answers. Chosen without a measurement. */
+/** Hosts of each other hall that are known at a time: enough for one that answers. */
 const maxRemoteHosts = 3;
 
 type Options = {
--- a/packages/daemon/src/lib/operating/start-bundle.ts
+++ b/packages/daemon/src/lib/operating/start-bundle.ts
@@ -12,10 +12,10 @@
 /** Hosts of a hall that hold a watch open; the others learn of a new bundle from their heartbeats. */
 const watchersPerHall = 2;
 
-/** Between two watches of the bundle, in ms. Chosen without a measurement. */
+/** Between two watches of the bundle, in ms. */
 const pauseMs = 500;
 
-/** How long a peer may take to hand over its bundle, in ms. Chosen without a measurement. */
+/** How long a peer may take to hand over its bundle, in ms. */
 const fetchTimeoutMs = 2000;
 
 type Options = {
--- a/packages/daemon/src/lib/operating/start-operators.ts
+++ b/packages/daemon/src/lib/operating/start-operators.ts
@@ -16,7 +16,7 @@
 import {describeBudget} from './describe-budget.js';
 import {describeHost} from './describe-host.js';
 
-/** How long another host may take to answer for an operator, in ms. Chosen without a measurement. */
+/** How long another host may take to answer for an operator, in ms. */
 const askMs = 3000;
 
 type Options = {
--- a/packages/daemon/src/lib/placing/create-block-cache-estimate.ts
+++ b/packages/daemon/src/lib/placing/create-block-cache-estimate.ts
@@ -1,7 +1,7 @@
 import {LRUCache} from 'lru-cache';
 import type {BlockCacheEstimate} from './block-cache-estimate.js';
 
-/** Blocks remembered of each endpoint: a bound on memory; chosen without a measurement. */
+/** Blocks remembered of each endpoint: a bound on memory. */
 const blocksPerEndpoint = 4096;
 
 /** Tokens of a block: `blockChars` of `prefixBlocks` at four characters a token. */
--- a/packages/daemon/src/lib/placing/create-endpoint-polls.ts
+++ b/packages/daemon/src/lib/placing/create-endpoint-polls.ts
@@ -1,7 +1,7 @@
 import got from 'got';
 import {z} from 'zod';
 
-/** How long an endpoint may take to report, in ms. Chosen without a measurement. */
+/** How long an endpoint may take to report, in ms. */
 const pollTimeoutMs = 1000;
 
 const loadSchema = z.object({running: z.number(), queued: z.number(), isLeaving: z.boolean().optional()});
--- a/packages/daemon/src/lib/placing/start-router.ts
+++ b/packages/daemon/src/lib/placing/start-router.ts
@@ -17,34 +17,33 @@
 import type {Place} from './place.js';
 import type {RouterTask} from './router-task.js';
 
-/** How often the queue is looked at while somebody waits, in ms. Chosen without a measurement. */
+/** How often the queue is looked at while somebody waits, in ms. */
 const pumpEveryMs = 20;
 
-/** How often it is looked at while nobody does, in ms. Chosen without a measurement. */
+/** How often it is looked at while nobody does, in ms. */
 const idlePumpMs = 500;
 
 /**
-The least time between two polls of an endpoint's load, in ms: it was 100, and 250 brought an idle host's cost down
-(docs/design/routing.md).
+The least time between two polls of an endpoint's load, in ms: polls are most of what an idle host does.
 */
 const leastPollMs = 250;
 
-/** Cache events are read once in so many polls of the load. Chosen without a measurement. */
+/** Cache events are read once in so many polls of the load. */
 const pollsPerCacheRead = 8;
 
 /** Each host in the hall slows the polls of load reports by this much, so that an endpoint's load from them stays bounded, in ms. */
 const pollMsPerHost = 25;
 
-/** How much endpoint time the share of quick work is judged by, in ms. Chosen without a measurement. */
+/** How much endpoint time the share of quick work is judged by, in ms. */
 const shareMemoryMs = 20_000;
 
-/** Sessions whose endpoint is remembered: a bound on memory. Chosen without a measurement. */
+/** Sessions whose endpoint is remembered: a bound on memory. */
 const maxSessions = 10_000;
 
-/** When a caller should come back where no endpoint can be reached, in seconds. Chosen without a measurement. */
+/** When a caller should come back where no endpoint can be reached, in seconds. */
 const noEndpointRetrySeconds = 2;
 
-/** Retries that are allowed before any request was noted. Chosen without a measurement. */
+/** Retries that are allowed before any request was noted. */
 const firstRetryCredit = 5;
 
 /** The policies that the setting `routing` names. The last two are baselines. */
--- a/packages/daemon/src/lib/process/serve-app.ts
+++ b/packages/daemon/src/lib/process/serve-app.ts
@@ -3,10 +3,10 @@
 import {listenAt} from '@deckwheel/host-kit';
 import type Koa from 'koa';
 
-/** A sender whose header is not whole by then is cut off, in ms. Chosen without a measurement. */
+/** A sender whose header is not whole by then is cut off, in ms. */
 const headersTimeoutMs = 10_000;
 
-/** A sender whose request is not whole by then is cut off, in ms. Chosen without a measurement. */
+/** A sender whose request is not whole by then is cut off, in ms. */
 const requestTimeoutMs = 30_000;
 
 /** Serves a Koa application. A sender that is too slow with its request is cut off. */
--- a/packages/daemon/src/lib/running/chat-job.ts
+++ b/packages/daemon/src/lib/running/chat-job.ts
@@ -15,13 +15,13 @@
 import type {RunEnd} from './run-end.js';
 import {streamId} from './streams/stream-id.js';
 
-/** Tokens of an answer where the caller and the model set no bound. Chosen without a measurement. */
+/** Tokens of an answer where the caller and the model set no bound. */
 const defaultMaxTokens = 1024;
 
-/** How often a stream that broke off is taken up again. Chosen without a measurement. */
+/** How often a stream that broke off is taken up again. */
 const resumeTries = 4;
 
-/** Before each of these, in ms. Chosen without a measurement. */
+/** Before each of these, in ms. */
 const resumePauseMs = 100;
 const priorityNumbers = {quick: 0, normal: 1, slow: 2} as const;
 const streamContentType = 'text/event-stream';
--- a/packages/daemon/src/lib/running/create-job-claims.ts
+++ b/packages/daemon/src/lib/running/create-job-claims.ts
@@ -9,7 +9,7 @@
 import {sendWithinMs} from './send-within-ms.js';
 import type {Settler} from './settler.js';
 
-/** How long the slot of a key may take to answer, in ms. Chosen without a measurement. */
+/** How long the slot of a key may take to answer, in ms. */
 const claimTimeoutMs = 4000;
 
 type Options = {
--- a/packages/daemon/src/lib/running/create-run-job.ts
+++ b/packages/daemon/src/lib/running/create-run-job.ts
@@ -18,7 +18,7 @@
 import type {Settler} from './settler.js';
 import {withEarlierRuns} from './with-earlier-runs.js';
 
-/** Before a run of another host is looked for again, in ms. Chosen without a measurement. */
+/** Before a run of another host is looked for again, in ms. */
 const followPauseMs = 60;
 
 type Options = {
--- a/packages/daemon/src/lib/running/create-settler.ts
+++ b/packages/daemon/src/lib/running/create-settler.ts
@@ -4,7 +4,7 @@
 import type {Context} from '../process/context.js';
 import type {Settler} from './settler.js';
 
-/** How long one try to tell the end of a run may take, in ms. Chosen without a measurement. */
+/** How long one try to tell the end of a run may take, in ms. */
 const tryMs = 5000;
 /** The caller's answer does not wait longer than this for the ledger. */
 const answerWaitMs = 1000;
--- a/packages/daemon/src/lib/running/run-refusals.ts
+++ b/packages/daemon/src/lib/running/run-refusals.ts
@@ -1,6 +1,6 @@
 import type {Refusal, RunState} from '@deckwheel/core';
 
-/** When a caller should come back with the same key, in seconds. Chosen without a measurement. */
+/** When a caller should come back with the same key, in seconds. */
 const comeBackSeconds = 2;
 
 const outcomeUnknown: Refusal = {
--- a/packages/daemon/src/lib/running/send-within-ms.ts
+++ b/packages/daemon/src/lib/running/send-within-ms.ts
@@ -1,2 +1,2 @@
-/** How long a runner may take from its claim to sending, in ms. Chosen without a measurement. */
+/** How long a runner may take from its claim to sending, in ms. */
 export const sendWithinMs = 3000;
--- a/packages/daemon/src/lib/running/service-job.ts
+++ b/packages/daemon/src/lib/running/service-job.ts
@@ -10,7 +10,7 @@
 import type {RunEnd} from './run-end.js';
 import {streamId} from './streams/stream-id.js';
 
-/** A service that takes longer to accept a connection did not get the request, in ms. Chosen without a measurement. */
+/** A service that takes longer to accept a connection did not get the request, in ms. */
 const connectMs = 1000;
 type Sources = {
 	readonly service: string;
--- a/packages/daemon/src/lib/running/start-recovery.ts
+++ b/packages/daemon/src/lib/running/start-recovery.ts
@@ -11,10 +11,10 @@
 import {readEngineStream} from './streams/read-engine-stream.js';
 import {streamId} from './streams/stream-id.js';
 
-/** How often runs without a runner are looked for, in ms. Chosen without a measurement. */
+/** How often runs without a runner are looked for, in ms. */
 const everyMs = 1000;
 
-/** Runs that are recovered side by side. Chosen without a measurement. */
+/** Runs that are recovered side by side. */
 const maxAtOnce = 8;
 
 type Options = {
--- a/packages/daemon/src/lib/running/streams/read-engine-stream.ts
+++ b/packages/daemon/src/lib/running/streams/read-engine-stream.ts
@@ -9,7 +9,7 @@
 /** An engine that sends nothing for this long counts as lost, in ms. */
 const silenceMs = 30_000;
 
-/** An engine that takes longer to accept a connection did not get the request, in ms. Chosen without a measurement. */
+/** An engine that takes longer to accept a connection did not get the request, in ms. */
 const connectMs = 1000;
 
 const usageSchema = z.object({
--- a/packages/daemon/src/lib/slots/create-ask-slot.ts
+++ b/packages/daemon/src/lib/slots/create-ask-slot.ts
@@ -12,7 +12,7 @@
 /** One try at one host. A primary that needs to draw from the store takes longer than one hop. */
 const tryTimeoutMs = 3000;
 
-/** Before the next host of a pair is asked, in ms. Chosen without a measurement. */
+/** Before the next host of a pair is asked, in ms. */
 const pauseMs = 40;
 
 type Options = {
--- a/packages/daemon/src/lib/slots/create-fetch-rights.ts
+++ b/packages/daemon/src/lib/slots/create-fetch-rights.ts
@@ -4,7 +4,7 @@
 import type {AskSlot} from './ask-slot.js';
 import type {SlotsTask} from './slots-task.js';
 
-/** How long another hall may take to answer a question for rights, in ms. Chosen without a measurement. */
+/** How long another hall may take to answer a question for rights, in ms. */
 const askTimeoutMs = 400;
 
 /** A hall that did not answer is not asked again for this long, so that a cut delays few refusals. */
--- a/packages/daemon/src/lib/slots/create-replicas.ts
+++ b/packages/daemon/src/lib/slots/create-replicas.ts
@@ -6,7 +6,7 @@
 import type {Context} from '../process/context.js';
 import type {Replicas} from './replicas.js';
 
-/** A primary whose backup acknowledged nothing for this long sends everything again, in ms. Chosen without a measurement. */
+/** A primary whose backup acknowledged nothing for this long sends everything again, in ms. */
 const resyncAfterMs = 600;
 
 type Options = {
--- a/packages/daemon/src/lib/slots/create-serve-slot.ts
+++ b/packages/daemon/src/lib/slots/create-serve-slot.ts
@@ -9,7 +9,7 @@
 /** Draws tried for one claim: the rest in the store, then what other halls can spare. */
 const maxDraws = 3;
 
-/** When a caller should come back whose rights cannot be drawn, in seconds. Chosen without a measurement. */
+/** When a caller should come back whose rights cannot be drawn, in seconds. */
 const storeAwayRetrySeconds = 5;
 
 type Options = {
--- a/packages/daemon/src/lib/slots/start-slots.ts
+++ b/packages/daemon/src/lib/slots/start-slots.ts
@@ -10,7 +10,7 @@
 import {partnersOf} from './partners-of.js';
 import type {SlotsTask} from './slots-task.js';
 
-/** How often pairs are planned, in ms. Chosen without a measurement. */
+/** How often pairs are planned, in ms. */
 const planEveryMs = 200;
 
 type Options = {
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -34,19 +34,19 @@
 
 const noPartners: ReadonlySet<string> = new Set();
 
-/** How long a peer may take to hand over its bundle, in ms. Chosen without a measurement. */
+/** How long a peer may take to hand over its bundle, in ms. */
 const fetchTimeoutMs = 2000;
 
-/** How long a host that stops waits for its slots to be taken over, in ms. Chosen without a measurement. */
+/** How long a host that stops waits for its slots to be taken over, in ms. */
 const handoverMs = 10_000;
 
-/** How often it looks whether they were, in ms. Chosen without a measurement. */
+/** How often it looks whether they were, in ms. */
 const handoverPauseMs = 50;
 
-/** How long it waits for ends of runs that no ledger has yet, in ms. Chosen without a measurement. */
+/** How long it waits for ends of runs that no ledger has yet, in ms. */
 const settleDrainMs = 20_000;
 
-/** How long records of keys are kept where the bundle says nothing, in ms. Chosen without a measurement. */
+/** How long records of keys are kept where the bundle says nothing, in ms. */
 const defaultKeepMs = 600_000;
 
 /**
--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -1,19 +1,19 @@
 import {httpStatus} from '@deckwheel/core';
 import type {HostRefusal} from './host-refusal.js';
 
-/** A host that has no configuration yet gets one within a read of the store, in seconds. Chosen without a measurement. */
+/** A host that has no configuration yet gets one within a read of the store, in seconds. */
 const notReadyRetrySeconds = 0.5;
 
-/** Another host may take the request at once; the time is for the caller's new connection, in seconds. Chosen without a measurement. */
+/** Another host may take the request at once; the time is for the caller's new connection, in seconds. */
 const otherHostRetrySeconds = 0.1;
 
-/** A full endpoint ends a request, and one that restarts is listed again, in some hundred ms, in seconds. Chosen without a measurement. */
+/** A full endpoint ends a request, and one that restarts is listed again, in some hundred ms, in seconds. */
 const endpointRetrySeconds = 0.3;
 
 /** Where no outage is known that would say more (`planRetryAfter`), in seconds. */
 const rightsRetrySeconds = 2;
 
-/** A budget that is nearly used up is topped up within a change of the configuration at best, in seconds. Chosen without a measurement. */
+/** A budget that is nearly used up is topped up within a change of the configuration at best, in seconds. */
 const keptRetrySeconds = 5;
 
 const notRun = (status: number, code: HostRefusal['code'], message: string, retryAfterSeconds?: number): HostRefusal =>
--- a/packages/entry/src/lib/choice/create-preferred-endpoints.ts
+++ b/packages/entry/src/lib/choice/create-preferred-endpoints.ts
@@ -2,7 +2,7 @@
 import {LRUCache} from 'lru-cache';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 
-/** Shared parts of prompts whose preferred endpoint is remembered: a bound on memory; chosen without a measurement. */
+/** Shared parts of prompts whose preferred endpoint is remembered: a bound on memory. */
 const maxPreferred = 5000;
 
 /** Where all hosts send the prompts that share a part first, without asking each other. */
--- a/packages/entry/src/lib/choice/create-prefix-cache-estimate.ts
+++ b/packages/entry/src/lib/choice/create-prefix-cache-estimate.ts
@@ -3,8 +3,7 @@
 import type {PrefixCacheEstimate} from './prefix-cache-estimate.js';
 
 /**
-Parts remembered, over all endpoints. Those of endpoints that are gone give way in time. A bound on memory;
-chosen without a measurement.
+Parts remembered, over all endpoints. Those of endpoints that are gone give way in time. A bound on memory.
 */
 const maxParts = 20_000;
 
--- a/packages/entry/src/lib/hall-health/start-hall-watch.ts
+++ b/packages/entry/src/lib/hall-health/start-hall-watch.ts
@@ -9,7 +9,7 @@
 /** How often each hall is looked at, in ms: a third of the silence that brings a probe. */
 const tickMs = 100;
 
-/** Endpoints that one probe of a hall calls at once: a single one may be gone alone. Chosen without a measurement. */
+/** Endpoints that one probe of a hall calls at once: a single one may be gone alone. */
 const probesAtOnce = 3;
 
 const inReach: HallReach = {
--- a/packages/entry/src/lib/hall-health/step-hall-reach.ts
+++ b/packages/entry/src/lib/hall-health/step-hall-reach.ts
@@ -1,13 +1,13 @@
 import type {HallReachEvent} from './hall-reach-event.js';
 import type {HallReach} from './hall-reach.js';
 
-/** A hall that owes answers and sends nothing for this long, in ms, is probed. With it a cut hall was found after 0.5 to 1.3 s (375f60f). */
+/** A hall that owes answers and sends nothing for this long, in ms, is probed. */
 const silenceMs = 300;
 
-/** After a probe that arrived, the next one waits this long, in ms, so that slow endpoints are not asked all the time. Chosen without a measurement. */
+/** After a probe that arrived, the next one waits this long, in ms, so that slow endpoints are not asked all the time. */
 const calmMs = 1000;
 
-/** A lost hall is probed this often, in ms. Chosen without a measurement. */
+/** A lost hall is probed this often, in ms. */
 const lostProbeMs = 400;
 
 type Step = {readonly reach: HallReach; /** Whether a connection to the hall is to be tried now. */ readonly isProbeDue: boolean};
--- a/packages/entry/src/lib/host/plan-stop.ts
+++ b/packages/entry/src/lib/host/plan-stop.ts
@@ -1,21 +1,21 @@
 import type {StopPlan} from './stop-plan.js';
 
-/** After the signal to stop, new connections may still come for as long as the balancer takes to notice, in ms. Chosen without a measurement. */
+/** After the signal to stop, new connections may still come for as long as the balancer takes to notice, in ms. */
 const lingerMs = 3000;
 
 /**
 Of the linger, what is left for a signal that is noticed late, in ms: the linger counts from the sending of the signal, and a
-stopping host hears of it later. Chosen without a measurement.
+stopping host hears of it later.
 */
 const lateSignalMs = 250;
 
-/** Left of the time to stop for giving rights back, in ms. Chosen without a measurement. */
+/** Left of the time to stop for giving rights back, in ms. */
 const giveBackMs = 1000;
 
-/** Left of the time to stop for the end of the process, in ms: the kill comes earlier by as much as the signal was noticed late. Chosen without a measurement. */
+/** Left of the time to stop for the end of the process, in ms: the kill comes earlier by as much as the signal was noticed late. */
 const exitMs = 200;
 
-/** Between the deadline of a request, or the moment when it is cut, and the end of its answer, in ms: for a late timer, and for the answer to be written. Chosen without a measurement. */
+/** Between the deadline of a request, or the moment when it is cut, and the end of its answer, in ms: for a late timer, and for the answer to be written. */
 const writeAnswerMs = 200;
 
 /**
--- a/packages/entry/src/lib/host/start-servers.ts
+++ b/packages/entry/src/lib/host/start-servers.ts
@@ -9,7 +9,7 @@
 /** Heads of callers' requests are bounded here once, in bytes; the configuration's own bound is lower. */
 const maxHeaderBytes = 65_536;
 
-/** Until a configuration says how long callers' idle connections are kept, in ms. Chosen without a measurement. */
+/** Until a configuration says how long callers' idle connections are kept, in ms. */
 const firstKeepAliveMs = 15_000;
 
 type Options = {
--- a/packages/entry/src/lib/last-part/create-urgency-record.ts
+++ b/packages/entry/src/lib/last-part/create-urgency-record.ts
@@ -18,7 +18,7 @@
 	readonly moreUrgent: (budget: string, priority: number) => UrgentDemand;
 };
 
-/** Less than this of a request, decayed, is none. Chosen without a measurement. */
+/** Less than this of a request, decayed, is none. */
 const negligibleRequests = 0.05;
 
 /**
--- a/packages/entry/src/lib/last-part/is-kept-for-urgent.ts
+++ b/packages/entry/src/lib/last-part/is-kept-for-urgent.ts
@@ -1,6 +1,6 @@
 /**
 The last part of a budget is kept for its more urgent requests for this long, in seconds of their demand: with it they are still
-served after an outage of the store and the death of all hosts that follows, until somebody tops the budget up. No other time was measured.
+served after an outage of the store and the death of all hosts that follows, until somebody tops the budget up.
 */
 const keptSeconds = 15;
 
--- a/packages/entry/src/lib/last-part/step-pace.ts
+++ b/packages/entry/src/lib/last-part/step-pace.ts
@@ -1,6 +1,6 @@
 import type {Pace} from './pace.js';
 
-/** A host may catch up on so much of its part, in seconds of the pace: requests come in bursts. Chosen without a measurement. */
+/** A host may catch up on so much of its part, in seconds of the pace: requests come in bursts. */
 const burstSeconds = 3;
 
 /**
--- a/packages/entry/src/lib/lending/create-client-demand.ts
+++ b/packages/entry/src/lib/lending/create-client-demand.ts
@@ -1,6 +1,6 @@
 import {LRUCache} from 'lru-cache';
 
-/** Clients and budgets remembered: a bound on memory. Chosen without a measurement. */
+/** Clients and budgets remembered: a bound on memory. */
 const maxEntries = 20_000;
 
 /** What this host was told of the demand at hosts that borrow from it. */
--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -7,7 +7,7 @@
 import type {LoanRequest} from './loan-request.js';
 import {loanReplySchema} from './loan-reply-schema.js';
 
-/** Peers asked for one request: a bound on its messages. Chosen without a measurement. */
+/** Peers asked for one request: a bound on its messages. */
 const maxAsked = 6;
 
 type LoanMessage = LoanRequest & {readonly type: 'lend'};
--- a/packages/entry/src/lib/lending/plan-borrowing.ts
+++ b/packages/entry/src/lib/lending/plan-borrowing.ts
@@ -1,10 +1,10 @@
-/** Seconds of its own demand that a host borrows beyond what a request lacks (ef3b280; not measured alone). */
+/** Seconds of its own demand that a host borrows beyond what a request lacks. */
 const borrowSeconds = 1.5;
 
-/** Seconds of its own demand that it keeps at most: twice what it borrows, so that rights do not go to and fro. Not measured alone. */
+/** Seconds of its own demand that it keeps at most: twice what it borrows, so that rights do not go to and fro. */
 const keepSeconds = 3;
 
-/** Idle rights this small are not worth a message, in tokens. Chosen without a measurement. */
+/** Idle rights this small are not worth a message, in tokens. */
 const keepTokens = 500;
 
 type Inputs = {
--- a/packages/entry/src/lib/lending/rank-allocators.ts
+++ b/packages/entry/src/lib/lending/rank-allocators.ts
@@ -4,8 +4,8 @@
 import {smallHall} from '../peers/small-hall.js';
 
 /**
-Hosts of a larger hall that draw for it: the first does, the second stands by. With four, the 79 hosts of a large deployment
-made 25,531 calls to the store on a day where they make 7,539 (docs/design/on-the-platform.md).
+Hosts of a larger hall that draw for it: the first does, the second stands by. Each more is one more that
+calls the store and meets the others' writes there.
 */
 const allocatorsOfLargeHall = 2;
 
--- a/packages/entry/src/lib/own-health/start-lateness-watch.ts
+++ b/packages/entry/src/lib/own-health/start-lateness-watch.ts
@@ -8,10 +8,10 @@
 /** How often the lateness of timers is sampled, in ms: ten samples weigh as one average (`stepLateness`). */
 const sampleEveryMs = 100;
 
-/** Within a hall, a connection over a link that keeps up is faster than this, in ms. While requests are turned away there are few of them (7162fe1). */
+/** Within a hall, a connection over a link that keeps up is faster than this, in ms. While requests are turned away there are few of them. */
 const fastConnectMs = 10;
 
-/** After this time without a new connection, in ms, nothing is known of the link. Chosen without a measurement. */
+/** After this time without a new connection, in ms, nothing is known of the link. */
 const connectMemoryMs = 1000;
 
 type Options = {
--- a/packages/entry/src/lib/own-health/step-lateness.ts
+++ b/packages/entry/src/lib/own-health/step-lateness.ts
@@ -1,19 +1,19 @@
 import type {LatenessEvent} from './lateness-event.js';
 import type {Lateness} from './lateness.js';
 
-/** The weight of one sample in an average: about ten samples count, a second of timers (6fc8ce4). */
+/** The weight of one sample in an average: about ten samples count, a second of timers. */
 const sampleWeight = 0.1;
 
-/** One long pause (a freeze that ended, a collection of garbage) is no lasting overload: samples are cut to this many bounds. Chosen without a measurement. */
+/** One long pause (a freeze that ended, a collection of garbage) is no lasting overload: samples are cut to this many bounds. */
 const mostTimerBounds = 4;
 
-/** Nor is a single endpoint that is silent: it takes several slow connections in a row (1551aa9). */
+/** Nor is a single endpoint that is silent: it takes several slow connections in a row. */
 const mostConnectBounds = 1;
 
-/** The part of the bound at which overload begins: half, so that events still pass in time (6fc8ce4). */
+/** The part of the bound at which overload begins: half, so that events still pass in time. */
 const beginShare = 0.5;
 
-/** The part of the bound at which overload ends. Between the two, the state stays as it is. Chosen without a measurement. */
+/** The part of the bound at which overload ends. Between the two, the state stays as it is. */
 const endShare = 0.1;
 
 const average = (before: number, sample: number): number => before + ((sample - before) * sampleWeight);
--- a/packages/entry/src/lib/own-health/step-shedding.ts
+++ b/packages/entry/src/lib/own-health/step-shedding.ts
@@ -1,13 +1,13 @@
 /** The most requests that a host keeps open at once while it cannot keep up; `undefined` without a limit. */
 type Shedding = number | undefined;
 
-/** A host always serves a few: else it would not learn that it keeps up again. Chosen without a measurement. */
+/** A host always serves a few: else it would not learn that it keeps up again. */
 const fewestOpen = 4;
 
-/** What the limit is multiplied by at each step while the host is late: to a third in a second. Chosen without a measurement. */
+/** What the limit is multiplied by at each step while the host is late: to a third in a second. */
 const shrink = 0.9;
 
-/** What it is multiplied by at each step once the host keeps up. Chosen without a measurement. */
+/** What it is multiplied by at each step once the host keeps up. */
 const grow = 1.1;
 
 type Inputs = {
--- a/packages/entry/src/lib/peers/create-peer-list.ts
+++ b/packages/entry/src/lib/peers/create-peer-list.ts
@@ -4,7 +4,7 @@
 
 /**
 How long a peer that did not answer is not counted on, in ms. Short, so that a host that
-restarts is asked again soon. Chosen without a measurement.
+restarts is asked again soon.
 */
 const suspicionMs = 3000;
 
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -11,19 +11,19 @@
 import type {PeerHandlers} from './peer-handlers.js';
 import type {PeerLinks} from './peer-links.js';
 
-/** Between two calls to a directory that is out of reach, in ms. Chosen without a measurement. */
+/** Between two calls to a directory that is out of reach, in ms. */
 const retryPauseMs = 500;
 
 /**
 The directory is not read more often than this for a holder that is not listed or a peer that is silent, in ms, so that
-a death of many hosts brings one call and not one for each. Chosen without a measurement.
+a death of many hosts brings one call and not one for each.
 */
 const listPauseMs = 2000;
 
-/** Hosts that start together are all listed after this time, in ms. Chosen without a measurement. */
+/** Hosts that start together are all listed after this time, in ms. */
 const settleMs = 1000;
 
-/** When the directory is read once more after that, for hosts that came late, in ms. Chosen without a measurement. */
+/** When the directory is read once more after that, for hosts that came late, in ms. */
 const readAgainMs = 4000;
 
 type Options = PeerHandlers & {
--- a/packages/entry/src/lib/request/create-reservation.ts
+++ b/packages/entry/src/lib/request/create-reservation.ts
@@ -5,7 +5,7 @@
 
 /**
 The part of the route's goal for a first byte that a request may wait for rights. After it, a refusal still leaves the
-caller time to come back. Chosen without a measurement.
+caller time to come back.
 */
 const rightsWaitShare = 0.2;
 
--- a/packages/entry/src/lib/request/decide-next-step.ts
+++ b/packages/entry/src/lib/request/decide-next-step.ts
@@ -4,7 +4,7 @@
 
 /**
 Tries at endpoints that could not be reached at all. They cost the endpoints nothing, so they need no place in the retry
-budget; the bound keeps a request from calling at all endpoints of a lost hall. Chosen without a measurement.
+budget; the bound keeps a request from calling at all endpoints of a lost hall.
 */
 const maxUnsent = 4;
 
--- a/packages/entry/src/lib/rights-store/create-slot-cache.ts
+++ b/packages/entry/src/lib/rights-store/create-slot-cache.ts
@@ -5,11 +5,11 @@
 
 /**
 A look at the store before a write is worth it when what is known is older than this, in ms. A look costs a tenth of a
-call, a write that meets a conflict a whole one (047b9de).
+call, a write that meets a conflict a whole one.
 */
 const glanceAfterMs = 200;
 
-/** The store answers in a few ms; where it is slow, the write itself tells. In ms. Chosen without a measurement. */
+/** The store answers in a few ms; where it is slow, the write itself tells. In ms. */
 const glanceTimeoutMs = 100;
 
 /** What this host has seen of the slots' objects in the store. */
--- a/packages/entry/src/lib/rights-store/create-slot-writer.ts
+++ b/packages/entry/src/lib/rights-store/create-slot-writer.ts
@@ -12,10 +12,10 @@
 import type {SlotWriter} from './slot-writer.js';
 import type {StoreState} from './store-state.js';
 
-/** Writes of one turn that may meet a conflict before the turn is given up; the next turn tries again. Chosen without a measurement. */
+/** Writes of one turn that may meet a conflict before the turn is given up; the next turn tries again. */
 const maxConflicts = 8;
 
-/** After a second conflict, writers that met spread over this time, in ms, and more with each further one (e9c77d2; not measured alone). */
+/** After a second conflict, writers that met spread over this time, in ms, and more with each further one. */
 const conflictPauseMs = 10;
 
 type Options = {
--- a/packages/entry/src/lib/rights-store/create-store-state.ts
+++ b/packages/entry/src/lib/rights-store/create-store-state.ts
@@ -1,10 +1,10 @@
 import type {Log} from '../../adapter/log.js';
 import type {StoreState} from './store-state.js';
 
-/** The pause after a first failed call, in ms, doubled with each further one. Chosen without a measurement. */
+/** The pause after a first failed call, in ms, doubled with each further one. */
 const firstPauseMs = 300;
 
-/** The longest pause, in ms. Pauses of at most 700 ms were tried and reverted: more is held, and lost, at the final fault (7b6126a). */
+/** The longest pause, in ms. Shorter ones find the store sooner and have more held when all hosts die. */
 const longestPauseMs = 2000;
 
 /**
--- a/packages/entry/src/lib/rights/create-rights-obtainer.ts
+++ b/packages/entry/src/lib/rights/create-rights-obtainer.ts
@@ -14,7 +14,7 @@
 
 /**
 How long the holders of a budget that had too little are left alone, in ms, so that a shortage brings no burst of
-questions. Set in e9c77d2 with other changes; not measured alone.
+questions.
 */
 const holdersPauseMs = 250;
 
--- a/packages/entry/src/lib/rights/demand-rate.ts
+++ b/packages/entry/src/lib/rights/demand-rate.ts
@@ -1,7 +1,7 @@
 import type {HostAccount} from './host-account.js';
 import {rateMemorySeconds} from './rate-memory-seconds.js';
 
-/** A rate is not taken to have been observed for less than this: one early request is no steady demand. In seconds (e9c77d2; not measured alone). */
+/** A rate is not taken to have been observed for less than this: one early request is no steady demand. In seconds. */
 const leastSeconds = 2;
 
 /**
--- a/packages/entry/src/lib/rights/may-draw.ts
+++ b/packages/entry/src/lib/rights/may-draw.ts
@@ -1,6 +1,6 @@
 import {unallocated, type BudgetRights} from '@deckwheel/ledger';
 
-/** A store that was seen to have nothing left is not asked again for this long, in ms: others give back in the meantime. Chosen without a measurement. */
+/** A store that was seen to have nothing left is not asked again for this long, in ms: others give back in the meantime. */
 const emptyTrustMs = 300;
 
 type Inputs = {
--- a/packages/entry/src/lib/rights/plan-horizon.ts
+++ b/packages/entry/src/lib/rights/plan-horizon.ts
@@ -1,7 +1,7 @@
 /**
 How far ahead a host holds rights right after the store is back, in seconds of its demand. Every host of the fleet comes back at that
 moment, with records and demand as old as the outage: were each to draw all that it holds in quiet times, a death of all soon after
-would strand most of what is left of a budget. Measured together with `secondsPerSecond` only.
+would strand most of what is left of a budget.
 */
 const firstSeconds = 2;
 
--- a/packages/entry/src/lib/rights/plan-retry-after.ts
+++ b/packages/entry/src/lib/rights/plan-retry-after.ts
@@ -1,7 +1,7 @@
-/** The least that a caller who lacked rights is told to wait, in seconds. Chosen without a measurement. */
+/** The least that a caller who lacked rights is told to wait, in seconds. */
 const leastSeconds = 2;
 
-/** The most, in seconds: a caller should not stay away for much longer than an outage. Chosen without a measurement. */
+/** The most, in seconds: a caller should not stay away for much longer than an outage. */
 const mostSeconds = 30;
 
 /**
--- a/packages/entry/src/lib/rights/plan-rights.ts
+++ b/packages/entry/src/lib/rights/plan-rights.ts
@@ -2,13 +2,13 @@
 import {demandRate} from './demand-rate.js';
 import type {HostAccount} from './host-account.js';
 
-/** A draw is made when less than this part of the target is left, so that the store is not called for trifles. 0.73 was tried and reverted with 11 s held ahead (7b6126a). */
+/** A draw is made when less than this part of the target is left, so that the store is not called for trifles. */
 const refillBelow = 0.5;
 
-/** Rights are given back when there are this many times the target (9d56bd2). */
+/** Rights are given back when there are this many times the target. */
 const giveBackAbove = 1.4;
 
-/** Rights this small are not worth a give-back, in tokens. Chosen without a measurement. */
+/** Rights this small are not worth a give-back, in tokens. */
 const keepTokens = 2000;
 
 /** What a host does about its rights on one budget. */
--- a/packages/entry/src/lib/rights/rate-memory-seconds.ts
+++ b/packages/entry/src/lib/rights/rate-memory-seconds.ts
@@ -1,2 +1,2 @@
-/** Seconds over which a host's demand is averaged. Longer is calmer, shorter follows a burst sooner. Chosen without a measurement. */
+/** Seconds over which a host's demand is averaged. Longer is calmer, shorter follows a burst sooner. */
 export const rateMemorySeconds = 5;
--- a/packages/entry/src/lib/rights/start-rights-balance.ts
+++ b/packages/entry/src/lib/rights/start-rights-balance.ts
@@ -14,10 +14,10 @@
 import {demandRate} from './demand-rate.js';
 import type {Accounts} from './accounts.js';
 
-/** How often rights are looked at, in ms. Chosen without a measurement. */
+/** How often rights are looked at, in ms. */
 const tickMs = 500;
 
-/** A slot is not written more often than this, in ms, unless a request waits for it: it spares calls to the store (d59882d). */
+/** A slot is not written more often than this, in ms, unless a request waits for it: it spares calls to the store. */
 const writeGapMs = 1500;
 
 type Options = {
--- a/packages/entry/src/lib/rights/step-account.ts
+++ b/packages/entry/src/lib/rights/step-account.ts
@@ -3,7 +3,7 @@
 import type {HostAccount} from './host-account.js';
 import {rateMemorySeconds} from './rate-memory-seconds.js';
 
-/** A demand below this, in tokens a second, counts as none. Chosen without a measurement. */
+/** A demand below this, in tokens a second, counts as none. */
 const negligibleRate = 1;
 
 const give = (account: HostAccount, {to, tokens, share}: AccountEvent & {type: 'lent'}): HostAccount => {
--- a/packages/entry/src/lib/sending/create-idle-sockets.ts
+++ b/packages/entry/src/lib/sending/create-idle-sockets.ts
@@ -2,7 +2,7 @@
 
 /**
 Endpoints close idle connections at a time of their own choosing; a connection is not used near that time, in ms. Below
-the five seconds after which node:http servers close them; chosen without a measurement.
+the five seconds after which node:http servers close them.
 */
 const maxIdleMs = 4000;
 
--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -9,7 +9,7 @@
 /**
 A request on a kept connection that ends without a byte of an answer after this long, in ms, casts doubt on the other
 connections that are kept to its endpoint: what silenced one has mostly silenced them all. Closing them costs a new
-connection each; an endpoint that is only slow costs as little. Chosen without a measurement.
+connection each; an endpoint that is only slow costs as little.
 */
 const doubtAfterMs = 1000;
 
--- a/packages/entry/src/lib/store-changes/create-change-board.ts
+++ b/packages/entry/src/lib/store-changes/create-change-board.ts
@@ -1,6 +1,6 @@
 import type {ChangeBoard} from './change-board.js';
 
-/** Peers that asked within this time, in ms, rely on this host. Longer than a question is held; chosen without a measurement. */
+/** Peers that asked within this time, in ms, rely on this host. Longer than a question is held. */
 const askerMemoryMs = 5000;
 
 type Seen = {readonly at: number; readonly changedAt: number; readonly validUntil?: number};
--- a/packages/entry/src/lib/store-changes/create-store-changes.ts
+++ b/packages/entry/src/lib/store-changes/create-store-changes.ts
@@ -9,7 +9,7 @@
 import type {ChangeBoard} from './change-board.js';
 import {changeReplySchema} from './change-reply-schema.js';
 
-/** What a reply may take beyond the time for which it is held, in ms. Chosen without a measurement. */
+/** What a reply may take beyond the time for which it is held, in ms. */
 const slackMs = 150;
 
 type Options = {
--- a/packages/host-kit/src/create-line-log.ts
+++ b/packages/host-kit/src/create-line-log.ts
@@ -4,7 +4,7 @@
 
 /**
 Lines that wait unwritten beyond this are dropped and counted, in bytes: a reader that has stopped must not fill the
-memory of a small host. Chosen without a measurement.
+memory of a small host.
 */
 const maxPendingBytes = 256 * 1024;
 
--- a/packages/host-kit/src/create-tally.ts
+++ b/packages/host-kit/src/create-tally.ts
@@ -1,7 +1,7 @@
 import type {LogFields} from './log-fields.js';
 import type {Tally} from './tally.js';
 
-/** How often the counts are logged, in ms: often enough to see when something began, seldom enough to cost little. Chosen without a measurement. */
+/** How often the counts are logged, in ms: often enough to see when something began, seldom enough to cost little. */
 const reportMs = 10_000;
 
 /**
--- a/packages/ledger/src/account/surplus.ts
+++ b/packages/ledger/src/account/surplus.ts
@@ -3,10 +3,10 @@
 import type {Account} from './account.js';
 import {available} from './available.js';
 
-/** Rights this small are not worth a give-back, in tokens. Chosen without a measurement. */
+/** Rights this small are not worth a give-back, in tokens. */
 const keepTokens = 2000;
 
-/** How far above its target a holder may be before it gives back, so that rights do not swing between halls. Chosen without a measurement. */
+/** How far above its target a holder may be before it gives back, so that rights do not swing between halls. */
 const tolerance = 1.1;
 
 type SurplusInputs = {
--- a/packages/ledger/src/hold-ahead/hold-ahead-by-rate.ts
+++ b/packages/ledger/src/hold-ahead/hold-ahead-by-rate.ts
@@ -2,7 +2,6 @@
 
 /**
 The most that one holder holds, in equal shares of `shareOfRest`: others may have demand that is not recorded yet.
-Chosen without a measurement of its own.
 */
 const mostShares = 3;
 
--- a/packages/ledger/src/hold-ahead/hold-ahead-by-share.ts
+++ b/packages/ledger/src/hold-ahead/hold-ahead-by-share.ts
@@ -7,7 +7,7 @@
 in the store beyond `1 - shareOfRest`, however long the cut will be. While halls can reach each other,
 transfers correct a split that turns out wrong.
 
-`deckwheeld` holds by this policy. Measured in docs/design/hold-ahead.md.
+`deckwheeld` holds by this policy.
 */
 export const holdAheadByShare = ({shareOfRest}: {readonly shareOfRest: number}): HoldAhead => view => {
 	const target = view.remaining * shareOfRest * view.demandShare;
--- a/packages/mesh/src/lib/dial-link.ts
+++ b/packages/mesh/src/lib/dial-link.ts
@@ -9,10 +9,10 @@
 import {newNonce} from './new-nonce.js';
 import {prove} from './prove.js';
 
-/** A link that is not up by then counts as unreachable, in ms. Chosen without a measurement. */
+/** A link that is not up by then counts as unreachable, in ms. */
 const dialTimeoutMs = 2000;
 
-/** What may wait unsent on one link, in bytes; beyond it, the link is given up and dialled anew. Chosen without a measurement. */
+/** What may wait unsent on one link, in bytes; beyond it, the link is given up and dialled anew. */
 const maxBufferedBytes = 32_000_000;
 
 type Callbacks = {
--- a/packages/mesh/src/lib/serve-link.ts
+++ b/packages/mesh/src/lib/serve-link.ts
@@ -6,7 +6,7 @@
 import {newNonce} from './new-nonce.js';
 import {prove} from './prove.js';
 
-/** A peer that has not proved itself by then is cut off, in ms. Chosen without a measurement. */
+/** A peer that has not proved itself by then is cut off, in ms. */
 const handshakeTimeoutMs = 5000;
 
 /** Answers one incoming link: nothing is handled before the peer has proved that it knows the secret. */
--- a/packages/mesh/src/open-mesh.ts
+++ b/packages/mesh/src/open-mesh.ts
@@ -10,7 +10,7 @@
 
 /**
 An incoming connection on which nothing came for this long is probed by the system, in ms, and closed when the probes go
-unanswered: a peer that replaced it, or lost power, never ends it. Chosen without a measurement.
+unanswered: a peer that replaced it, or lost power, never ends it.
 */
 const keepAliveMs = 10_000;
 
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -4,19 +4,19 @@
 import type {EndpointState} from './endpoint-state.js';
 import type {EndpointTable} from './endpoint-table.js';
 
-/** Failures in a row after which an endpoint is left alone for a while. Fewer would eject on chance, more cost requests. Chosen without a measurement. */
+/** Failures in a row after which an endpoint is left alone for a while. Fewer would eject on chance, more cost requests. */
 const failuresBeforeEjection = 3;
 
-/** How long a first ejection lasts, in ms, doubled with each further failure. Chosen without a measurement. */
+/** How long a first ejection lasts, in ms, doubled with each further failure. */
 const firstEjectionMs = 1000;
 
-/** The longest ejection, in ms. Chosen without a measurement. */
+/** The longest ejection, in ms. */
 const longestEjectionMs = 30_000;
 
-/** The time of a request that is assumed of an endpoint that has not answered yet, in ms. Chosen without a measurement. */
+/** The time of a request that is assumed of an endpoint that has not answered yet, in ms. */
 const assumedServiceMs = 1000;
 
-/** The time from token to token that is assumed of it, in ms. Chosen without a measurement. */
+/** The time from token to token that is assumed of it, in ms. */
 const assumedMsPerToken = 20;
 
 /**
--- a/packages/routing/src/lib/smooth.ts
+++ b/packages/routing/src/lib/smooth.ts
@@ -1,4 +1,4 @@
-/** The weight of a new sample: about five count. Chosen without a measurement. */
+/** The weight of a new sample: about five count. */
 const weight = 0.2;
 
 /** An exponentially smoothed average: recent samples count most. */
--- a/packages/routing/src/ratings/rate-by-affinity.ts
+++ b/packages/routing/src/ratings/rate-by-affinity.ts
@@ -4,14 +4,14 @@
 
 /**
 What it costs to read one token of a prompt anew: its time at the engine, and the work it holds up beside it, in ms. More keeps
-prompts where they were read, less spreads load. Chosen without a measurement.
+prompts where they were read, less spreads load.
 */
 const msPerReadToken = 0.06;
 
-/** What each open request of this host adds to the wait at an endpoint, in ms. Other hosts' requests are alike. Chosen without a measurement. */
+/** What each open request of this host adds to the wait at an endpoint, in ms. Other hosts' requests are alike. */
 const msPerOpenRequest = 25;
 
-/** What an endpoint of another hall costs more, in ms: the way there, and the price of traffic between halls. Chosen without a measurement. */
+/** What an endpoint of another hall costs more, in ms: the way there, and the price of traffic between halls. */
 const otherHallMs = 8;
 
 /** More than any wait: an endpoint in a hall that seems out of reach is a last resort. In ms. */
--- a/packages/routing/src/ratings/rate-by-cost.ts
+++ b/packages/routing/src/ratings/rate-by-cost.ts
@@ -2,16 +2,16 @@
 import type {RateEndpoint} from './rate-endpoint.js';
 import type {CostRequest} from './cost-request.js';
 
-/** What an endpoint of another hall costs more than its wait, in ms. Chosen without a measurement. */
+/** What an endpoint of another hall costs more than its wait, in ms. */
 const otherHallMs = 20;
 
-/** What moving a session to another endpoint costs, in ms. Chosen without a measurement. */
+/** What moving a session to another endpoint costs, in ms. */
 const movedSessionMs = 50;
 
-/** What reading one token of a prompt that is not cached costs, in ms. Chosen without a measurement. */
+/** What reading one token of a prompt that is not cached costs, in ms. */
 const msPerUncachedToken = 0.1;
 
-/** How far above its slots an endpoint is filled with quick work: engines honour priorities, so it may queue there. Measured with the two below in docs/design/routing.md. */
+/** How far above its slots an endpoint is filled with quick work: engines honour priorities, so it may queue there. */
 const quickOverfill = 0.5;
 
 /** Less urgent work may queue at an endpoint by this part of its slots: reports lag, and a slot must not wait for one. */
--- a/packages/routing/src/retries/step-retry-budget.ts
+++ b/packages/routing/src/retries/step-retry-budget.ts
@@ -1,9 +1,9 @@
 import type {RetryBudget} from './retry-budget.js';
 
-/** Retries allowed for each request. Chosen without a measurement. */
+/** Retries allowed for each request. */
 const creditPerRequest = 0.1;
 
-/** The most retries that can be saved up, so that a quiet time allows no burst. Chosen without a measurement. */
+/** The most retries that can be saved up, so that a quiet time allows no burst. */
 const mostCredit = 10;
 
 /**
--- a/packages/routing/src/waiting-room/enter-waiting-room.ts
+++ b/packages/routing/src/waiting-room/enter-waiting-room.ts
@@ -8,7 +8,7 @@
 
 /**
 The part of the places that each priority may fill. Places are kept for urgent work, so
-that nobody who waits has to be turned away for a more urgent request that comes later. Chosen without a measurement.
+that nobody who waits has to be turned away for a more urgent request that comes later.
 */
 const shareOfPlaces: Readonly<Record<Priority, number>> = {quick: 1, normal: 0.75, slow: 0.5};
 
--- a/packages/routing/src/waiting-room/leave-waiting-room.ts
+++ b/packages/routing/src/waiting-room/leave-waiting-room.ts
@@ -6,7 +6,7 @@
 /** The next request to start, if any may. */
 type Exit = {readonly room: WaitingRoom; readonly next?: WaitingRequest};
 
-/** How often each priority is served when all wait. Slow work goes on under any load of quick work. Chosen without a measurement. */
+/** How often each priority is served when all wait. Slow work goes on under any load of quick work. */
 const turns: Readonly<Record<Priority, number>> = {quick: 16, normal: 4, slow: 1};
 
 /** A longer gap means that nobody waited, which says nothing of the rate. In ms. */
--- a/packages/routing/src/waiting-room/retry-after.ts
+++ b/packages/routing/src/waiting-room/retry-after.ts
@@ -1,6 +1,6 @@
 import type {WaitingRoom} from './waiting-room.js';
 
-/** The longest time that a caller is told to stay away, in seconds. Chosen without a measurement. */
+/** The longest time that a caller is told to stay away, in seconds. */
 const longestSeconds = 60;
 
 /** Seconds after which a refused request should come back: when the queue will have drained at its present rate. */
