--- a/packages/entry/src/lib/host/start-health-watch.ts
+++ b/packages/entry/src/lib/host/start-health-watch.ts
@@ -1,9 +1,9 @@
+import {probeAddress} from '@deckwheel/host-kit';
 import type {Bounds} from '../../adapter/bounds.js';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {Log} from '../../adapter/log.js';
 import type {Timeouts} from '../../timeouts.js';
 import type {HallWatch} from '../hall-health/hall-watch.js';
-import {probeAddress} from '../hall-health/probe-address.js';
 import {startHallWatch} from '../hall-health/start-hall-watch.js';
 import type {LatenessWatch} from '../own-health/lateness-watch.js';
 import {startLatenessWatch} from '../own-health/start-lateness-watch.js';
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -1,16 +1,15 @@
+import {probeAddress} from '@deckwheel/host-kit';
+import {
+	createEndpointEnds, createPoisonWatch, suspicionsReplySchema, type PoisonWatch,
+} from '@deckwheel/poison';
 import type {Log} from '../../adapter/log.js';
 import type {PeerDirectory} from '../../adapter/peer-directory.js';
 import type {RightsStore} from '../../adapter/rights-store.js';
 import type {StoreChanges} from '../../adapter/store-changes.js';
 import type {Timeouts} from '../../timeouts.js';
 import {createLoanClient} from '../lending/create-loan-client.js';
-import {probeAddress} from '../hall-health/probe-address.js';
 import {startPeerLinks} from '../peers/start-peer-links.js';
 import {readPeerReply} from '../peers/read-peer-reply.js';
-import {createEndpointEnds} from '../poison/create-endpoint-ends.js';
-import {createPoisonWatch} from '../poison/create-poison-watch.js';
-import type {PoisonWatch} from '../poison/poison-watch.js';
-import {suspicionsReplySchema} from '../poison/suspicions-reply-schema.js';
 import {createRightsKeeper} from '../rights/create-rights-keeper.js';
 import type {RightsKeeper} from '../rights/rights-keeper.js';
 import {createChangeBoard} from '../store-changes/create-change-board.js';
--- a/packages/entry/src/lib/peers/peer-handlers.ts
+++ b/packages/entry/src/lib/peers/peer-handlers.ts
@@ -1,7 +1,6 @@
+import type {SuspicionsQuestion, SuspicionsReply} from '@deckwheel/poison';
 import type {LoanReply} from '../lending/loan-reply.js';
 import type {LoanRequest} from '../lending/loan-request.js';
-import type {SuspicionsQuestion} from '../poison/suspicions-question.js';
-import type {SuspicionsReply} from '../poison/suspicions-reply.js';
 import type {ChangeReply} from '../store-changes/change-reply.js';
 
 /** Who answers which message of a peer. */
--- a/packages/entry/src/lib/peers/peer-message-schema.ts
+++ b/packages/entry/src/lib/peers/peer-message-schema.ts
@@ -1,5 +1,5 @@
+import {toldSuspicionSchema} from '@deckwheel/poison';
 import {z} from 'zod';
-import {toldSuspicionSchema} from '../poison/told-suspicion-schema.js';
 
 /** Requests that one message may tell of. */
 const maxSuspicions = 100;
--- a/packages/entry/src/lib/request/host-services.ts
+++ b/packages/entry/src/lib/request/host-services.ts
@@ -1,11 +1,11 @@
 import type {ServerResponse} from 'node:http';
+import type {PoisonWatch} from '@deckwheel/poison';
 import type {FleetConfig} from '../../config/fleet-config.js';
 import type {HeaderNames} from '../../adapter/header-names.js';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
-import type {PoisonWatch} from '../poison/poison-watch.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
 import type {HallWatch} from '../hall-health/hall-watch.js';
--- a/packages/entry/src/lib/poison/create-endpoint-ends.ts
+++ b/packages/poison/src/create-endpoint-ends.ts
@@ -1,6 +1,6 @@
+import type {ProbeResult} from '@deckwheel/host-kit';
 import {LRUCache} from 'lru-cache';
-import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import type {ProbeResult} from '../hall-health/probe-result.js';
+import type {SuspectedEndpoint} from './suspected-endpoint.js';
 import type {EndpointEnds} from './endpoint-ends.js';
 
 /** Lives of endpoints that are known to have ended: a bound on memory. Those of one burst are asked for together. */
@@ -18,7 +18,7 @@
 	const ended = new LRUCache<string, true>({max: maxEnded});
 	const probing = new Map<string, Promise<boolean>>();
 
-	const ask = async ({id, address}: ListedEndpoint): Promise<boolean> => {
+	const ask = async ({id, address}: SuspectedEndpoint): Promise<boolean> => {
 		const isRefused = await probe(address) === 'refused';
 		probing.delete(id);
 		if (isRefused) {
--- a/packages/entry/src/lib/poison/create-poison-watch.ts
+++ b/packages/poison/src/create-poison-watch.ts
@@ -1,19 +1,19 @@
-import type {ListedPeer} from '../../adapter/listed-peer.js';
-import type {Log} from '../../adapter/log.js';
-import {createSuspicionTable} from './create-suspicion-table.js';
+import type {LogFields} from '@deckwheel/host-kit';
+import type {Peer} from './peer.js';
+import {createSuspicionTable} from './lib/create-suspicion-table.js';
 import type {EndpointEnds} from './endpoint-ends.js';
-import {hearSuspicion} from './hear-suspicion.js';
-import {isBlockedAt} from './is-blocked-at.js';
-import {collectorsOf} from './collectors-of.js';
+import {hearSuspicion} from './lib/hear-suspicion.js';
+import {isBlockedAt} from './lib/is-blocked-at.js';
+import {collectorsOf} from './lib/collectors-of.js';
 import type {LostRun} from './lost-run.js';
-import {noSuspicion} from './no-suspicion.js';
-import {pickGossipPeers} from './pick-gossip-peers.js';
+import {noSuspicion} from './lib/no-suspicion.js';
+import {pickGossipPeers} from './lib/pick-gossip-peers.js';
 import type {PoisonWatch} from './poison-watch.js';
-import {successiveEnds} from './successive-ends.js';
-import type {Suspicion} from './suspicion.js';
+import {successiveEnds} from './lib/successive-ends.js';
+import type {Suspicion} from './lib/suspicion.js';
 import type {SuspicionsQuestion} from './suspicions-question.js';
 import type {SuspicionsReply} from './suspicions-reply.js';
-import {tellSuspicion} from './tell-suspicion.js';
+import {tellSuspicion} from './lib/tell-suspicion.js';
 
 /**
 Between two rounds of gossip while a request is blocked, in ms: a host that comes back from a cut has heard of it within a few
@@ -26,13 +26,14 @@
 
 type Options = {
 	/** This host, as it is listed. */
-	readonly self: () => ListedPeer;
+	readonly self: () => Peer;
 	/** All other hosts that are listed, of every hall. */
-	readonly peers: () => readonly ListedPeer[];
+	readonly peers: () => readonly Peer[];
 	/** Asks one peer; `undefined` when it does not answer in time. */
-	readonly ask: (peer: ListedPeer, question: SuspicionsQuestion) => Promise<SuspicionsReply | undefined>;
+	readonly ask: (peer: Peer, question: SuspicionsQuestion) => Promise<SuspicionsReply | undefined>;
 	readonly ends: EndpointEnds;
-	readonly log: Log;
+	/** Writes one line of key=value pairs for an event. */
+	readonly log: (event: string, fields: LogFields) => void;
 	/** From 0 up to 1. */
 	readonly random: () => number;
 	/** Calls back again and again; returns what ends it. */
@@ -82,7 +83,7 @@
 		return isTurned;
 	};
 
-	const talkTo = async (peer: ListedPeer, question: SuspicionsQuestion): Promise<void> => {
+	const talkTo = async (peer: Peer, question: SuspicionsQuestion): Promise<void> => {
 		const reply = await ask(peer, question);
 		if (!reply) {
 			return;
@@ -96,7 +97,7 @@
 		}
 	};
 
-	const talkToAll = (some: readonly ListedPeer[], question: SuspicionsQuestion): void => {
+	const talkToAll = (some: readonly Peer[], question: SuspicionsQuestion): void => {
 		for (const peer of some) {
 			void talkTo(peer, question);
 		}
--- a/packages/entry/src/lib/poison/endpoint-ends.ts
+++ b/packages/poison/src/endpoint-ends.ts
@@ -1,7 +1,7 @@
-import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import type {SuspectedEndpoint} from './suspected-endpoint.js';
 
 /** Finds out whether an endpoint ended. */
 export type EndpointEnds = {
 	/** Whether nothing listens at the address of an endpoint any more that broke off a run a moment ago. */
-	readonly hasEnded: (endpoint: ListedEndpoint) => Promise<boolean>;
+	readonly hasEnded: (endpoint: SuspectedEndpoint) => Promise<boolean>;
 };
--- a/packages/entry/src/lib/poison/lost-run.ts
+++ b/packages/poison/src/lost-run.ts
@@ -1,11 +1,11 @@
-import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import type {SuspectedEndpoint} from './suspected-endpoint.js';
 
 /** A run that an endpoint broke off, with nobody else to blame. */
 export type LostRun = {
 	/** Identifier of the request, for the log. */
 	readonly id: string;
 	readonly fingerprint: () => string;
-	readonly endpoint: ListedEndpoint;
+	readonly endpoint: SuspectedEndpoint;
 	/** Monotonic ms. */
 	readonly sentAt: number;
 };
--- /dev/null
+++ b/packages/poison/src/peer.ts
@@ -0,0 +1,6 @@
+/** Another host, as far as it matters here. */
+export type Peer = {
+	/** `ip:port` */
+	readonly address: string;
+	readonly hall: string;
+};
--- a/packages/entry/src/lib/poison/suspicions-question.ts
+++ b/packages/poison/src/suspicions-question.ts
@@ -1,4 +1,4 @@
-import type {ToldSuspicion} from './told-suspicion.js';
+import type {ToldSuspicion} from './lib/told-suspicion.js';
 
 /** What a host tells a peer of suspected requests; the peer answers with what it knows beyond that. */
 export type SuspicionsQuestion = {
