--- a/packages/stand-ins/src/engine-options.ts
+++ b/packages/stand-ins/src/engine-options.ts
@@ -7,4 +7,6 @@
 	readonly slots?: number;
 	/** Whether it refuses a request that comes after its `x-send-by`. */
 	readonly checksSendBy?: boolean;
+	/** Called when a prompt has ended it (`endsOn`). */
+	readonly onEnded?: () => void;
 };
--- a/packages/stand-ins/src/lib/create-engine-router.ts
+++ b/packages/stand-ins/src/lib/create-engine-router.ts
@@ -15,10 +15,12 @@
 	readonly slots: number;
 	/** Whether a request that comes after its time to be sent is refused. */
 	readonly checksSendBy: boolean;
+	/** Ends the engine. */
+	readonly end: () => void;
 };
 
 /** Creates the interface that hosts call: streams, their resumption and cancelling, load reports, cache events. */
-export const createEngineRouter = ({streams, faults, report, slots, checksSendBy}: Options): Router => {
+export const createEngineRouter = ({streams, faults, report, slots, checksSendBy, end}: Options): Router => {
 	const open = async (ctx: Context): Promise<EngineStream | undefined> => {
 		const stream = await readStreamRequest(ctx);
 		if (streams.get(stream.id)) {
@@ -33,6 +35,12 @@
 			return undefined;
 		}
 
+		const {endsOn} = faults();
+		if (endsOn !== '' && stream.prompt.includes(endsOn)) {
+			end();
+			return undefined;
+		}
+
 		streams.start(stream);
 		return stream;
 	};
--- a/packages/stand-ins/src/lib/engine-faults.ts
+++ b/packages/stand-ins/src/lib/engine-faults.ts
@@ -4,6 +4,8 @@
 	readonly isDown: boolean;
 	/** New requests are refused with 503: surely not run. */
 	readonly refuses: boolean;
+	/** A prompt that holds this text ends the engine: it breaks off all that it runs, and listens no more; empty for none. */
+	readonly endsOn: string;
 	/** Streams stop after this many tokens and are cut; 0 for never. */
 	readonly breakAfter: number;
 	/** Time between two tokens of a stream, in ms. */
--- a/packages/stand-ins/src/lib/serve-stand-in.ts
+++ b/packages/stand-ins/src/lib/serve-stand-in.ts
@@ -12,6 +12,10 @@
 	return {
 		url: `http://${address}`,
 		async close() {
+			if (!server.listening) {
+				return;
+			}
+
 			server.closeAllConnections();
 			server.close();
 			await once(server, 'close');
--- a/packages/stand-ins/src/start-engine.ts
+++ b/packages/stand-ins/src/start-engine.ts
@@ -15,9 +15,9 @@
 The answer to a prompt is made from the prompt, so that a caller can tell its own answer.
 Its control door is `PUT /control/faults` (see `EngineFaults`) and `GET /control/streams`.
 */
-export const startEngine = async ({port = 0, slots = 8, checksSendBy = true, ...pace}: EngineOptions = {}): Promise<RunningStandIn> => {
+export const startEngine = async ({port = 0, slots = 8, checksSendBy = true, onEnded = () => undefined, ...pace}: EngineOptions = {}): Promise<RunningStandIn> => {
 	let faults: EngineFaults = {
-		isDown: false, refuses: false, breakAfter: 0, msPerToken: 5, msPerPromptToken: 0, reportLagMs: 100, ...pace,
+		isDown: false, refuses: false, endsOn: '', breakAfter: 0, msPerToken: 5, msPerPromptToken: 0, reportLagMs: 100, ...pace,
 	};
 	const streams = createEngineStreams(slots, () => faults);
 	let report = streams.load();
@@ -36,18 +36,26 @@
 		timer = setTimeout(takeReport, faults.reportLagMs);
 	};
 
-	let timer = setTimeout(takeReport, faults.reportLagMs);
+	let timer: NodeJS.Timeout | undefined;
 	const app = new Koa();
 	app.use(control.routes());
 	app.use(createEngineRouter({
-		streams, faults: () => faults, report: () => report, slots, checksSendBy,
+		streams,
+		faults: () => faults,
+		report: () => report,
+		slots,
+		checksSendBy,
+		end() {
+			void close();
+			onEnded();
+		},
 	}).routes());
 	const standIn = await serveStandIn(app, port);
-	return {
-		url: standIn.url,
-		async close() {
-			clearTimeout(timer);
-			await standIn.close();
-		},
+	timer = setTimeout(takeReport, faults.reportLagMs);
+	const close = async (): Promise<void> => {
+		clearTimeout(timer);
+		await standIn.close();
 	};
+
+	return {url: standIn.url, close};
 };
