--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -22,7 +22,7 @@
 	});
 
 /** Where no end of the block is known that would say more (`blockedUntil`), in seconds. */
-const blockedRetrySeconds = 600;
+const blockedRetrySeconds = 120;
 
 /** The final answers that an entry host gives of its own. docs/OPERATIONS.md tells what to look at for each code. */
 export const hostRefusals = {
--- a/packages/poison/src/lib/blocked-until.ts
+++ b/packages/poison/src/lib/blocked-until.ts
@@ -5,13 +5,13 @@
 const endsToBlock = 3;
 
 /**
-How long a first block lasts, in ms, doubled with each further end: after it, the request is tried once more, as an endpoint of
-another version may bear it.
+How long a first block lasts, in ms, doubled with each further end: after it, the request is tried once more. An endpoint of another
+version may bear it, and one that was only unlucky three times is not kept away for long.
 */
-const firstBlockMs = 600_000;
+const firstBlockMs = 120_000;
 
 /** Doublings of the block at most: it ends within a day. */
-const maxDoublings = 7;
+const maxDoublings = 9;
 
 /** Until when a request is sent to no endpoint, in monotonic ms; `undefined` of one that never was blocked. Pure. */
 export const blockedUntil = (suspicion: Suspicion): number | undefined => {
--- a/packages/poison/src/test/suspicions.test.ts
+++ b/packages/poison/src/test/suspicions.test.ts
@@ -14,18 +14,19 @@
 	cleared: new Set(cleared),
 });
 
-test('ends count one after the other: each run was sent after the end before it', t => {
+test('ends count one after the other: each run was sent after the end before it, or ended well after it', t => {
 	t.is(successiveEnds(suspicionOf([[0, 10], [10, 20], [30, 40]])).length, 3);
 	t.is(successiveEnds(suspicionOf([[0, 10], [5, 11], [9, 12]])).length, 1, 'all under way when the first ended');
 	t.is(successiveEnds(suspicionOf([[0, 10], [5, 20], [12, 22]])).length, 2);
+	t.is(successiveEnds(suspicionOf([[0, 10], [5, 1010], [6, 1500], [7, 2010]])).length, 3, 'several runs at once, whose ends lie a second apart');
 	t.is(successiveEnds(suspicionOf([[0, 10], [10, 20], [30, 40]], ['e1'])).length, 2, 'one that it is not to blame for');
 });
 
-test('the third end blocks a request for ten minutes, and each further one for twice as long, up to a day', t => {
+test('the third end blocks a request for two minutes, and each further one for twice as long, up to a day', t => {
 	const ends = Array.from({length: 16}, (_, i) => [i, i + 1] as const);
 	t.is(blockedUntil(suspicionOf(ends.slice(0, 2))), undefined);
-	t.is(blockedUntil(suspicionOf(ends.slice(0, 3))), 3 + (10 * minuteMs));
-	t.is(blockedUntil(suspicionOf(ends.slice(0, 5))), 5 + (40 * minuteMs));
+	t.is(blockedUntil(suspicionOf(ends.slice(0, 3))), 3 + (2 * minuteMs));
+	t.is(blockedUntil(suspicionOf(ends.slice(0, 5))), 5 + (8 * minuteMs));
 	t.true(blockedUntil(suspicionOf(ends))! <= 24 * 60 * minuteMs);
 });
 
@@ -69,12 +70,12 @@
 	const table = createSuspicionTable(() => now);
 	table.merge('r', suspicionOf([[1, 10], [10, 20], [30, 40]]));
 	t.deepEqual(table.blocked(), ['r']);
-	now += 11 * minuteMs;
+	now += 3 * minuteMs;
 	t.is(table.blockedUntil('r'), undefined);
 	t.deepEqual(table.blocked(), []);
 	table.merge('r', {ends: new Map([['e9', {sentAt: now, endedAt: now + 10}]]), cleared: new Set()});
-	t.is(table.blockedUntil('r'), now + 10 + (20 * minuteMs));
-	now += 31 * minuteMs;
+	t.is(table.blockedUntil('r'), now + 10 + (4 * minuteMs));
+	now += 15 * minuteMs;
 	t.is(table.get('r'), undefined);
 	t.true(table.isEmpty());
 });
