--- a/packages/poison/src/test/create-poison-watch.test.ts
+++ b/packages/poison/src/test/create-poison-watch.test.ts
@@ -196,3 +196,21 @@
 	await fleet.round();
 	t.is(fleet.asked(), afterEnd);
 });
+
+test('a host goes on asking for what is blocked until a peer has answered that, though one has answered something else', async t => {
+	const fleet = createFleet(2);
+	for (let end = 0; end < 3; end++) {
+		await fleet.lose(fleet.members[0]!, 'r', `e${end}`);
+	}
+
+	const late = fleet.add();
+	late.isCut = true;
+	late.watch.peersListed();
+	await fleet.settle();
+	late.isCut = false;
+	await fleet.lose(late, 'other', 'e9');
+	t.is(fleet.knowing('r'), 2);
+	late.tick();
+	await fleet.settle();
+	t.is(fleet.knowing('r'), 3);
+});
