--- a/packages/poison/src/test/create-poison-watch.test.ts
+++ b/packages/poison/src/test/create-poison-watch.test.ts
@@ -1,107 +1,5 @@
 import test from 'ava';
-import type {Peer} from '../peer.js';
-import {createPoisonWatch} from '../create-poison-watch.js';
-import type {PoisonWatch} from '../poison-watch.js';
-
-/** Between two rounds of gossip, in ms, as the watch has it. */
-const roundMs = 1000;
-
-/** Numbers from 0 up to 1 that look random, the same in each run (a linear congruential generator). */
-const createRandom = (): (() => number) => {
-	let state = 7;
-	return () => {
-		state = ((state * 1_664_525) + 1_013_904_223) % (2 ** 32);
-		return state / (2 ** 32);
-	};
-};
-
-type Member = {
-	readonly peer: Peer;
-	readonly watch: PoisonWatch;
-	readonly tick: () => void;
-	/** Whether messages reach it and leave it. */
-	isCut: boolean;
-};
-
-/** Hosts in three halls whose messages arrive at once, or not at all; each one's clock shows another time. */
-const createFleet = (size: number) => {
-	const random = createRandom();
-	const members: Member[] = [];
-	let time = 0;
-	let asked = 0;
-
-	const add = (): Member => {
-		const index = members.length;
-		const peer = {address: `10.0.0.${index}:1`, hall: `hall-${index % 3}`};
-		const now = (): number => time + (index * 100_000);
-		let tick = (): void => undefined;
-		const watch = createPoisonWatch({
-			self: () => peer,
-			peers: () => members.filter(member => member.peer !== peer).map(member => member.peer),
-			async ask(to, question) {
-				asked++;
-				const target = members.find(member => member.peer.address === to.address)!;
-				return member.isCut || target.isCut ? undefined : target.watch.answer(peer.hall, question);
-			},
-			ends: {hasEnded: async () => true},
-			every(_pauseMs, callback) {
-				tick = callback;
-				return () => undefined;
-			},
-			random,
-			log: () => undefined,
-			now,
-		});
-		const member: Member = {
-			peer,
-			watch,
-			tick() {
-				tick();
-			},
-			isCut: false,
-		};
-		members.push(member);
-		return member;
-	};
-
-	for (let i = 0; i < size; i++) {
-		add();
-	}
-
-	const settle = async (): Promise<void> => {
-		for (let i = 0; i < 50; i++) {
-			await Promise.resolve();
-		}
-	};
-
-	return {
-		members,
-		add,
-		settle,
-		asked: () => asked,
-		/** The request is sent by a host, and its endpoint ends 100 ms later. */
-		async lose(member: Member, request: string, endpoint: string) {
-			const sentAt = time + (members.indexOf(member) * 100_000);
-			time += 100;
-			member.watch.runLost({
-				id: 'id',
-				fingerprint: () => request,
-				endpoint: {id: endpoint, address: ''},
-				sentAt,
-			});
-			await settle();
-		},
-		async round() {
-			time += roundMs;
-			for (const {tick} of members) {
-				tick();
-			}
-
-			await settle();
-		},
-		knowing: (request: string) => members.filter(({watch}) => watch.blockedUntil(() => request) !== undefined).length,
-	};
-};
+import {createFleet} from './lib/create-fleet.js';
 
 test('ends at three hosts of different halls block the request at all hosts at once', async t => {
 	for (const size of [2, 7, 60]) {
@@ -136,7 +34,7 @@
 		const fleet = createFleet(size);
 		const cut = fleet.members.filter(({peer}) => peer.hall === 'hall-2');
 		for (const member of cut) {
-			member.isCut = true;
+			member.island = 1;
 		}
 
 		for (let end = 0; end < 3; end++) {
@@ -145,7 +43,7 @@
 
 		t.is(fleet.knowing('r'), size - cut.length);
 		for (const member of cut) {
-			member.isCut = false;
+			member.island = 0;
 		}
 
 		for (let i = 0; i < 3; i++) {
@@ -163,7 +61,7 @@
 	}
 
 	const late = fleet.add();
-	late.watch.peersListed();
+	late.life.watch.peersListed();
 	await fleet.settle();
 	t.is(fleet.knowing('r'), 8);
 });
@@ -175,7 +73,7 @@
 			await fleet.lose(fleet.members[end]!, 'r', `e${end}`);
 		}
 
-		fleet.members[size - 1]!.watch.runAnswered(() => 'r');
+		fleet.members[size - 1]!.life.watch.runAnswered(() => 'r');
 		await fleet.settle();
 		await fleet.round();
 		await fleet.round();
@@ -204,13 +102,13 @@
 	}
 
 	const late = fleet.add();
-	late.isCut = true;
-	late.watch.peersListed();
+	late.island = 1;
+	late.life.watch.peersListed();
 	await fleet.settle();
-	late.isCut = false;
+	late.island = 0;
 	await fleet.lose(late, 'other', 'e9');
 	t.is(fleet.knowing('r'), 2);
-	late.tick();
+	late.life.tick();
 	await fleet.settle();
 	t.is(fleet.knowing('r'), 3);
 });
