--- a/packages/daemon/src/lib/peers/peer-request-schema.ts
+++ b/packages/daemon/src/lib/peers/peer-request-schema.ts
@@ -1,9 +1,6 @@
-import {toldSuspicionSchema} from '@deckwheel/poison';
+import {suspicionsQuestionSchema} from '@deckwheel/poison';
 import {z} from 'zod';
 
-/** Requests that one message may tell of. */
-const maxSuspicions = 100;
-
 const text = z.string().max(400);
 const tokens = z.number().int().nonnegative();
 const wallTime = z.number().nonnegative();
@@ -66,8 +63,7 @@
 	z.object({type: z.literal('heartbeat'), status: statusSchema}),
 	z.object({type: z.literal('pairs')}),
 	z.object({type: z.literal('bundle')}),
-	/** What the sender knows of requests that end endpoints; `wantsBlocked` asks for all that are blocked. */
-	z.object({type: z.literal('suspicions'), suspicions: z.array(toldSuspicionSchema).max(maxSuspicions), wantsBlocked: z.boolean()}),
+	suspicionsQuestionSchema,
 	z.object({
 		type: z.literal('slot'),
 		slot: z.number().int().nonnegative(),
--- a/packages/entry/src/lib/peers/peer-message-schema.ts
+++ b/packages/entry/src/lib/peers/peer-message-schema.ts
@@ -1,9 +1,6 @@
-import {toldSuspicionSchema} from '@deckwheel/poison';
+import {suspicionsQuestionSchema} from '@deckwheel/poison';
 import {z} from 'zod';
 
-/** Requests that one message may tell of. */
-const maxSuspicions = 100;
-
 /** What hosts ask of each other. Amounts are tokens. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	/** `demanded`: tokens ever demanded by requests of the asker; `received`: all that it knows to have got from the lender; `rank`: the most urgent request that waits for it. */
@@ -23,8 +20,5 @@
 	z.object({
 		type: z.literal('hand_back'), to: z.string(), budget: z.string(), total: z.number().nonnegative(),
 	}),
-	/** What the sender knows of requests that end endpoints; `wantsBlocked` asks for all that are blocked. */
-	z.object({
-		type: z.literal('suspicions'), suspicions: z.array(toldSuspicionSchema).max(maxSuspicions), wantsBlocked: z.boolean(),
-	}),
+	suspicionsQuestionSchema,
 ]);
--- a/packages/poison/src/lib/create-suspicion-table.ts
+++ b/packages/poison/src/lib/create-suspicion-table.ts
@@ -47,12 +47,9 @@
 		merge(request, learnt) {
 			const known = get(request) ?? noSuspicion;
 			const merged = mergeSuspicions(known, learnt);
-			if (!hasMore(merged, known)) {
-				return false;
+			if (hasMore(merged, known)) {
+				put(request, merged);
 			}
-
-			put(request, merged);
-			return true;
 		},
 		blockedUntil(request) {
 			const suspicion = blocked.get(request);
--- a/packages/poison/src/lib/suspicion-table.ts
+++ b/packages/poison/src/lib/suspicion-table.ts
@@ -4,8 +4,8 @@
 export type SuspicionTable = {
 	readonly get: (request: string) => Suspicion | undefined;
 	readonly isEmpty: () => boolean;
-	/** Puts in what was learnt, and tells whether that changed anything. */
-	readonly merge: (request: string, learnt: Suspicion) => boolean;
+	/** Puts in what was learnt. */
+	readonly merge: (request: string, learnt: Suspicion) => void;
 	/** Until when a request is blocked, in monotonic ms; `undefined` when it is not blocked now. */
 	readonly blockedUntil: (request: string) => number | undefined;
 	/** The requests that are blocked now. */
--- a/packages/routing/src/endpoints/choose-endpoint.ts
+++ b/packages/routing/src/endpoints/choose-endpoint.ts
@@ -16,9 +16,9 @@
 /**
 Chooses the endpoint with the least expected cost, or `undefined` when none can serve the request.
 
-An endpoint with room is preferred to one without. Left out are endpoints that are no longer listed or leave, were ejected (`stepEndpoints`), asked for rest, were
-tried by this request, or sit in another hall that was found out of reach. `deckwheeld` rates by `rateByCost`, the entry host
-on a platform by `rateByAffinity`.
+An endpoint with room is preferred to one without. Left out are endpoints that are no longer listed or leave, were ejected
+(`stepEndpoints`), asked for rest, were tried by this request, or sit in another hall that was found out of reach. `deckwheeld`
+rates by `rateByCost`, the entry host on a platform by `rateByAffinity`.
 
 @param now Monotonic ms.
 */
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -122,8 +122,8 @@
 Moves the table of endpoints on by one event.
 
 What is known of an endpoint ends when it is no longer listed, no request is open there, it has not said lately that it leaves,
-and its rest is over. Identifiers name one life of a
-process, so one that starts again begins with nothing, and what comes late of its earlier life changes nothing of it.
+and its rest is over. Identifiers name one life of a process, so one that starts again begins with nothing, and what comes late of
+its earlier life changes nothing of it.
 
 @param now Monotonic ms.
 */
