Evacuated halls get nothing: one pure rule says which endpoints a request may get, and every sender asks it

Beside it, nothing read which regions routes and organisations are allowed.

Cause: hosts followed two kinds of objects of the store, and orders to evacuate are a third; what closes an endpoint to a request was checked in three places (`isServing`, `choose-endpoint`, `rest-of-all`), none of which knew of halls by order or of regions.

Ruled out: a late list of endpoints (requests went on for the whole time of the order); probes of halls (connections only, no requests).

Entry hosts follow `evacuations` as they follow the other kinds, by one host a hall, and are not ready before they know them; where no evacuations are announced by the settings, the kind is not read. Halls that are evacuated are not probed, and no prompt prefers them. What is under way there ends. All halls evacuated: 503 `endpoints_evacuated` at once. Regions are a reason of the same rule, so they came with it. The rule was the smaller change than a fourth place beside the three.

Evidence: failing first, 20 of 20 requests reached the evacuated, nearer hall (evacuated-halls.test.ts); after it none.

Conclusion: an order binds a host as soon as it has read it, by the same bounds as leaving endpoints.

--- a/packages/entry/src/config/route.ts
+++ b/packages/entry/src/config/route.ts
@@ -18,6 +18,8 @@
 	readonly priority: number;
 	/** The most endpoints that one request may be sent to. */
 	readonly maxAttempts: number;
+	/** The regions whose endpoints may run it; `undefined` where all may. */
+	readonly allowedRegions?: readonly string[];
 	/** Whether a request needs no API key. */
 	readonly isPublic: boolean;
 	/** Whether a broken stream may be taken up at another endpoint. */
--- a/packages/entry/src/entry-host-options.ts
+++ b/packages/entry/src/entry-host-options.ts
@@ -13,6 +13,8 @@
 	/** Addresses as `ip:port`. With port 0, the system picks a free one. */
 	readonly listen: {readonly callers: string; readonly ready: string; readonly peers: string};
 	readonly bounds: Bounds;
+	/** Whether operators may order halls to be evacuated: then a host is not ready before it knows their orders. By default not. */
+	readonly hasEvacuations?: boolean;
 	readonly headers: HeaderNames;
 	readonly rightsStore: RightsStore;
 	readonly peers: PeerDirectory;
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -12,6 +12,8 @@
 	readonly configure: (config: FleetConfig) => void;
 	/** Replaces the list of endpoints. */
 	readonly listEndpoints: (endpoints: readonly ListedEndpoint[]) => void;
+	/** Replaces the halls whose endpoints are to get nothing more. What runs there may end. */
+	readonly evacuateHalls: (halls: ReadonlySet<string>) => void;
 	/** Ends as planned: sends on nothing that may outlast the stop, finishes what runs, gives rights back. A second call waits for the first. */
 	readonly stop: () => Promise<void>;
 	/** Ends at once, as a death of the process would: nothing is finished or given back. */
--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -10,6 +10,9 @@
 /** A full endpoint ends a request, and one that restarts is listed again, in some hundred ms, in seconds. */
 const endpointRetrySeconds = 0.3;
 
+/** An order of the operators to evacuate a hall ends when they take it back, which nobody knows ahead, in seconds. */
+const evacuatedRetrySeconds = 2;
+
 /** Where no outage is known that would say more (`planRetryAfter`), in seconds. */
 const rightsRetrySeconds = 2;
 
@@ -39,6 +42,7 @@
 	requestBlocked: notRun(httpStatus.tooManyRequests, 'request_blocked', 'Endpoints ended one after the other while they ran this request. Coming back earlier is of no use.', blockedRetrySeconds),
 	noEndpoint: notRun(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
 	endpointsResting: notRun(httpStatus.serviceUnavailable, 'endpoints_resting', 'All endpoints want no request for a while.', endpointRetrySeconds),
+	endpointsEvacuated: notRun(httpStatus.serviceUnavailable, 'endpoints_evacuated', 'The operators had all halls with endpoints for this request evacuated.', evacuatedRetrySeconds),
 	overloaded: notRun(httpStatus.serviceUnavailable, 'overloaded', 'All endpoints are full. Come back shortly.', endpointRetrySeconds),
 	deadlinePassed: notRun(httpStatus.serviceUnavailable, 'deadline_exceeded', 'The time for this request ran out before it was sent.', endpointRetrySeconds),
 	timedOut: {
--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -1,36 +1,48 @@
 import {
-	chooseEndpoint, rateByAffinity, restOfAll, stepEndpoints, type EndpointTable,
+	chooseEndpoint, closureOfAll, rateByAffinity, stepEndpoints, type EndpointTable,
 } from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {PromptPart} from '../admission/prompt-part.js';
+import type {ChoiceRequest} from './choice-request.js';
 import {createPrefixCacheEstimate} from './create-prefix-cache-estimate.js';
 import {createPreferredEndpoints} from './create-preferred-endpoints.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
 
+type Options = {
+	/** The host's own. */
+	readonly hall: string;
+	/** Whether another hall is out of reach. */
+	readonly isLost: (hall: string) => boolean;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
 // The deepest part that a prompt shares with others decides where it is read.
 const affinityKey = (parts: readonly PromptPart[]): string | undefined => parts.at(-2)?.id;
 
-/**
-Creates the task that knows the endpoints.
-
-@param hall The host's own.
-@param isLost Whether another hall is out of reach.
-@param now Monotonic ms.
-*/
-export const createEndpointChooser = (hall: string, isLost: (hall: string) => boolean, now: () => number): EndpointChooser => {
+/** Creates the task that knows the endpoints. */
+export const createEndpointChooser = ({hall, isLost, now}: Options): EndpointChooser => {
 	const cacheEstimate = createPrefixCacheEstimate();
 	const preferredEndpoints = createPreferredEndpoints();
 	let halls: readonly string[] = [];
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
+	let evacuatedHalls: ReadonlySet<string> = new Set();
 
 	const lostHalls = (): ReadonlySet<string> => new Set(halls.filter(name => isLost(name)));
 
 	// Prompts are not to be read first where no request goes any more.
 	const listPreferred = (): void => {
-		preferredEndpoints.list([...byId.values()].filter(({id}) => !table.get(id)!.info.isLeaving));
+		preferredEndpoints.list([...byId.values()].filter(({id}) => {
+			const {info} = table.get(id)!;
+			return !info.isLeaving && !evacuatedHalls.has(info.hall);
+		}));
 	};
 
+	const limitsOf = ({service, regions}: Pick<ChoiceRequest, 'service' | 'regions'>) => ({
+		target: service, hall, lostHalls: lostHalls(), evacuatedHalls, regions,
+	});
+
 	return {
 		list(endpoints) {
 			byId = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]));
@@ -38,16 +50,18 @@
 			halls = [...new Set(endpoints.map(endpoint => endpoint.hall))];
 			listPreferred();
 		},
-		choose(service, parts, tried, avoided) {
+		evacuate(next) {
+			evacuatedHalls = next;
+			listPreferred();
+		},
+		choose({parts, tried, avoidedHalls, ...request}) {
 			const key = affinityKey(parts);
-			const preferred = key === undefined ? undefined : preferredEndpoints.of(service, key);
+			const preferred = key === undefined ? undefined : preferredEndpoints.of(request.service, key);
 			const choice = chooseEndpoint(table, {
-				target: service,
-				hall,
+				...limitsOf(request),
 				cachedTokens: endpoint => cacheEstimate.cachedTokens(endpoint, parts, preferred),
 				promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0),
-				lostHalls: lostHalls(),
-				avoidedHalls: avoided,
+				avoidedHalls,
 				tried,
 			}, now(), rateByAffinity);
 			if (!choice) {
@@ -57,7 +71,7 @@
 			cacheEstimate.note(choice.endpoint, parts);
 			return {endpoint: byId.get(choice.endpoint)!, reason: choice.reason};
 		},
-		restOfAll: service => restOfAll(table, {target: service, hall, lostHalls: lostHalls()}, now()),
+		closureOfAll: request => closureOfAll(table, limitsOf(request), now()),
 		note(event) {
 			const wasLeaving = table.get(event.endpoint)?.hasSaidLeaving;
 			table = stepEndpoints(table, event, now());
--- a/packages/entry/src/lib/hall-health/start-hall-watch.ts
+++ b/packages/entry/src/lib/hall-health/start-hall-watch.ts
@@ -54,6 +54,7 @@
 	const reaches = new Map<string, HallReach>();
 	const attempts = createOpenAttempts();
 	let byHall: ReadonlyMap<string, readonly ListedEndpoint[]> = new Map();
+	let evacuatedHalls: ReadonlySet<string> = new Set();
 
 	const reachOf = (hall: string): HallReach => reaches.get(hall) ?? inReach;
 
@@ -86,7 +87,7 @@
 
 	const timer = setInterval(() => {
 		for (const hall of byHall.keys()) {
-			if (hall !== ownHall && step(hall, {type: 'ticked', waitsSince: attempts.waitsSince(hall)})) {
+			if (hall !== ownHall && !evacuatedHalls.has(hall) && step(hall, {type: 'ticked', waitsSince: attempts.waitsSince(hall)})) {
 				void probeHall(hall);
 			}
 		}
@@ -96,6 +97,9 @@
 		list(endpoints) {
 			byHall = groupByHall(endpoints.filter(({isLeaving}) => !isLeaving));
 		},
+		evacuate(next) {
+			evacuatedHalls = next;
+		},
 		isLost: hall => reachOf(hall).isLost,
 		open: attempts.add,
 		heard(hall) {
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -13,6 +13,7 @@
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestProgress} from './request-progress.js';
 import type {RequestResult} from './request-result.js';
+import {regionsOf} from './regions-of.js';
 import {runAttempt} from './run-attempt.js';
 import {stepProgress} from './step-progress.js';
 
@@ -77,6 +78,7 @@
 	const {req, res, admitted: {route, prompt, deadline}} = request;
 	const {chooser, ending, schedule, now} = host;
 	const service = pickService(route, Math.random()) ?? '';
+	const regions = regionsOf(request.admitted);
 	const isRepeatable = mayRunAgain(route);
 	const tokensPerEvent = host.config()?.services.get(service)?.tokensPerEvent ?? 0;
 	const writer = createAnswerWriter(res, req.method === 'HEAD', () => host.closesAfter(res));
@@ -98,9 +100,9 @@
 	const giveUp = (reason: string, retryAt?: number): RequestResult => {
 		const endedBy = requestEnd.endedBy();
 		const outcome = decideOutcome({progress, endedBy, hasAnswerBegun: writer.hasBegun()});
-		const restEnd = outcome === 'not_run' && isWantOfEndpoints(reason) ? chooser.restOfAll(service) : undefined;
-		if (restEnd !== undefined) {
-			return finish(outcome, 'endpoints_resting', {retryAt: restEnd});
+		const closure = outcome === 'not_run' && isWantOfEndpoints(reason) ? chooser.closureOfAll({service, regions}) : undefined;
+		if (closure) {
+			return finish(outcome, `endpoints_${closure.reason}`, {retryAt: closure.until});
 		}
 
 		return finish(outcome, outcome === 'not_run' && endedBy === 'deadline' ? 'deadline' : reason, {retryAt});
@@ -162,7 +164,9 @@
 			return giveUp('request_blocked', blockedUntil);
 		}
 
-		const choice = chooser.choose(service, prompt?.parts ?? [], progress.tried, progress.avoidedHalls);
+		const choice = chooser.choose({
+			service, parts: prompt?.parts ?? [], tried: progress.tried, avoidedHalls: progress.avoidedHalls, regions,
+		});
 		if (!choice) {
 			return giveUp('no_endpoint');
 		}
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -1,6 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {isDeepStrictEqual} from 'node:util';
 import type {FleetConfig} from './config/fleet-config.js';
 import {defaultTimeouts} from './default-timeouts.js';
 import type {EntryHostOptions} from './entry-host-options.js';
@@ -34,7 +35,8 @@
 It owns the configuration in force; each other state belongs to one of the tasks that are put together here.
 */
 export const startEntryHost = async (options: EntryHostOptions): Promise<EntryHost> => {
-	const {host, hall, listen, bounds, headers: headerNames, rightsStore, peers: directory, log, timeouts = defaultTimeouts, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
+	const {host, hall, listen, bounds, hasEvacuations = false, headers: headerNames, rightsStore, peers: directory, log} = options;
+	const {timeouts = defaultTimeouts, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
 	const holder = newHolder(host);
 	const open = createRequestCounter(now);
 	const pool = createConnectionPool(elapsed);
@@ -50,8 +52,9 @@
 		hall, bounds, timeouts, open: open.count, log, now,
 	});
 	const {lateness, halls} = health;
-	const chooser = createEndpointChooser(hall, halls.isLost, now);
 	let config: FleetConfig | undefined;
+	const chooser = createEndpointChooser({hall, isLost: halls.isLost, now});
+	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
 	const listing = createEndpointListing({
 		config: () => config,
 		onUsed(used, unused) {
@@ -73,8 +76,9 @@
 	const connections = createCallerConnections();
 	const closesAfter = (res: ServerResponse): boolean => isClosing() && connections.isLastOpen(res);
 
+	// Nothing is sent before it is known which halls are to get nothing.
 	const services: HostServices = {
-		config: () => config,
+		config: () => evacuatedHalls === undefined ? undefined : config,
 		closesAfter,
 		isStopping: () => stop !== undefined,
 		ending: ending.signal,
@@ -99,7 +103,7 @@
 		open,
 		connections,
 		serve: async (req, res) => serveRequest(req, res, services),
-		isReady: () => config !== undefined && listing.isKnown() && !isClosing(),
+		isReady: () => config !== undefined && listing.isKnown() && evacuatedHalls !== undefined && !isClosing(),
 		closesAfter,
 	});
 	log('started', {holder, hall});
@@ -148,6 +152,16 @@
 			listing.review();
 		},
 		listEndpoints: listing.list,
+		evacuateHalls(next) {
+			if (evacuatedHalls !== undefined && isDeepStrictEqual(next, evacuatedHalls)) {
+				return;
+			}
+
+			evacuatedHalls = next;
+			chooser.evacuate(next);
+			halls.evacuate(next);
+			log('halls_evacuated', {halls: [...next].join(',')});
+		},
 		async kill() {
 			health.close();
 			servers.kill();
--- a/packages/entry/src/test/create-endpoint-chooser.test.ts
+++ b/packages/entry/src/test/create-endpoint-chooser.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type {PromptPart} from '../lib/admission/prompt-part.js';
 import {createEndpointChooser} from '../lib/choice/create-endpoint-chooser.js';
 
 const endpoint = (id: string, hall: string) => ({
@@ -7,40 +8,44 @@
 
 const prompt = [{id: 'shared', tokens: 100_000}, {id: 'own', tokens: 10}];
 
+const ask = (parts: readonly PromptPart[], tried: readonly string[], avoidedHalls: readonly string[]) => ({
+	service: 's', parts, tried, avoidedHalls, regions: [],
+});
+
 test('endpoints of a hall that is out of reach are not chosen; those of one that seems so are a last resort', t => {
 	let lost = '';
-	const chooser = createEndpointChooser('a', hall => hall === lost, () => 0);
+	const chooser = createEndpointChooser({hall: 'a', isLost: hall => hall === lost, now: () => 0});
 	chooser.list([endpoint('near', 'a'), endpoint('far', 'b')]);
 	for (let i = 0; i < 5; i++) {
 		chooser.note({type: 'started', endpoint: 'near'});
 	}
 
-	t.is(chooser.choose('s', [], [], [])?.endpoint.id, 'far');
-	t.is(chooser.choose('s', [], [], ['b'])?.endpoint.id, 'near');
+	t.is(chooser.choose(ask([], [], []))?.endpoint.id, 'far');
+	t.is(chooser.choose(ask([], [], ['b']))?.endpoint.id, 'near');
 	lost = 'b';
-	t.is(chooser.choose('s', [], [], [])?.endpoint.id, 'near');
-	t.is(chooser.choose('s', prompt, ['near'], []), undefined);
+	t.is(chooser.choose(ask([], [], []))?.endpoint.id, 'near');
+	t.is(chooser.choose(ask(prompt, ['near'], [])), undefined);
 	lost = '';
-	t.is(chooser.choose('s', prompt, ['near'], ['b'])?.endpoint.id, 'far');
+	t.is(chooser.choose(ask(prompt, ['near'], ['b']))?.endpoint.id, 'far');
 });
 
 const lifeOf = (name: string, born: number) => ({...endpoint(name, 'a'), id: `${name}@${born}`, slots: 8});
 const names = ['e1', 'e2', 'e3', 'e4'];
 
 test('a new life of an endpoint is believed to hold no prompt that the old one read', t => {
-	const chooser = createEndpointChooser('a', () => false, () => 0);
+	const chooser = createEndpointChooser({hall: 'a', isLost: () => false, now: () => 0});
 	chooser.list(names.map(name => lifeOf(name, 1)));
-	const preferred = chooser.choose('s', prompt, [], [])!.endpoint;
+	const preferred = chooser.choose(ask(prompt, [], []))!.endpoint;
 	// Read elsewhere once as well: that it is held there is known from this host's own send only.
-	const other = chooser.choose('s', prompt, [preferred.id], [])!.endpoint;
+	const other = chooser.choose(ask(prompt, [preferred.id], []))!.endpoint;
 	chooser.list(names.map(name => lifeOf(name, name === other.instance ? 2 : 1)));
-	t.regex(chooser.choose('s', prompt, [preferred.id], [])!.reason, / cached=0\//);
+	t.regex(chooser.choose(ask(prompt, [preferred.id], []))!.reason, / cached=0\//);
 });
 
 test('a new life of an endpoint stays the preferred one of its prompts', t => {
-	const chooser = createEndpointChooser('a', () => false, () => 0);
+	const chooser = createEndpointChooser({hall: 'a', isLost: () => false, now: () => 0});
 	chooser.list(names.map(name => lifeOf(name, 1)));
-	const preferred = chooser.choose('s', prompt, [], [])!.endpoint;
+	const preferred = chooser.choose(ask(prompt, [], []))!.endpoint;
 	chooser.list(names.map(name => lifeOf(name, name === preferred.instance ? 2 : 1)));
-	t.is(chooser.choose('s', prompt, [], [])!.endpoint.id, `${preferred.instance}@2`);
+	t.is(chooser.choose(ask(prompt, [], []))!.endpoint.id, `${preferred.instance}@2`);
 });
--- /dev/null
+++ b/packages/entry/src/test/evacuated-halls.test.ts
@@ -0,0 +1,136 @@
+/**
+What was seen: 99 requests reached endpoints of a hall that the operators had ordered to be evacuated, from every host, until the order
+was taken back; endpoints there were cold after it, and all hosts went back to them at once.
+
+Order of events: the order stands in the store; each host goes on choosing endpoints of that hall.
+
+Cause: no host read such orders, and no rule of the choice knew of them, of warm-ups or of regions. Evidence: with the order listed
+and each choice logged, 20 of 20 requests went to the evacuated hall, the nearer one.
+*/
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import test from 'ava';
+import {callHost} from './lib/call-host.js';
+import {createHandClock} from './lib/create-hand-clock.js';
+import {createMemoryRightsStore} from './lib/memory-rights-store.js';
+import {startEndpoint, type Answer, type TestEndpoint} from './lib/start-endpoint.js';
+import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
+
+const requests = 20;
+
+const ok: Answer = (_req, res) => {
+	res.end('fine');
+};
+
+type Scope = {teardown: (end: () => Promise<void>) => void};
+type Change = Parameters<typeof makeConfig>[0];
+
+const launch = async (t: Scope, {near = ok, far = ok, config = {}}: {near?: Answer; far?: Answer; config?: Change} = {}) => {
+	const clock = createHandClock();
+	const [nearOne, farOne] = await Promise.all([startEndpoint('near', near, 'hall-a'), startEndpoint('far', far, 'hall-b')]);
+	const host = await startHost(createMemoryRightsStore(), {now: clock.now, schedule: clock.schedule});
+	t.teardown(async () => {
+		await host.entry.kill();
+		nearOne.close();
+		farOne.close();
+	});
+	host.entry.configure(makeConfig(config));
+	host.entry.listEndpoints([nearOne.listed, farOne.listed]);
+	const sendSome = async (): Promise<ReadonlySet<number>> => {
+		const statuses = new Set<number>();
+		for (let i = 0; i < requests; i++) {
+			const {status} = await callHost(host.callers);
+			statuses.add(status);
+			await nextTurn();
+		}
+
+		return statuses;
+	};
+
+	return {
+		host, clock, near: nearOne, far: farOne, sendSome,
+	};
+};
+
+const seenBy = ({seen}: TestEndpoint): number => seen.length;
+
+test('a hall that is evacuated gets no request; once the order is taken back it gets them again', async t => {
+	const {host, near, far, sendSome} = await launch(t);
+	host.entry.evacuateHalls(new Set(['hall-a']));
+	t.deepEqual(await sendSome(), new Set([200]));
+	t.deepEqual([seenBy(near), seenBy(far)], [0, requests]);
+	host.entry.evacuateHalls(new Set());
+	await sendSome();
+	t.deepEqual([seenBy(near), seenBy(far)], [requests, requests]);
+});
+
+test('what runs in a hall that is evacuated ends whole', async t => {
+	const {host, near} = await launch(t, {
+		near(_req, res) {
+			res.write('the first ');
+			host.entry.evacuateHalls(new Set(['hall-a']));
+			setImmediate(() => {
+				res.end('and the last');
+			});
+		},
+	});
+	const {status, body, isWhole} = await callHost(host.callers);
+	t.like({status, body, isWhole}, {status: 200, body: 'the first and the last', isWhole: true});
+	t.is(seenBy(near), 1);
+});
+
+test('where all halls are evacuated, callers are refused at once, with a code of its own and a time to come back', async t => {
+	const {host, near, far} = await launch(t);
+	host.entry.evacuateHalls(new Set(['hall-a', 'hall-b']));
+	const {status, headers, body} = await callHost(host.callers);
+	t.is(status, 503);
+	t.true(Number(headers['retry-after']) > 0);
+	t.like(JSON.parse(body), {error: {code: 'endpoints_evacuated', ran: 'not_run'}});
+	t.is(seenBy(near) + seenBy(far), 0);
+});
+
+test('an order for a hall that nobody knows changes nothing', async t => {
+	const {host, near, sendSome} = await launch(t);
+	host.entry.evacuateHalls(new Set(['hall-z']));
+	t.deepEqual(await sendSome(), new Set([200]));
+	t.is(seenBy(near), requests);
+});
+
+test('a host that operators may order to evacuate halls sends nothing before it knows their orders', async t => {
+	const endpoint = await startEndpoint('near', ok);
+	const host = await startHost(createMemoryRightsStore(), {hasEvacuations: true});
+	t.teardown(async () => {
+		await host.entry.kill();
+		endpoint.close();
+	});
+	host.entry.configure(makeConfig());
+	host.entry.listEndpoints([endpoint.listed]);
+	const before = await callHost(host.callers);
+	t.is(before.status, 503);
+	t.like(JSON.parse(before.body), {error: {code: 'not_ready'}});
+	const isReady = async (): Promise<boolean> => {
+		const {status} = await callHost(host.ready, {method: 'GET', path: '/readyz'});
+		return status === 200;
+	};
+
+	t.false(await isReady());
+	host.entry.evacuateHalls(new Set());
+	const after = await callHost(host.callers);
+	t.is(after.status, 200);
+	t.true(await isReady());
+});
+
+test('a route and an organisation keep to their regions', async t => {
+	const {host, near, far, sendSome} = await launch(t, {config: {routes: [makeRoute({allowedRegions: ['north', 'south']})]}});
+	host.entry.listEndpoints([{...near.listed, region: 'west'}, {...far.listed, region: 'south'}]);
+	t.deepEqual(await sendSome(), new Set([200]));
+	t.deepEqual([seenBy(near), seenBy(far)], [0, requests]);
+	host.entry.configure(makeConfig({
+		version: 2,
+		routes: [makeRoute({allowedRegions: ['north', 'south']})],
+		organisationsByKey: new Map([['key', {
+			name: 'org', limit: undefined, priority: undefined, allowedRegions: ['north'],
+		}]]),
+	}));
+	t.deepEqual(await sendSome(), new Set([503]));
+	t.deepEqual([seenBy(near), seenBy(far)], [0, requests]);
+});
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -53,10 +53,11 @@
 	readonly seenAs?: (peer: ListedPeer) => ListedPeer;
 	readonly schedule?: Schedule;
 	readonly now?: () => number;
+	readonly hasEvacuations?: boolean;
 };
 
 /** Starts an entry host. */
-export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now}: Options = {}) => {
+export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now, hasEvacuations}: Options = {}) => {
 	const events: Array<{event: string; fields: Fields}> = [];
 	const waiting: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntryHost({
@@ -66,6 +67,7 @@
 		bounds: {
 			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000,
 		},
+		hasEvacuations,
 		headers: headerNames,
 		rightsStore,
 		peers: {
--- a/packages/routing/src/endpoints/endpoint-info.ts
+++ b/packages/routing/src/endpoints/endpoint-info.ts
@@ -6,4 +6,6 @@
 	/** Requests that it runs side by side. */
 	readonly slots: number;
 	readonly isLeaving: boolean;
+	/** Where its hall is; `undefined` where nobody says. */
+	readonly region?: string;
 };
--- a/packages/routing/src/endpoints/endpoint-request.ts
+++ b/packages/routing/src/endpoints/endpoint-request.ts
@@ -8,4 +8,8 @@
 	readonly lostHalls?: ReadonlySet<string>;
 	/** Endpoints that were tried already. */
 	readonly tried: readonly string[];
+	/** Halls whose endpoints are to get nothing, by order of the operators. */
+	readonly evacuatedHalls?: ReadonlySet<string>;
+	/** Sets of regions; the endpoint has to be in one of each set. */
+	readonly regions?: ReadonlyArray<readonly string[]>;
 };
--- /dev/null
+++ b/packages/routing/src/endpoints/find-closure.ts
@@ -0,0 +1,53 @@
+import type {EndpointClosure} from './endpoint-closure.js';
+import type {EndpointRequest} from './endpoint-request.js';
+import type {EndpointState} from './endpoint-state.js';
+
+/** What of a request decides which endpoints are open to it. What it has tried is left to the choice. */
+type Inputs = Omit<EndpointRequest, 'tried'>;
+
+const isInRegions = ({region}: EndpointState['info'], regions: EndpointRequest['regions'] = []): boolean =>
+	regions.every(allowed => region !== undefined && allowed.includes(region));
+
+// After an ejection, one request at a time probes the endpoint.
+const isProbed = ({failures, ejectedUntil, inFlight}: EndpointState): boolean => failures > 0 && ejectedUntil > 0 && inFlight > 0;
+
+/**
+Decides whether an endpoint may be sent a request, and if not, why: `undefined` where it may. Pure.
+
+Everything that sends asks this, by way of `chooseEndpoint`: first tries, repeats, and streams that are taken up again. Reasons that
+no time mends go first, so `until` is only told where waiting is enough.
+
+@param now Monotonic ms.
+*/
+export const findClosure = (state: EndpointState, request: Inputs, now: number): EndpointClosure | undefined => {
+	const {info, isListed, ejectedUntil, restUntil} = state;
+	if (!isListed) {
+		return {reason: 'unlisted'};
+	}
+
+	if (!info.serves.includes(request.target)) {
+		return {reason: 'other_service'};
+	}
+
+	if (info.isLeaving) {
+		return {reason: 'leaving'};
+	}
+
+	if (request.evacuatedHalls?.has(info.hall)) {
+		return {reason: 'evacuated'};
+	}
+
+	if (!isInRegions(info, request.regions)) {
+		return {reason: 'other_region'};
+	}
+
+	if (info.hall !== request.hall && request.lostHalls?.has(info.hall)) {
+		return {reason: 'out_of_reach'};
+	}
+
+	if (ejectedUntil > now || isProbed(state)) {
+		return {reason: 'ejected'};
+	}
+
+	return restUntil > now ? {reason: 'resting', until: restUntil} : undefined;
+};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 export {chooseEndpoint} from './endpoints/choose-endpoint.js';
-export {restOfAll} from './endpoints/rest-of-all.js';
+export {closureOfAll} from './endpoints/closure-of-all.js';
+export type {EndpointClosure} from './endpoints/endpoint-closure.js';
 export type {CostRequest} from './ratings/cost-request.js';
 export {emptyWaitingRoom} from './waiting-room/empty-waiting-room.js';
 export type {EndpointChoice} from './endpoints/endpoint-choice.js';
--- a/packages/routing/src/test/step-endpoints.test.ts
+++ b/packages/routing/src/test/step-endpoints.test.ts
@@ -4,7 +4,7 @@
 import type {EndpointTable} from '../endpoints/endpoint-table.js';
 import type {CostRequest} from '../ratings/cost-request.js';
 import {rateByCost} from '../ratings/rate-by-cost.js';
-import {restOfAll} from '../endpoints/rest-of-all.js';
+import {closureOfAll} from '../endpoints/closure-of-all.js';
 import {stepEndpoints} from '../endpoints/step-endpoints.js';
 
 const info = (id: string, changes = {}) => ({
@@ -103,11 +103,11 @@
 	t.is(chooseEndpoint(one, request, 499, rateByCost)?.endpoint, 'b');
 	t.is(chooseEndpoint(one, {...request, tried: ['b']}, 499, rateByCost), undefined);
 	t.is(chooseEndpoint(one, {...request, tried: ['b']}, 500, rateByCost)?.endpoint, 'a');
-	t.is(restOfAll(one, request, 0), undefined);
+	t.is(closureOfAll(one, request, 0), undefined);
 	const all = play(one, [{type: 'rest_asked', endpoint: 'b', until: 700}, {type: 'rest_asked', endpoint: 'a', until: 300}]);
-	t.is(restOfAll(all, request, 0), 500, 'a later word does not shorten what was asked for');
-	t.is(restOfAll(all, request, 500), undefined);
-	t.is(restOfAll(new Map(), request, 0), undefined);
+	t.deepEqual(closureOfAll(all, request, 0), {reason: 'resting', until: 500}, 'a later word does not shorten what was asked for');
+	t.is(closureOfAll(all, request, 500), undefined);
+	t.is(closureOfAll(new Map(), request, 0), undefined);
 });
 
 test('an entry that lapses during a rest does not end it', t => {
