Cold endpoints get what they bear from all hosts together, and warm ones go first

What callers would see: a hall whose endpoints come back cold gets at once whatever affinity sends there, from all hosts; an endpoint that gets well above what it bears while it warms up falls over, with all that runs there.

Cause: no host read how long an endpoint warms up, nor what its service says that it bears meanwhile; and each host knows only its own requests, so nothing bounded what all send together.

Ruled out: a lease from one host of the hall (a hall that is cut off from another would need its own, and both would count); a token bucket of one part of the allowance at each of 74 hosts (.2 requests a second each: with a burst of one, 74 may come in one second).

Change: an endpoint is cold until the time of its list entry, counted from when that revision was first read, and for a warm-up after its hall was reopened, whatever is listed. While it is cold, a few hosts send there, chosen by rendezvous (`isColdSender`), each one request within 1.3 s; others find it closed (`cold`). The few are what it bears less ten, so lists of hosts may lack ten hosts that are up. A host that starts counts as having sent a moment ago. Warm endpoints are chosen before cold ones (`rateByAffinity`). All cold: 503 `endpoints_cold` at once with the first opening.

What it does not bound: requests of hosts that have not read yet that an endpoint turned cold. An endpoint that bears no more than ten a second gets nothing while it is cold.

Conclusion: the bound holds by construction where hosts know; whether warm ones first is the better way is measured next.

--- a/packages/entry/src/adapter/bounds.ts
+++ b/packages/entry/src/adapter/bounds.ts
@@ -3,6 +3,13 @@
 	/** Repeats that a service may get for each request of the window. */
 	readonly retryRatio: number;
 	readonly retryWindowMs: number;
+	/** What an endpoint may get within a second while it warms up, from all hosts together; `undefined` where no bound is set. */
+	readonly warmup?: {
+		/** Times the requests a second that its service states. */
+		readonly overage: number;
+		/** Requests beyond that. */
+		readonly slack: number;
+	};
 	/** How late an event of a stream may be passed on, in ms. */
 	readonly relayMs: number;
 	/** From the signal to stop until the process is killed, in ms. */
--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -1,5 +1,5 @@
 import {
-	chooseEndpoint, closureOfAll, rateByAffinity, stepEndpoints, type EndpointTable,
+	chooseEndpoint, closureOfAll, rateByAffinity, stepEndpoints, type EndpointTable, type WarmupRules,
 } from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {PromptPart} from '../admission/prompt-part.js';
@@ -13,6 +13,8 @@
 	readonly hall: string;
 	/** Whether another hall is out of reach. */
 	readonly isLost: (hall: string) => boolean;
+	/** How endpoints of a service may be used while they warm up. `reopenedAt`: as in `WarmupRules`. */
+	readonly warmupRules?: (service: string, reopenedAt: ReadonlyMap<string, number>) => WarmupRules | undefined;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -21,13 +23,14 @@
 const affinityKey = (parts: readonly PromptPart[]): string | undefined => parts.at(-2)?.id;
 
 /** Creates the task that knows the endpoints. */
-export const createEndpointChooser = ({hall, isLost, now}: Options): EndpointChooser => {
+export const createEndpointChooser = ({hall, isLost, warmupRules, now}: Options): EndpointChooser => {
 	const cacheEstimate = createPrefixCacheEstimate();
 	const preferredEndpoints = createPreferredEndpoints();
 	let halls: readonly string[] = [];
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
 	let evacuatedHalls: ReadonlySet<string> = new Set();
+	let reopenedAt: ReadonlyMap<string, number> = new Map();
 
 	const lostHalls = (): ReadonlySet<string> => new Set(halls.filter(name => isLost(name)));
 
@@ -40,7 +43,7 @@
 	};
 
 	const limitsOf = ({service, regions}: Pick<ChoiceRequest, 'service' | 'regions'>) => ({
-		target: service, hall, lostHalls: lostHalls(), evacuatedHalls, regions,
+		target: service, hall, lostHalls: lostHalls(), evacuatedHalls, regions, warmup: warmupRules?.(service, reopenedAt),
 	});
 
 	return {
@@ -51,6 +54,8 @@
 			listPreferred();
 		},
 		evacuate(next) {
+			const reopened = [...evacuatedHalls].filter(name => !next.has(name));
+			reopenedAt = new Map([...reopenedAt, ...reopened.map(name => [name, now()] as const)]);
 			evacuatedHalls = next;
 			listPreferred();
 		},
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -7,6 +7,7 @@
 import type {RightsStore} from '../../adapter/rights-store.js';
 import type {StoreChanges} from '../../adapter/store-changes.js';
 import type {Timeouts} from '../../timeouts.js';
+import type {HostNames} from '../choice/host-names.js';
 import {createLoanClient} from '../lending/create-loan-client.js';
 import {startPeerLinks} from '../peers/start-peer-links.js';
 import {readPeerReply} from '../peers/read-peer-reply.js';
@@ -40,6 +41,8 @@
 	readonly rights: RightsKeeper;
 	readonly poison: PoisonWatch;
 	readonly storeChanges: StoreChanges;
+	/** As of `PeerLinks`. */
+	readonly hostNames: () => HostNames | undefined;
 	readonly close: () => Promise<void>;
 };
 
@@ -95,6 +98,7 @@
 		storeChanges: createStoreChanges({
 			holder, board, links: () => links, log,
 		}),
+		hostNames: () => links.hostNames(),
 		async close() {
 			poison.close();
 			rights.close();
--- a/packages/entry/src/lib/peers/create-peer-list.ts
+++ b/packages/entry/src/lib/peers/create-peer-list.ts
@@ -1,4 +1,5 @@
 import type {ListedPeer} from '../../adapter/listed-peer.js';
+import type {HostNames} from '../choice/host-names.js';
 import type {HallView} from './hall-view.js';
 import {viewHall} from './view-hall.js';
 
@@ -21,6 +22,8 @@
 	readonly suspect: (address: string) => void;
 	/** Counts on a peer again at once. */
 	readonly trust: (address: string) => void;
+	/** This host and all that are listed, by address. The same value until something changes. */
+	readonly names: () => HostNames;
 	/** The own hall as it is now. The same arrays until something changes. */
 	readonly hall: () => HallView;
 };
@@ -35,6 +38,12 @@
 	let self = firstSelf;
 	let listed: ReadonlyMap<string, ListedPeer> = new Map();
 	let view: HallView | undefined;
+	let names: HostNames | undefined;
+
+	const change = (): void => {
+		view = undefined;
+		names = undefined;
+	};
 
 	const forgetEnded = (): void => {
 		for (const [address, until] of suspectedUntil) {
@@ -47,11 +56,11 @@
 	return {
 		setListed(peers) {
 			listed = new Map(peers.map(peer => [peer.holder, peer]));
-			view = undefined;
+			change();
 		},
 		setSelf(next) {
 			self = next;
-			view = undefined;
+			change();
 		},
 		self: () => self,
 		others: () => [...listed.values()].filter(({address}) => address !== self.address),
@@ -65,6 +74,10 @@
 				view = undefined;
 			}
 		},
+		names() {
+			names ??= {host: self.address, hosts: [...new Set([self, ...listed.values()].map(({address}) => address))]};
+			return names;
+		},
 		hall() {
 			if (view === undefined || now() >= view.validUntil) {
 				forgetEnded();
--- a/packages/entry/src/lib/peers/peer-links.ts
+++ b/packages/entry/src/lib/peers/peer-links.ts
@@ -1,4 +1,5 @@
 import type {Mesh} from '@deckwheel/mesh';
+import type {HostNames} from '../choice/host-names.js';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 
 /** This host's links to its peers. */
@@ -17,6 +18,8 @@
 	readonly hallSize: () => number;
 	/** Whether the directory was read after all hosts that started together had time to be listed. */
 	readonly isSettled: () => boolean;
+	/** This host and all that are listed; `undefined` until the directory was read after all hosts that started together had time to be listed. The same value until it changes. */
+	readonly hostNames: () => HostNames | undefined;
 	/** Notes that a peer did not answer: for a while it is not counted on. */
 	readonly suspect: (address: string) => void;
 	readonly close: () => Promise<void>;
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -132,6 +132,7 @@
 		hallPeers: () => peers.hall().peers,
 		hallSize: () => peers.hall().size,
 		isSettled: () => isSettled,
+		hostNames: () => isSettled ? peers.names() : undefined,
 		suspect(address) {
 			peers.suspect(address);
 			relist();
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -8,6 +8,7 @@
 import type {EntryHost} from './entry-host.js';
 import {createEndpointChooser} from './lib/choice/create-endpoint-chooser.js';
 import {createEndpointListing} from './lib/choice/create-endpoint-listing.js';
+import {createWarmupRules} from './lib/choice/create-warmup-rules.js';
 import {createCallerConnections} from './lib/host/create-caller-connections.js';
 import {createRequestCounter} from './lib/host/create-request-counter.js';
 import {createRetryLimiter} from './lib/host/create-retry-limiter.js';
@@ -53,7 +54,14 @@
 	});
 	const {lateness, halls} = health;
 	let config: FleetConfig | undefined;
-	const chooser = createEndpointChooser({hall, isLost: halls.isLost, now});
+	const chooser = createEndpointChooser({
+		hall,
+		isLost: halls.isLost,
+		warmupRules: createWarmupRules({
+			bound: bounds.warmup, serviceOf: name => config?.services.get(name), hosts: peerTasks.hostNames,
+		}),
+		now,
+	});
 	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
 	const listing = createEndpointListing({
 		config: () => config,
--- a/packages/entry/src/test/evacuated-halls.test.ts
+++ b/packages/entry/src/test/evacuated-halls.test.ts
@@ -17,17 +17,24 @@
 
 const requests = 20;
 
+/** More than any spacing of requests at a cold endpoint, in ms. */
+const longMs = 5000;
+
 const ok: Answer = (_req, res) => {
 	res.end('fine');
 };
 
+const warming = {
+	name: 's', maxConnections: 100, tokensPerEvent: 0, warmupMs: 3000, warmupPerSecond: 6.6,
+};
+
 type Scope = {teardown: (end: () => Promise<void>) => void};
 type Change = Parameters<typeof makeConfig>[0];
 
 const launch = async (t: Scope, {near = ok, far = ok, config = {}}: {near?: Answer; far?: Answer; config?: Change} = {}) => {
 	const clock = createHandClock();
 	const [nearOne, farOne] = await Promise.all([startEndpoint('near', near, 'hall-a'), startEndpoint('far', far, 'hall-b')]);
-	const host = await startHost(createMemoryRightsStore(), {now: clock.now, schedule: clock.schedule});
+	const host = await startHost(createMemoryRightsStore(), {now: clock.now, schedule: clock.schedule, warmup: {overage: 1.5, slack: 5}});
 	t.teardown(async () => {
 		await host.entry.kill();
 		nearOne.close();
@@ -95,6 +102,18 @@
 	t.is(seenBy(near), requests);
 });
 
+test('endpoints of a hall that is reopened are taken to be cold for a while', async t => {
+	const {host, clock, near, far, sendSome} = await launch(t, {config: {services: new Map([['s', warming]])}});
+	host.entry.evacuateHalls(new Set(['hall-a']));
+	clock.advance(longMs);
+	host.entry.evacuateHalls(new Set());
+	t.deepEqual(await sendSome(), new Set([200]));
+	t.deepEqual([seenBy(near), seenBy(far)], [0, requests]);
+	clock.advance(warming.warmupMs);
+	await sendSome();
+	t.is(seenBy(near), requests, 'warm by now');
+});
+
 test('a host that operators may order to evacuate halls sends nothing before it knows their orders', async t => {
 	const endpoint = await startEndpoint('near', ok);
 	const host = await startHost(createMemoryRightsStore(), {hasEvacuations: true});
@@ -119,6 +138,18 @@
 	t.true(await isReady());
 });
 
+test('where all endpoints are cold and others send there, callers are told at once when they are warm', async t => {
+	const {host, clock, near, far} = await launch(t, {config: {services: new Map([['s', warming]])}});
+	// The list of hosts is not known yet, so this host sends to no cold endpoint.
+	const coldUntil = clock.now() + 2000;
+	host.entry.listEndpoints([{...near.listed, coldUntil}, {...far.listed, coldUntil: coldUntil + 500}]);
+	const {status, headers, body} = await callHost(host.callers);
+	t.is(status, 503);
+	t.is(Number(headers['retry-after']), 2);
+	t.like(JSON.parse(body), {error: {code: 'endpoints_cold', ran: 'not_run'}});
+	t.is(seenBy(near) + seenBy(far), 0);
+});
+
 test('a route and an organisation keep to their regions', async t => {
 	const {host, near, far, sendSome} = await launch(t, {config: {routes: [makeRoute({allowedRegions: ['north', 'south']})]}});
 	host.entry.listEndpoints([{...near.listed, region: 'west'}, {...far.listed, region: 'south'}]);
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -1,4 +1,5 @@
 import type {FleetConfig} from '../../config/fleet-config.js';
+import type {Bounds} from '../../adapter/bounds.js';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {RightsStore} from '../../adapter/rights-store.js';
 import type {Timeouts} from '../../timeouts.js';
@@ -37,7 +38,9 @@
 export const makeConfig = (change: Partial<FleetConfig> = {}, limit: number | undefined = undefined): FleetConfig => ({
 	version: 1,
 	routes: [makeRoute()],
-	services: new Map([['s', {name: 's', maxConnections: 100, tokensPerEvent: 2}]]),
+	services: new Map([['s', {
+		name: 's', maxConnections: 100, tokensPerEvent: 2, warmupMs: 0, warmupPerSecond: 0,
+	}]]),
 	organisationsByKey: new Map([['key', {name: 'org', limit, priority: undefined}]]),
 	hasOrganisations: true,
 	limits: {maxBodyBytes: 1000, headerTimeoutMs: 10_000, idleTimeoutMs: 10_000},
@@ -53,11 +56,12 @@
 	readonly seenAs?: (peer: ListedPeer) => ListedPeer;
 	readonly schedule?: Schedule;
 	readonly now?: () => number;
+	readonly warmup?: Bounds['warmup'];
 	readonly hasEvacuations?: boolean;
 };
 
 /** Starts an entry host. */
-export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now, hasEvacuations}: Options = {}) => {
+export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations}: Options = {}) => {
 	const events: Array<{event: string; fields: Fields}> = [];
 	const waiting: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntryHost({
@@ -65,7 +69,7 @@
 		hall,
 		listen: {callers: anyPort, ready: anyPort, peers: anyPort},
 		bounds: {
-			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000,
+			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000, warmup,
 		},
 		hasEvacuations,
 		headers: headerNames,
--- a/packages/routing/src/endpoints/endpoint-closure.ts
+++ b/packages/routing/src/endpoints/endpoint-closure.ts
@@ -15,7 +15,9 @@
 		/** It failed several times in a row, or its probe after that is under way. */
 		| 'ejected'
 		/** It asked for rest. */
-		| 'resting';
+		| 'resting'
+		/** It warms up, and another request of this host or another host has its place. */
+		| 'cold';
 	/** When it is open again, in monotonic ms, where that is known. */
 	readonly until?: number;
 };
--- a/packages/routing/src/endpoints/endpoint-info.ts
+++ b/packages/routing/src/endpoints/endpoint-info.ts
@@ -8,4 +8,6 @@
 	readonly isLeaving: boolean;
 	/** Where its hall is; `undefined` where nobody says. */
 	readonly region?: string;
+	/** Until when it warms up after a start or a loss of its caches, in monotonic ms; `undefined` once it is warm. */
+	readonly coldUntil?: number;
 };
--- a/packages/routing/src/endpoints/endpoint-request.ts
+++ b/packages/routing/src/endpoints/endpoint-request.ts
@@ -1,3 +1,5 @@
+import type {WarmupRules} from './warmup-rules.js';
+
 /** What every choice of an endpoint depends on. Each rating asks for more (`CostRequest`, `AffinityRequest`). */
 export type EndpointRequest = {
 	/** The model or service that is asked for. */
@@ -12,4 +14,6 @@
 	readonly evacuatedHalls?: ReadonlySet<string>;
 	/** Sets of regions; the endpoint has to be in one of each set. */
 	readonly regions?: ReadonlyArray<readonly string[]>;
+	/** How endpoints that warm up may be used; by default as warm ones. */
+	readonly warmup?: WarmupRules;
 };
--- a/packages/routing/src/endpoints/endpoint-state.ts
+++ b/packages/routing/src/endpoints/endpoint-state.ts
@@ -17,6 +17,8 @@
 	readonly inFlight: number;
 	/** Requests that this host ever sent there. */
 	readonly started: number;
+	/** When this host last sent a request there, or first knew of the endpoint, in monotonic ms. */
+	readonly lastStartedAt: number;
 	readonly report?: LoadReport;
 	/** Smoothed time a request takes there, in ms. */
 	readonly serviceMs: number;
--- a/packages/routing/src/endpoints/find-closure.ts
+++ b/packages/routing/src/endpoints/find-closure.ts
@@ -1,6 +1,8 @@
+import {coldSpacingMs} from './cold-spacing-ms.js';
 import type {EndpointClosure} from './endpoint-closure.js';
 import type {EndpointRequest} from './endpoint-request.js';
 import type {EndpointState} from './endpoint-state.js';
+import {warmAt} from './warm-at.js';
 
 /** What of a request decides which endpoints are open to it. What it has tried is left to the choice. */
 type Inputs = Omit<EndpointRequest, 'tried'>;
@@ -8,6 +10,20 @@
 const isInRegions = ({region}: EndpointState['info'], regions: EndpointRequest['regions'] = []): boolean =>
 	regions.every(allowed => region !== undefined && allowed.includes(region));
 
+const findColdClosure = (state: EndpointState, warmup: Inputs['warmup'], now: number): EndpointClosure | undefined => {
+	const until = warmup ? warmAt(state, warmup) : 0;
+	if (!warmup || until <= now) {
+		return undefined;
+	}
+
+	if (!warmup.isSender(state.info.id)) {
+		return {reason: 'cold', until};
+	}
+
+	const nextAt = state.lastStartedAt + coldSpacingMs;
+	return nextAt <= now ? undefined : {reason: 'cold', until: Math.min(nextAt, until)};
+};
+
 // After an ejection, one request at a time probes the endpoint.
 const isProbed = ({failures, ejectedUntil, inFlight}: EndpointState): boolean => failures > 0 && ejectedUntil > 0 && inFlight > 0;
 
@@ -49,5 +65,9 @@
 		return {reason: 'ejected'};
 	}
 
-	return restUntil > now ? {reason: 'resting', until: restUntil} : undefined;
+	if (restUntil > now) {
+		return {reason: 'resting', until: restUntil};
+	}
+
+	return findColdClosure(state, request.warmup, now);
 };
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -33,6 +33,7 @@
 	restUntil: 0,
 	inFlight: 0,
 	started: 0,
+	lastStartedAt: now,
 	serviceMs: assumedServiceMs,
 	msPerToken: assumedMsPerToken,
 	failures: 0,
@@ -85,7 +86,9 @@
 const stepOne = (state: EndpointState, event: Exclude<EndpointEvent, {type: 'configured'}>, now: number): EndpointState => {
 	switch (event.type) {
 		case 'started': {
-			return {...state, inFlight: state.inFlight + 1, started: state.started + 1};
+			return {
+				...state, inFlight: state.inFlight + 1, started: state.started + 1, lastStartedAt: now,
+			};
 		}
 
 		case 'succeeded': {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,8 @@
 export {chooseEndpoint} from './endpoints/choose-endpoint.js';
 export {closureOfAll} from './endpoints/closure-of-all.js';
+export {isColdSender} from './endpoints/is-cold-sender.js';
 export type {EndpointClosure} from './endpoints/endpoint-closure.js';
+export type {WarmupRules} from './endpoints/warmup-rules.js';
 export type {CostRequest} from './ratings/cost-request.js';
 export {emptyWaitingRoom} from './waiting-room/empty-waiting-room.js';
 export type {EndpointChoice} from './endpoints/endpoint-choice.js';
--- a/packages/routing/src/ratings/rate-by-affinity.ts
+++ b/packages/routing/src/ratings/rate-by-affinity.ts
@@ -1,3 +1,5 @@
+import {warmAt} from '../endpoints/warm-at.js';
+import type {EndpointState} from '../endpoints/endpoint-state.js';
 import {estimateLoad} from '../lib/estimate-load.js';
 import type {RateEndpoint} from './rate-endpoint.js';
 import type {AffinityRequest} from './affinity-request.js';
@@ -17,6 +19,12 @@
 /** More than any wait: an endpoint in a hall that seems out of reach is a last resort. In ms. */
 const avoidedHallMs = 1_000_000;
 
+/** More than any wait: an endpoint that warms up bears little, and its caches are empty. In ms. */
+const coldEndpointMs = 1_000_000;
+
+const warmupCost = (state: EndpointState, {warmup}: AffinityRequest, now: number): number =>
+	warmup && warmAt(state, warmup) > now ? coldEndpointMs : 0;
+
 const hallCost = (hall: string, request: AffinityRequest): number => {
 	if (hall === request.hall) {
 		return 0;
@@ -36,10 +44,11 @@
 	const readMs = (request.promptTokens - cached) * msPerReadToken;
 	const waitMs = load * msPerOpenRequest;
 	const hallMs = hallCost(info.hall, request);
+	const coldMs = warmupCost(state, request, now);
 	return {
 		endpoint: info.id,
-		cost: readMs + waitMs + hallMs,
+		cost: readMs + waitMs + hallMs + coldMs,
 		hasRoom: load < info.slots && hallMs < avoidedHallMs,
-		reason: () => `read_ms=${readMs.toFixed(0)} load=${load} cached=${cached}/${request.promptTokens} hall_ms=${hallMs}`,
+		reason: () => `read_ms=${readMs.toFixed(0)} load=${load} cached=${cached}/${request.promptTokens} hall_ms=${hallMs} cold_ms=${coldMs}`,
 	};
 };
--- a/packages/routing/src/test/find-closure.test.ts
+++ b/packages/routing/src/test/find-closure.test.ts
@@ -3,6 +3,7 @@
 import type {EndpointInfo} from '../endpoints/endpoint-info.js';
 import type {EndpointRequest} from '../endpoints/endpoint-request.js';
 import {closureOfAll} from '../endpoints/closure-of-all.js';
+import {coldSpacingMs} from '../endpoints/cold-spacing-ms.js';
 import {findClosure} from '../endpoints/find-closure.js';
 import {stepEndpoints} from '../endpoints/step-endpoints.js';
 import type {EndpointTable} from '../endpoints/endpoint-table.js';
@@ -26,6 +27,7 @@
 
 test('each reason for which an endpoint gets no request is told', t => {
 	const failed = Array.from({length: 3}, () => [{type: 'started', endpoint: 'a'}, {type: 'failed', endpoint: 'a'}] as const).flat();
+	const warmup = {warmupMs: 500, reopenedAt: new Map<string, number>(), isSender: () => false};
 	t.is(closureAt(tableOf(), {}, 0), undefined);
 	t.is(closureAt(tableOf({}, [{type: 'started', endpoint: 'a'}, {type: 'configured', endpoints: []}]), {}, 0)?.reason, 'unlisted');
 	t.is(closureAt(tableOf(), {target: 'other'}, 0)?.reason, 'other_service');
@@ -34,6 +36,7 @@
 	t.is(closureAt(tableOf(), {lostHalls: new Set(['hall-a'])}, 0)?.reason, 'out_of_reach');
 	t.is(closureAt(tableOf({}, failed), {}, 0)?.reason, 'ejected');
 	t.deepEqual(closureAt(tableOf({}, [{type: 'rest_asked', endpoint: 'a', until: 70}]), {}, 0), {reason: 'resting', until: 70});
+	t.deepEqual(closureAt(tableOf({coldUntil: 300}), {warmup}, 0), {reason: 'cold', until: 300});
 });
 
 test('an evacuation holds for the own hall too, a loss of reach does not', t => {
@@ -48,12 +51,32 @@
 	t.is(closureAt(tableOf({region: undefined}), {regions: []}, 0), undefined);
 });
 
+test('a cold endpoint gets one request of a sender within the spacing, none of others, and any once it is warm', t => {
+	const warmup = {warmupMs: 500, reopenedAt: new Map<string, number>(), isSender: () => true};
+	const cold = tableOf({coldUntil: 10_000});
+	t.deepEqual(closureAt(cold, {warmup}, 0), {reason: 'cold', until: coldSpacingMs}, 'a host that just started may have sent in its last life');
+	t.is(closureAt(cold, {warmup}, coldSpacingMs), undefined);
+	const sent = stepEndpoints(cold, {type: 'started', endpoint: 'a'}, 2000);
+	t.deepEqual(closureAt(sent, {warmup}, 2000), {reason: 'cold', until: 2000 + coldSpacingMs});
+	t.is(closureAt(sent, {warmup}, 2000 + coldSpacingMs), undefined);
+	t.is(closureAt(sent, {warmup: {...warmup, isSender: () => false}}, 10_000), undefined);
+	t.is(closureAt(sent, {}, 2000), undefined, 'without a bound on it, a cold endpoint is used as any other');
+});
+
+test('an endpoint of a hall that was reopened is cold for the time of a warm-up, whatever is listed', t => {
+	const warmup = {warmupMs: 500, reopenedAt: new Map([['hall-a', 1000]]), isSender: () => false};
+	t.deepEqual(closureAt(tableOf(), {warmup}, 1499), {reason: 'cold', until: 1500});
+	t.is(closureAt(tableOf(), {warmup}, 1500), undefined);
+});
+
 test('where no endpoint is open, the one that opens first is told, and an evacuation where waiting is of no use', t => {
 	const two = stepEndpoints(tableOf({}, [{type: 'rest_asked', endpoint: 'a', until: 400}]), {
 		type: 'configured', endpoints: [info, {
-			...info, id: 'b', hall: 'hall-b',
+			...info, id: 'b', hall: 'hall-b', coldUntil: 300,
 		}],
 	}, 0);
+	const warmup = {warmupMs: 500, reopenedAt: new Map<string, number>(), isSender: () => false};
+	t.deepEqual(closureOfAll(two, {...request, warmup}, 0), {reason: 'cold', until: 300});
 	t.is(closureOfAll(two, request, 0), undefined, 'one is open');
 	t.deepEqual(closureOfAll(two, {...request, evacuatedHalls: new Set(['hall-b'])}, 0), {reason: 'resting', until: 400});
 	t.deepEqual(closureOfAll(two, {...request, evacuatedHalls: new Set(['hall-a', 'hall-b'])}, 0), {reason: 'evacuated'});
