A caller that left, or a deadline that passed, before the first try is noticed before anything is sent

Cause, of two of three ways: what ends a request was watched for from the first try on. A close that came while it waited for rights was told to nobody, and never again; the request was sent and worked on to its end. And the deadline was known by its timer alone, which fires late while the process is busy.

Ruled out for these two: the abort of a try that is under way (its signal was heard).

Change: `createRequestEnd` looks whether the answer or its connection is closed already, and asks the clock each time that it is asked whether the request is over, which is right before each sending.

Conclusion: what a host can know at that moment it now asks. The third way stays: what waits in the queue of its link is older than the host knows.

--- a/packages/entry/src/lib/request/create-request-end.ts
+++ b/packages/entry/src/lib/request/create-request-end.ts
@@ -42,9 +42,21 @@
 
 	const forgetAnswer = onceAnswerClosed(res, onClose);
 	ending.addEventListener('abort', onDeadline);
+	// A close that came before this is never told again.
+	if (res.closed || res.req.socket.destroyed) {
+		onClose();
+	}
+
 	return {
 		signal: abort.signal,
-		isOver: () => abort.signal.aborted,
+		isOver() {
+			// A timer fires late while this process is busy.
+			if (now() >= deadline) {
+				onDeadline();
+			}
+
+			return abort.signal.aborted;
+		},
 		endedBy() {
 			if (hasCallerLeft) {
 				return 'caller_left';
