A request that waited with its connection is as old as that: what its caller gave up is refused and never sent on

Requests reached endpoints .6 to .9 s after their callers had given them up or their deadlines had passed (GONE), all from the one host of a hall that got most of its requests.

Cause: the event loop of this runtime takes one new connection a turn, however many wait (counted: 20 connections that waited together were taken in turns 1 to 20). While turns are 10 to 40 ms long and a hundred callers a second open connections, these wait in the system's queue, with their requests, 100 to 1,500 ms. A request's age counted from when its head was read.

Change: a busy host connects to itself five times a second and sees how long that connection waits (`createAcceptWatch`). `connections_wait` says once a second how long.

--- a/packages/entry/src/adapter/bounds.ts
+++ b/packages/entry/src/adapter/bounds.ts
@@ -10,6 +10,13 @@
 		/** Requests beyond that. */
 		readonly slack: number;
 	};
+	/** How long callers wait for a request to be read before they send it elsewhere; `undefined` where that is not known. */
+	readonly unreadPatience?: {
+		/** In ms. */
+		readonly ms: number;
+		/** Of the time that the caller has, 0 to 1. The shorter one counts. */
+		readonly share: number;
+	};
 	/** How late an event of a stream may be passed on, in ms. */
 	readonly relayMs: number;
 	/** From the signal to stop until the process is killed, in ms. */
--- a/packages/entry/src/lib/host/start-servers.ts
+++ b/packages/entry/src/lib/host/start-servers.ts
@@ -1,5 +1,5 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import {httpStatus} from '@deckwheel/core';
 import {listenAt} from '@deckwheel/host-kit';
 import type {CallerConnections} from './caller-connections.js';
@@ -16,6 +16,8 @@
 	readonly listen: {readonly callers: string; readonly ready: string};
 	readonly open: RequestCounter;
 	readonly connections: CallerConnections;
+	/** Called with each connection of a caller. */
+	readonly onConnection: (socket: Socket) => void;
 	readonly serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
 	readonly isReady: () => boolean;
 	/** Whether a caller's connection is closed after this answer. */
@@ -23,7 +25,7 @@
 };
 
 /** Starts both servers. */
-export const startServers = async ({listen, open, connections, serve, isReady, closesAfter}: Options): Promise<Servers> => {
+export const startServers = async ({listen, open, connections, onConnection, serve, isReady, closesAfter}: Options): Promise<Servers> => {
 	const callers = createServer({maxHeaderSize: maxHeaderBytes, keepAliveTimeout: firstKeepAliveMs, noDelay: true}, (req, res) => {
 		open.add(res);
 		connections.requested(res);
@@ -40,7 +42,7 @@
 
 		void serve(req, res);
 	});
-	callers.on('connection', connections.accepted);
+	callers.on('connection', onConnection);
 	const ready = createServer((_req, res) => {
 		res.writeHead(isReady() ? httpStatus.ok : httpStatus.serviceUnavailable, {'content-length': 0});
 		res.end();
--- a/packages/entry/src/lib/request/host-services.ts
+++ b/packages/entry/src/lib/request/host-services.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {PoisonWatch} from '@deckwheel/poison';
+import type {Bounds} from '../../adapter/bounds.js';
 import type {FleetConfig} from '../../config/fleet-config.js';
 import type {HeaderNames} from '../../adapter/header-names.js';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
@@ -26,8 +27,11 @@
 	readonly isOverloaded: () => boolean;
 	/** Whether one more request is better served by another host. */
 	readonly isShedding: () => boolean;
+	/** How long a request waited with its connection before this process took that, in ms. */
+	readonly waitedMs: (res: ServerResponse) => number;
 	/** Notes how long an endpoint took to accept a connection, in ms. */
 	readonly noteConnect: (endpoint: ListedEndpoint, tookMs: number) => void;
+	readonly unreadPatience: Bounds['unreadPatience'];
 	readonly headerNames: HeaderNames;
 	readonly chooser: EndpointChooser;
 	readonly halls: HallWatch;
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,5 +1,4 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import type {Route} from '../../config/route.js';
 import {pickService} from '../choice/pick-service.js';
 import {createAnswerWriter} from '../relaying/create-answer-writer.js';
 import type {AttemptEnd} from './attempt-end.js';
@@ -9,6 +8,7 @@
 import type {HostServices} from './host-services.js';
 import {judgeEndpoint} from './judge-endpoint.js';
 import type {NextStep} from './next-step.js';
+import {mayRunAgain} from './may-run-again.js';
 import {noProgress} from './no-progress.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestProgress} from './request-progress.js';
@@ -17,8 +17,6 @@
 import {runAttempt} from './run-attempt.js';
 import {stepProgress} from './step-progress.js';
 
-const mayRunAgain = ({kind, isResumable}: Route): boolean => kind === 'repeatable' || (kind === 'stream' && isResumable);
-
 /** Whether a request was given up since no endpoint would take it. */
 const isWantOfEndpoints = (reason: string): boolean => reason === 'no_endpoint' || reason === 'not_run';
 
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {admitRequest} from '../admission/admit-request.js';
 import {hostRefusals} from '../admission/host-refusals.js';
+import {isGivenUp} from '../admission/is-given-up.js';
 import {readBody} from '../admission/read-body.js';
 import {secondsUntil} from '../admission/seconds-until.js';
 import {chargeOfResult} from './charge-of-result.js';
@@ -9,6 +10,7 @@
 import {createRequestLog} from './create-request-log.js';
 import {createReservation} from './create-reservation.js';
 import type {HostServices} from './host-services.js';
+import {mayRunAgain} from './may-run-again.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestLog} from './request-log.js';
 import {refusalOfResult} from './refusal-of-result.js';
@@ -63,7 +65,8 @@
 the run at endpoints. Whatever refuses it does so at once.
 */
 export const serveRequest = async (req: IncomingMessage, res: ServerResponse, host: HostServices): Promise<void> => {
-	const receivedAt = host.now();
+	const waitedMs = host.waitedMs(res);
+	const receivedAt = host.now() - waitedMs;
 	const id = String(req.headers[host.headerNames.requestId] ?? '');
 	const requestLog = createRequestLog({id, receivedAt, res}, host);
 	const admitted = admitRequest(host.config(), {url: req.url!, headers: req.headers, receivedAt}, host.headerNames);
@@ -73,9 +76,13 @@
 		return;
 	}
 
-	if (host.isShedding()) {
+	const {route, deadline} = admitted.value;
+	const isUnread = isGivenUp({
+		waitedMs, callerMs: deadline - receivedAt, mayRunAgain: mayRunAgain(route), patience: host.unreadPatience,
+	});
+	if (isUnread || host.isShedding()) {
 		req.resume();
-		requestLog.refused(hostRefusals.hostOverloaded);
+		requestLog.refused(hostRefusals.hostOverloaded, {waited_ms: Math.round(waitedMs)});
 		return;
 	}
 
@@ -90,7 +97,7 @@
 		return;
 	}
 
-	for (const {service} of admitted.value.route.services) {
+	for (const {service} of route.services) {
 		host.retries.noteRequest(service);
 	}
 
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -21,6 +21,8 @@
 import {startServers} from './lib/host/start-servers.js';
 import {startPeerTasks} from './lib/host/start-peer-tasks.js';
 import type {StopPlan} from './lib/host/stop-plan.js';
+import {createAcceptWatch} from './lib/own-health/create-accept-watch.js';
+import {createWaitLog} from './lib/own-health/create-wait-log.js';
 import type {HostServices} from './lib/request/host-services.js';
 import {serveRequest} from './lib/request/serve-request.js';
 import {createConnectionPool} from './lib/sending/create-connection-pool.js';
@@ -81,7 +83,8 @@
 	// Callers whose connections are closed come back through the balancer, which sends them to hosts that are ready.
 	const isClosing = (): boolean => stop !== undefined || lateness.isOverloaded();
 
-	const connections = createCallerConnections();
+	const connections = createCallerConnections(now);
+	const acceptWatch = createAcceptWatch({isBusy: () => open.count() > 0, onMeasured: createWaitLog({open: open.count, log, now}), now});
 	const closesAfter = (res: ServerResponse): boolean => isClosing() && connections.isLastOpen(res);
 
 	// Nothing is sent before it is known which halls are to get nothing.
@@ -93,6 +96,8 @@
 		maySendOn: deadline => maySendOn({stop, deadline, now: now()}),
 		isOverloaded: lateness.isOverloaded,
 		isShedding: lateness.isShedding,
+		waitedMs: connections.waitedMs,
+		unreadPatience: bounds.unreadPatience,
 		noteConnect: health.noteConnect,
 		headerNames,
 		chooser,
@@ -110,10 +115,15 @@
 		listen,
 		open,
 		connections,
+		onConnection(socket) {
+			acceptWatch.accepted(socket);
+			connections.accepted(socket, acceptWatch.waitedMs());
+		},
 		serve: async (req, res) => serveRequest(req, res, services),
 		isReady: () => config !== undefined && listing.isKnown() && evacuatedHalls !== undefined && !isClosing(),
 		closesAfter,
 	});
+	acceptWatch.start(servers.addresses.callers);
 	log('started', {holder, hall});
 
 	const runStop = async (plan: StopPlan): Promise<void> => {
@@ -141,6 +151,7 @@
 			},
 		});
 		cancelCut();
+		acceptWatch.close();
 		health.close();
 		await peerTasks.close();
 	};
@@ -171,6 +182,7 @@
 			log('halls_evacuated', {halls: [...next].join(',')});
 		},
 		async kill() {
+			acceptWatch.close();
 			health.close();
 			servers.kill();
 			pool.keepOnly(new Set());
