A host is not ready while new connections wait long there, and turns nobody away for it

Cause: the balancer sent new connections there as long as the host called itself ready, and lateness of timers and of connections to endpoints, by which it judges itself, is small while its queue of new connections is a second long.

Change: `isQueueLong` (pure): new connections that wait over 400 ms here are better taken by other hosts, until they wait 80 ms. The host calls itself not ready meanwhile; kept connections and requests go on as before.

--- a/packages/entry/src/lib/own-health/accept-watch.ts
+++ b/packages/entry/src/lib/own-health/accept-watch.ts
@@ -8,5 +8,7 @@
 	readonly accepted: (socket: Socket) => void;
 	/** How long one that is taken now has waited, in ms. */
 	readonly waitedMs: () => number;
+	/** Whether they wait so long that other hosts had better take them. */
+	readonly isQueueLong: () => boolean;
 	readonly close: () => void;
 };
--- a/packages/entry/src/lib/own-health/create-accept-watch.ts
+++ b/packages/entry/src/lib/own-health/create-accept-watch.ts
@@ -1,6 +1,7 @@
 import {connect, type Socket} from 'node:net';
 import {splitAddress} from '@deckwheel/core';
 import type {AcceptWatch} from './accept-watch.js';
+import {isQueueLong} from './is-queue-long.js';
 
 /** How often the wait of new connections is measured while callers have requests open, in ms. */
 const pauseMs = 200;
@@ -27,13 +28,19 @@
 	let startedAt = 0;
 	let timer: NodeJS.Timeout | undefined;
 	let measuredMs = 0;
+	let isLong = false;
+
+	const note = (waitedMs: number): void => {
+		isLong = isQueueLong(isLong, waitedMs);
+		onMeasured(waitedMs);
+	};
 
 	const finish = (waitedMs: number): void => {
 		client?.destroy();
 		client = undefined;
 		acceptedAt.clear();
 		measuredMs = waitedMs;
-		onMeasured(waitedMs);
+		note(waitedMs);
 	};
 
 	const finishIfTaken = (): void => {
@@ -58,7 +65,7 @@
 
 	const tick = (address: string): void => {
 		if (client) {
-			onMeasured(waitedMs());
+			note(waitedMs());
 		} else if (isBusy()) {
 			measure(address);
 		} else {
@@ -80,6 +87,7 @@
 			}
 		},
 		waitedMs,
+		isQueueLong: () => isLong,
 		close() {
 			clearInterval(timer);
 			client?.destroy();
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -120,7 +120,7 @@
 			connections.accepted(socket, acceptWatch.waitedMs());
 		},
 		serve: async (req, res) => serveRequest(req, res, services),
-		isReady: () => config !== undefined && listing.isKnown() && evacuatedHalls !== undefined && !isClosing(),
+		isReady: () => config !== undefined && listing.isKnown() && evacuatedHalls !== undefined && !isClosing() && !acceptWatch.isQueueLong(),
 		closesAfter,
 	});
 	acceptWatch.start(servers.addresses.callers);
