--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -7,6 +7,8 @@
 import {createPrefixCacheEstimate} from './create-prefix-cache-estimate.js';
 import {createPreferredEndpoints} from './create-preferred-endpoints.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
+import type {Evacuations} from './evacuations.js';
+import {stepEvacuations} from './step-evacuations.js';
 
 type Options = {
 	/** The host's own. */
@@ -29,8 +31,7 @@
 	let halls: readonly string[] = [];
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
-	let evacuatedHalls: ReadonlySet<string> = new Set();
-	let reopenedAt: ReadonlyMap<string, number> = new Map();
+	let evacuations: Evacuations = {halls: new Set(), reopenedAt: new Map()};
 
 	const lostHalls = (): ReadonlySet<string> => new Set(halls.filter(name => isLost(name)));
 
@@ -38,12 +39,12 @@
 	const listPreferred = (): void => {
 		preferredEndpoints.list([...byId.values()].filter(({id}) => {
 			const {info} = table.get(id)!;
-			return !info.isLeaving && !evacuatedHalls.has(info.hall);
+			return !info.isLeaving && !evacuations.halls.has(info.hall);
 		}));
 	};
 
 	const limitsOf = ({service, regions}: Pick<ChoiceRequest, 'service' | 'regions'>) => ({
-		target: service, hall, lostHalls: lostHalls(), evacuatedHalls, regions, warmup: warmupRules?.(service, reopenedAt),
+		target: service, hall, lostHalls: lostHalls(), evacuatedHalls: evacuations.halls, regions, warmup: warmupRules?.(service, evacuations.reopenedAt),
 	});
 
 	return {
@@ -54,9 +55,7 @@
 			listPreferred();
 		},
 		evacuate(next) {
-			const reopened = [...evacuatedHalls].filter(name => !next.has(name));
-			reopenedAt = new Map([...reopenedAt, ...reopened.map(name => [name, now()] as const)]);
-			evacuatedHalls = next;
+			evacuations = stepEvacuations(evacuations, next, now());
 			listPreferred();
 		},
 		choose({parts, tried, avoidedHalls, ...request}) {
--- a/packages/entry/src/lib/own-health/create-accept-watch.ts
+++ b/packages/entry/src/lib/own-health/create-accept-watch.ts
@@ -1,7 +1,7 @@
-import {connect, type Socket} from 'node:net';
-import {splitAddress} from '@deckwheel/core';
+import type {AcceptProbe} from './accept-probe.js';
 import type {AcceptWatch} from './accept-watch.js';
 import {isQueueLong} from './is-queue-long.js';
+import {startAcceptProbe} from './start-accept-probe.js';
 
 /** How often the wait of new connections is measured while callers have requests open, in ms. */
 const pauseMs = 200;
@@ -22,52 +22,29 @@
 timers nor requests on kept connections are late by it; the requests that wait there are read when their callers may have left.
 */
 export const createAcceptWatch = ({isBusy, onMeasured, now}: Options): AcceptWatch => {
-	/** When a connection from each port was taken; those of the measurement under way. */
-	const acceptedAt = new Map<number, number>();
-	let client: Socket | undefined;
-	let startedAt = 0;
+	let probe: AcceptProbe | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let measuredMs = 0;
 	let isLong = false;
 
-	const note = (waitedMs: number): void => {
-		isLong = isQueueLong(isLong, waitedMs);
-		onMeasured(waitedMs);
-	};
-
-	const finish = (waitedMs: number): void => {
-		client?.destroy();
-		client = undefined;
-		acceptedAt.clear();
-		measuredMs = waitedMs;
-		note(waitedMs);
-	};
+	const waitedMs = (): number => probe ? Math.max(measuredMs, now() - probe.startedAt) : measuredMs;
 
-	const finishIfTaken = (): void => {
-		const takenAt = client?.localPort === undefined ? undefined : acceptedAt.get(client.localPort);
-		if (takenAt !== undefined) {
-			finish(takenAt - startedAt);
-		}
+	const note = (): void => {
+		isLong = isQueueLong(isLong, waitedMs());
+		onMeasured(waitedMs());
 	};
 
-	const measure = (address: string): void => {
-		const {host, port} = splitAddress(address);
-		startedAt = now();
-		client = connect(port, host);
-		client.on('connect', finishIfTaken);
-		// A connection that fails says nothing of the wait.
-		client.on('error', () => {
-			finish(0);
-		});
+	const finish = (waited: number): void => {
+		probe = undefined;
+		measuredMs = waited;
+		note();
 	};
 
-	const waitedMs = (): number => client ? Math.max(measuredMs, now() - startedAt) : measuredMs;
-
 	const tick = (address: string): void => {
-		if (client) {
-			note(waitedMs());
+		if (probe) {
+			note();
 		} else if (isBusy()) {
-			measure(address);
+			probe = startAcceptProbe({address, onEnd: finish, now});
 		} else {
 			finish(0);
 		}
@@ -80,17 +57,14 @@
 			}, pauseMs);
 			timer.unref();
 		},
-		accepted({remotePort}) {
-			if (client && remotePort !== undefined) {
-				acceptedAt.set(remotePort, now());
-				finishIfTaken();
-			}
+		accepted(socket) {
+			probe?.accepted(socket);
 		},
 		waitedMs,
 		isQueueLong: () => isLong,
 		close() {
 			clearInterval(timer);
-			client?.destroy();
+			probe?.close();
 		},
 	};
 };
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,6 +1,8 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import {pickService} from '../choice/pick-service.js';
 import {createAnswerWriter} from '../relaying/create-answer-writer.js';
+import {mayRunAgain} from '../admission/may-run-again.js';
+import {regionsOf} from '../choice/regions-of.js';
 import type {AttemptEnd} from './attempt-end.js';
 import {createRequestEnd} from './create-request-end.js';
 import {decideNextStep} from './decide-next-step.js';
@@ -8,12 +10,10 @@
 import type {HostServices} from './host-services.js';
 import {judgeEndpoint} from './judge-endpoint.js';
 import type {NextStep} from './next-step.js';
-import {mayRunAgain} from './may-run-again.js';
 import {noProgress} from './no-progress.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestProgress} from './request-progress.js';
 import type {RequestResult} from './request-result.js';
-import {regionsOf} from './regions-of.js';
 import {runAttempt} from './run-attempt.js';
 import {stepProgress} from './step-progress.js';
 
