--- a/packages/entry/src/lib/own-health/start-accept-probe.ts
+++ b/packages/entry/src/lib/own-health/start-accept-probe.ts
@@ -11,7 +11,11 @@
 	readonly now: () => number;
 };
 
-/** Connects this host to itself. Its port is known by which of the two ends is told of the connection last. */
+/**
+Connects this host to itself, and measures until the connection is taken.
+
+The client's port, by which it is recognised, is known once the connection is up; that may be told before or after it was taken.
+*/
 export const startAcceptProbe = ({address, onEnd, now}: Options): AcceptProbe => {
 	const {host, port} = splitAddress(address);
 	const startedAt = now();
--- a/packages/entry/src/test/accept-watch.test.ts
+++ b/packages/entry/src/test/accept-watch.test.ts
@@ -1,6 +1,6 @@
 /**
 What was seen: requests reached endpoints 0.6 to 0.9 s after their callers had given them up or their deadlines had passed, from the host
-of a hall that got most of its requests; round trips to its peers took under 0.1 s then, and its timers were 10 to 40 ms late.
+of a hall that got most of its requests; round trips to its peers took 50 to 200 ms then, and its timers were 10 to 40 ms late.
 
 Order of events: many callers open connections to one host. Each turn of its event loop takes one of them, however many wait; the rest
 waits in the system's queue, with its requests. A request that is read after 1.2 s has a caller that gave it up after one second; the
