An experiment keeps its plays by commits, not by the names of branches

Cause: plays were kept under the refs that were given, HEAD~1 and HEAD by default. After the next commit, kept plays of other versions would have been taken for these. Any error of reading a kept play counted as `not played yet`.

Change: the folder of the outputs bears the commits of both versions; a play counts as not played only where its file is missing.

Conclusion: an experiment that is taken up again compares what it began with.

--- a/packages/lab/src/experiment.ts
+++ b/packages/lab/src/experiment.ts
@@ -67,9 +67,11 @@
 
 const compare = async (bench: string, site: string): Promise<void> => {
 	const work = path.resolve(values.work);
-	const out = path.join(work, `${values.base}-${values.with}-${path.basename(site, '.toml')}${values.small ? '-small' : ''}`.replaceAll('/', '_'));
-	await mkdir(out, {recursive: true});
 	const folders = {base: await checkOutVersion(process.cwd(), values.base, work), with: await checkOutVersion(process.cwd(), values.with, work)};
+	// Named by commits: a branch that moved on is another experiment.
+	const versions = `${path.basename(folders.base)}-${path.basename(folders.with)}`;
+	const out = path.join(work, `${versions}-${path.basename(site, '.toml')}${values.small ? '-small' : ''}`);
+	await mkdir(out, {recursive: true});
 	const options = {
 		bench: path.resolve(bench), site: path.resolve(site), out, extra: values.small ? ['--small'] : [],
 	};
--- a/packages/lab/src/experiment/play-day.ts
+++ b/packages/lab/src/experiment/play-day.ts
@@ -1,4 +1,5 @@
 import {execFile} from 'node:child_process';
+import {existsSync} from 'node:fs';
 import {readFile, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import {promisify} from 'node:util';
@@ -23,14 +24,8 @@
 
 const fileOf = ({version, day, seed}: Play, out: string): string => path.join(out, `${version}.${path.basename(day, '.toml')}.${seed}.txt`);
 
-const readKept = async (file: string): Promise<PlayFigures | undefined> => {
-	try {
-		return readPlay(await readFile(file, 'utf8'));
-	} catch {
-		// It was not played yet.
-		return undefined;
-	}
-};
+const readKept = async (file: string): Promise<PlayFigures | undefined> =>
+	existsSync(file) ? readPlay(await readFile(file, 'utf8')) : undefined;
 
 /** Plays a day and keeps what it printed; one that was played whole before is not played again. `undefined` where it did not end. */
 export const playDay = async (play: Play, {bench, site, extra, out}: Options): Promise<PlayFigures | undefined> => {
