The watch of halls asks which halls are evacuated, and keeps no copy of them

Cause: the host, the choice of endpoints and the watch of halls each kept the set of evacuated halls.

Ruled out: one place for all three: the choice also knows when each order ended, and takes the orders as events.

Change: the watch takes `isEvacuated` as an argument; `HallWatch.evacuate` is gone. Behaviour is as it was.

Conclusion: one copy less that could differ.

--- a/packages/entry/src/lib/hall-health/hall-watch.ts
+++ b/packages/entry/src/lib/hall-health/hall-watch.ts
@@ -4,8 +4,6 @@
 /** Knows which other halls are out of reach. */
 export type HallWatch = {
 	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
-	/** Replaces the halls whose endpoints are to get nothing: they are not probed. */
-	readonly evacuate: (halls: ReadonlySet<string>) => void;
 	readonly isLost: (hall: string) => boolean;
 	/** Notes that a try began. Returns what notes its end. */
 	readonly open: (attempt: OpenAttempt) => () => void;
--- a/packages/entry/src/lib/hall-health/start-hall-watch.ts
+++ b/packages/entry/src/lib/hall-health/start-hall-watch.ts
@@ -34,6 +34,8 @@
 type Options = {
 	/** The host's own hall; its endpoints are judged one by one. */
 	readonly hall: string;
+	/** Whether a hall's endpoints are to get nothing: it is not probed then. */
+	readonly isEvacuated?: (hall: string) => boolean;
 	/** Tries a connection to an address. */
 	readonly probe: (address: string) => Promise<boolean>;
 	/** Whether this host is too late with its own work to judge others. */
@@ -50,11 +52,10 @@
 It owns what is known of each hall and the list of tries under way; when to probe and what a probe means is decided by
 `stepHallReach`.
 */
-export const startHallWatch = ({hall: ownHall, probe, isOverloaded, log, now}: Options): HallWatch => {
+export const startHallWatch = ({hall: ownHall, isEvacuated = () => false, probe, isOverloaded, log, now}: Options): HallWatch => {
 	const reaches = new Map<string, HallReach>();
 	const attempts = createOpenAttempts();
 	let byHall: ReadonlyMap<string, readonly ListedEndpoint[]> = new Map();
-	let evacuatedHalls: ReadonlySet<string> = new Set();
 
 	const reachOf = (hall: string): HallReach => reaches.get(hall) ?? inReach;
 
@@ -87,7 +88,7 @@
 
 	const timer = setInterval(() => {
 		for (const hall of byHall.keys()) {
-			if (hall !== ownHall && !evacuatedHalls.has(hall) && step(hall, {type: 'ticked', waitsSince: attempts.waitsSince(hall)})) {
+			if (hall !== ownHall && !isEvacuated(hall) && step(hall, {type: 'ticked', waitsSince: attempts.waitsSince(hall)})) {
 				void probeHall(hall);
 			}
 		}
@@ -97,9 +98,6 @@
 		list(endpoints) {
 			byHall = groupByHall(endpoints.filter(({isLeaving}) => !isLeaving));
 		},
-		evacuate(next) {
-			evacuatedHalls = next;
-		},
 		isLost: hall => reachOf(hall).isLost,
 		open: attempts.add,
 		heard(hall) {
--- a/packages/entry/src/lib/host/start-health-watch.ts
+++ b/packages/entry/src/lib/host/start-health-watch.ts
@@ -10,6 +10,8 @@
 
 type Options = {
 	readonly hall: string;
+	/** Whether a hall's endpoints are to get nothing. */
+	readonly isEvacuated: (hall: string) => boolean;
 	readonly bounds: Bounds;
 	readonly timeouts: Timeouts;
 	/** Requests open now. */
@@ -29,12 +31,12 @@
 };
 
 /** Starts the watches of this host's own lateness and of other halls. A host that is late judges no hall. */
-export const startHealthWatch = ({hall, bounds, timeouts, open, log, now}: Options): HealthWatch => {
+export const startHealthWatch = ({hall, isEvacuated, bounds, timeouts, open, log, now}: Options): HealthWatch => {
 	const lateness = startLatenessWatch({
 		boundMs: bounds.relayMs, open, log, now,
 	});
 	const halls = startHallWatch({
-		hall, probe: async address => await probeAddress(address, timeouts.probeMs) === 'reached', isOverloaded: lateness.isOverloaded, log, now,
+		hall, isEvacuated, probe: async address => await probeAddress(address, timeouts.probeMs) === 'reached', isOverloaded: lateness.isOverloaded, log, now,
 	});
 	return {
 		lateness,
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -51,8 +51,9 @@
 		},
 	});
 	const {rights} = peerTasks;
+	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
 	const health = startHealthWatch({
-		hall, bounds, timeouts, open: open.count, log, now,
+		hall, isEvacuated: name => evacuatedHalls?.has(name) ?? false, bounds, timeouts, open: open.count, log, now,
 	});
 	const {lateness, halls} = health;
 	let config: FleetConfig | undefined;
@@ -64,7 +65,6 @@
 		}),
 		now,
 	});
-	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
 	const listing = createEndpointListing({
 		config: () => config,
 		onUsed(used, unused) {
@@ -178,7 +178,6 @@
 
 			evacuatedHalls = next;
 			chooser.evacuate(next);
-			halls.evacuate(next);
 			log('halls_evacuated', {halls: [...next].join(',')});
 		},
 		async kill() {
