The test of the cold endpoint counts served and refused answers, in whatever order they come

Cause: both sets held the same; the assertion compares sets in the order in which their members came, and under load a refusal may be the first answer to arrive.

Ruled out: hosts that were not settled yet, which was suspected first: each had listed all six twice, and the endpoint had its four requests.

Change: the test asserts that four are served and all others refused, which says more than the set did.

Conclusion: a flaw of the test alone.

--- a/packages/entry/src/test/cold-endpoint.test.ts
+++ b/packages/entry/src/test/cold-endpoint.test.ts
@@ -58,9 +58,12 @@
 
 	clock.advance(spacingMs);
 	const answers = await Promise.all(hosts.flatMap(({callers}) => Array.from({length: requestsOfHost}, async () => callHost(callers))));
-	t.deepEqual(new Set(answers.map(({status}) => status)), new Set([200, 503]));
+	const served = answers.filter(({status}) => status === 200);
+	const refused = answers.filter(({status}) => status === 503);
+	t.is(served.length, 4);
+	t.is(refused.length, answers.length - served.length);
 	t.is(endpoint.seen.length, 4, 'one of each of the hosts that send there');
-	for (const {body} of answers.filter(({status}) => status === 503)) {
+	for (const {body} of refused) {
 		t.like(JSON.parse(body), {error: {code: 'endpoints_cold', ran: 'not_run'}});
 	}
 });
