A limit that an endpoint names is read and logged

Ruled out: acting on it in the same commit: the hypotheses are to be told apart first.

Change: `readRequestLimit` takes a decimal number and nothing else; `endpoint_notice` has `limit_per_s`. No decision looks at it.

Conclusion: the log tells the hypotheses apart: who was told, when, and what the host sent after that.

--- a/packages/entry/src/adapter/header-names.ts
+++ b/packages/entry/src/adapter/header-names.ts
@@ -11,6 +11,8 @@
 	readonly notRun: string;
 	/** `1` in the answers of an endpoint that ends before long. */
 	readonly leaving: string;
+	/** Requests a second, as a decimal number, that an endpoint takes from all hosts together for as long as it says so. */
+	readonly requestLimit: string;
 	/** The endpoint that a request is meant for; any other answers 421. */
 	readonly expectedEndpoint: string;
 	readonly tokenCount: string;
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -29,7 +29,7 @@
 const hasBody = ({req, body}: RequestInputs): boolean =>
 	body.length > 0 || req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
 
-const noteNotice = ({id}: ListedEndpoint, {isLeaving, restUntil}: EndpointNotice, {chooser, log, now}: HostServices): void => {
+const noteNotice = ({id}: ListedEndpoint, {isLeaving, restUntil, requestLimit}: EndpointNotice, {chooser, log, now}: HostServices): void => {
 	if (isLeaving) {
 		chooser.note({type: 'leaving', endpoint: id});
 	}
@@ -38,7 +38,9 @@
 		chooser.note({type: 'rest_asked', endpoint: id, until: restUntil});
 	}
 
-	log('endpoint_notice', {endpoint: id, leaving: isLeaving, rest_ms: restUntil === undefined ? undefined : Math.round(restUntil - now())});
+	log('endpoint_notice', {
+		endpoint: id, leaving: isLeaving, rest_ms: restUntil === undefined ? undefined : Math.round(restUntil - now()), limit_per_s: requestLimit,
+	});
 };
 
 const send = async ({request, endpoint, lastEventId}: Options, sentAt: number, signal: AbortSignal, host: HostServices): Promise<AttemptResult> => {
--- a/packages/entry/src/lib/sending/endpoint-notice.ts
+++ b/packages/entry/src/lib/sending/endpoint-notice.ts
@@ -4,4 +4,6 @@
 	readonly isLeaving: boolean;
 	/** Until when it wants no request from this host, in monotonic ms; `undefined` where it does not ask for rest. */
 	readonly restUntil: number | undefined;
+	/** Requests a second that it takes from all hosts together; `undefined` where it names no limit. */
+	readonly requestLimit: number | undefined;
 };
--- a/packages/entry/src/lib/sending/read-notice.ts
+++ b/packages/entry/src/lib/sending/read-notice.ts
@@ -2,6 +2,7 @@
 import {httpStatus} from '@deckwheel/core';
 import type {HeaderNames} from '../../adapter/header-names.js';
 import type {EndpointNotice} from './endpoint-notice.js';
+import {readRequestLimit} from './read-request-limit.js';
 
 type Head = {
 	readonly statusCode?: number;
@@ -18,8 +19,12 @@
 };
 
 /** Reads what an endpoint says of itself; `undefined` when it says nothing. `now` is monotonic ms. Pure. */
-export const readNotice = ({statusCode, headers}: Head, headerNames: Pick<HeaderNames, 'leaving'>, now: number): EndpointNotice | undefined => {
+export const readNotice = (head: Head, headerNames: Pick<HeaderNames, 'leaving' | 'requestLimit'>, now: number): EndpointNotice | undefined => {
+	const {statusCode, headers} = head;
 	const isLeaving = headers[headerNames.leaving] === '1';
 	const restMs = statusCode === httpStatus.serviceUnavailable ? restMsOf(headers['retry-after']) : 0;
-	return isLeaving || restMs > 0 ? {isLeaving, restUntil: restMs > 0 ? now + restMs : undefined} : undefined;
+	const requestLimit = readRequestLimit(headers[headerNames.requestLimit]);
+	return isLeaving || restMs > 0 || requestLimit !== undefined
+		? {isLeaving, restUntil: restMs > 0 ? now + restMs : undefined, requestLimit}
+		: undefined;
 };
--- a/packages/entry/src/test/lib/header-names.ts
+++ b/packages/entry/src/test/lib/header-names.ts
@@ -9,6 +9,7 @@
 	stamp: 'x-stamp',
 	notRun: 'x-not-run',
 	leaving: 'x-leaving',
+	requestLimit: 'x-limit',
 	expectedEndpoint: 'x-endpoint',
 	tokenCount: 'x-tokens',
 	prefix: 'x-prefix',
