--- /dev/null
+++ b/packages/entry/src/test/endpoint-limit.test.ts
@@ -0,0 +1,77 @@
+/** An endpoint that names a limit on its requests got more from all hosts together, though each of them sent few. */
+import test from 'ava';
+import type {ListedPeer} from '../adapter/listed-peer.js';
+import {callHost} from './lib/call-host.js';
+import {createHandClock} from './lib/create-hand-clock.js';
+import {headerNames} from './lib/header-names.js';
+import {createMemoryRightsStore} from './lib/memory-rights-store.js';
+import {startEndpoint, type Answer} from './lib/start-endpoint.js';
+import {makeConfig, startHost} from './lib/start-host.js';
+
+const hostCount = 6;
+
+const ok: Answer = (_req, res) => {
+	res.end('fine');
+};
+
+const limitedTo = (perSecond: string): Answer => (_req, res) => {
+	res.setHeader(headerNames.requestLimit, perSecond);
+	res.end('fine');
+};
+
+type Scope = {teardown: (end: () => Promise<void>) => void};
+
+/** Six hosts, settled, before endpoints that answer as told. Each host has had an answer of each endpoint. */
+const launch = async (t: Scope, answers: readonly Answer[]) => {
+	const peers = new Map<string, ListedPeer>();
+	const clock = createHandClock();
+	const endpoints = await Promise.all(answers.map(async (answer, index) => startEndpoint(`e${index}`, answer)));
+	const store = createMemoryRightsStore();
+	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, index) => startHost(store, {
+		host: `edge-${index}`, peers, now: clock.now, schedule: clock.schedule,
+	})));
+	t.teardown(async () => {
+		await Promise.all(hosts.map(async ({entry}) => entry.kill()));
+		for (const {close} of endpoints) {
+			close();
+		}
+	});
+	await Promise.all(hosts.map(async ({logged, events}) => logged('peers_listed', ({count}) =>
+		count === hostCount && events.filter(({event}) => event === 'peers_listed').length > 1)));
+	for (const {entry} of hosts) {
+		entry.configure(makeConfig());
+	}
+
+	const sendFromAll = async () => Promise.all(hosts.map(async ({callers}) => callHost(callers)));
+	for (const {listed} of endpoints) {
+		for (const {entry} of hosts) {
+			entry.listEndpoints([listed]);
+		}
+
+		await sendFromAll();
+	}
+
+	for (const {entry} of hosts) {
+		entry.listEndpoints(endpoints.map(({listed}) => listed));
+	}
+
+	return {clock, endpoints, sendFromAll};
+};
+
+test('hosts that each send little to an endpoint do not exceed the limit that it names for all of them', async t => {
+	const {clock, endpoints, sendFromAll} = await launch(t, [limitedTo('1'), ok]);
+	const [limited, other] = endpoints.map(({seen}) => seen);
+	const before = limited!.length;
+	const statuses: number[] = [];
+	for (let second = 0; second < 4; second++) {
+		clock.advance(1000);
+		for (const {status} of [...await sendFromAll(), ...await sendFromAll()]) {
+			statuses.push(status);
+		}
+	}
+
+	t.true(statuses.every(status => status === 200), 'the other endpoint has room');
+	t.true(limited!.length - before <= 5, `${limited!.length - before} requests in 4 s`);
+	t.true(limited!.length - before >= 3, 'the limit is used');
+	t.true(other!.length > 0);
+});
