All hosts together keep the limit that an endpoint names

What callers and operators saw: an endpoint that had named a limit of one request a second got 12 in 4 s from hosts that it had told; 11 are allowed. No host sent more than one a second there.

Class: each host decides by what it alone sends where the bound is on their sum.

Fixed senders by rendezvous, as for cold endpoints: they reckon with ten hosts that a list lacks, so a limit of one a second would get nothing. A count in the store: a call a request, and nothing while it is away.

Change: an endpoint with a limit has two coordinators among the hosts, those of its hall first, by rendezvous over addresses. A request takes a permit from the first, or, where that does not answer, from the second, which hands out a quarter. Who reaches neither sends nothing there. Buckets begin empty, so a new life or another coordinator adds nothing. A host that hears of a change tells the coordinators, these tell all; hosts that start ask three peers. A host that shows itself is taken into the list of hosts, so two first coordinators do not last. First tries, repeats and resumed streams take permits alike; what does not fit goes elsewhere, or is refused at once: 503 endpoints_limited with the time of the next permit. An answer without the limit lifts it if its request was sent after it was named. What is no decimal number says nothing; 1,000 a second or more binds nobody; for less than 0.1 a second one request in ten seconds finds out when the limit ends. A prompt counts as read where it was sent, no longer where it was only chosen, and two tests of the chooser say so.

Conclusion: the sum is held where it is decided, by one host at a time; the price is a message between hosts for each request to such an endpoint.

--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -42,6 +42,7 @@
 	requestBlocked: notRun(httpStatus.tooManyRequests, 'request_blocked', 'Endpoints ended one after the other while they ran this request. Coming back earlier is of no use.', blockedRetrySeconds),
 	noEndpoint: notRun(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
 	endpointsResting: notRun(httpStatus.serviceUnavailable, 'endpoints_resting', 'All endpoints want no request for a while.', endpointRetrySeconds),
+	endpointsLimited: notRun(httpStatus.serviceUnavailable, 'endpoints_limited', 'All endpoints limit their requests, and have as many as they want.', endpointRetrySeconds),
 	endpointsCold: notRun(httpStatus.serviceUnavailable, 'endpoints_cold', 'All endpoints warm up, and get what they bear from other requests.', endpointRetrySeconds),
 	endpointsEvacuated: notRun(httpStatus.serviceUnavailable, 'endpoints_evacuated', 'The operators had all halls with endpoints for this request evacuated.', evacuatedRetrySeconds),
 	overloaded: notRun(httpStatus.serviceUnavailable, 'overloaded', 'All endpoints are full. Come back shortly.', endpointRetrySeconds),
--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -68,12 +68,11 @@
 				avoidedHalls,
 				tried,
 			}, now(), rateByAffinity);
-			if (!choice) {
-				return undefined;
-			}
-
-			cacheEstimate.note(choice.endpoint, parts);
-			return {endpoint: byId.get(choice.endpoint)!, reason: choice.reason};
+			return choice && {endpoint: byId.get(choice.endpoint)!, reason: choice.reason};
+		},
+		started(endpoint, parts) {
+			cacheEstimate.note(endpoint, parts);
+			table = stepEndpoints(table, {type: 'started', endpoint}, now());
 		},
 		closureOfAll: request => closureOfAll(table, limitsOf(request), now()),
 		note(event) {
--- a/packages/entry/src/lib/choice/endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/endpoint-chooser.ts
@@ -11,6 +11,8 @@
 	readonly choose: (request: ChoiceRequest) => ChosenEndpoint | undefined;
 	/** Why no endpoint of a service is open now, where time or an order of the operators will open one; else `undefined`. */
 	readonly closureOfAll: (request: Pick<ChoiceRequest, 'service' | 'regions'>) => EndpointClosure | undefined;
+	/** Notes that a request is sent to an endpoint, which reads its prompt. */
+	readonly started: (endpoint: string, parts: ChoiceRequest['parts']) => void;
 	/** Takes in what was learnt of one endpoint. */
-	readonly note: (event: Exclude<EndpointEvent, {type: 'configured'}>) => void;
+	readonly note: (event: Exclude<EndpointEvent, {type: 'configured' | 'started'}>) => void;
 };
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -1,7 +1,8 @@
-import {probeAddress} from '@deckwheel/host-kit';
+import {createTally, probeAddress} from '@deckwheel/host-kit';
 import {
 	createEndpointEnds, createPoisonWatch, suspicionsReplySchema, type PoisonWatch,
 } from '@deckwheel/poison';
+import type {z} from 'zod';
 import type {Log} from '../../adapter/log.js';
 import type {PeerDirectory} from '../../adapter/peer-directory.js';
 import type {RightsStore} from '../../adapter/rights-store.js';
@@ -11,6 +12,10 @@
 import {createLoanClient} from '../lending/create-loan-client.js';
 import {startPeerLinks} from '../peers/start-peer-links.js';
 import {readPeerReply} from '../peers/read-peer-reply.js';
+import {createEndpointLimits} from '../request-limits/create-endpoint-limits.js';
+import type {EndpointLimits} from '../request-limits/endpoint-limits.js';
+import {limitsReplySchema} from '../request-limits/limits-reply-schema.js';
+import {permitReplySchema} from '../request-limits/permit-reply-schema.js';
 import {createRightsKeeper} from '../rights/create-rights-keeper.js';
 import type {RightsKeeper} from '../rights/rights-keeper.js';
 import {createChangeBoard} from '../store-changes/create-change-board.js';
@@ -30,6 +35,8 @@
 	readonly log: Log;
 	/** Called when a link that carried nothing any more was replaced. */
 	readonly onLinkReplaced: () => void;
+	/** Called when the limit on the requests to an endpoint changed. */
+	readonly onLimitChanged: (endpoint: string) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 	/** Elapsed ms, suspensions included. */
@@ -40,6 +47,7 @@
 type PeerTasks = {
 	readonly rights: RightsKeeper;
 	readonly poison: PoisonWatch;
+	readonly limits: EndpointLimits;
 	readonly storeChanges: StoreChanges;
 	/** As of `PeerLinks`. */
 	readonly hostNames: () => HostNames | undefined;
@@ -47,7 +55,7 @@
 };
 
 /** Puts together the tasks that talk to peers: the keeper of rights, loans, change notifications, and the links they use. */
-export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, now, elapsed}: Options): PeerTasks => {
+export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, onLimitChanged, now, elapsed}: Options): PeerTasks => {
 	const loanClient = createLoanClient({
 		mesh: () => links.mesh(),
 		receivedFrom: (budget, lender) => rights.receivedFrom(budget, lender),
@@ -64,19 +72,36 @@
 	const rights = createRightsKeeper({
 		host, holder, store: rightsStore, loanClient, links: () => links, timeouts, log, now,
 	});
+	const askPeer = async <T>(asked: string, message: {readonly type: string}, schema: z.ZodType<T>): Promise<T | undefined> => {
+		const reply = await links.mesh()?.request(asked, message, timeouts.peerMs);
+		return reply?.ok ? readPeerReply(schema, reply.value, {address: asked, type: message.type}, log) : undefined;
+	};
+
 	const poison = createPoisonWatch({
 		self: () => links.self(),
 		peers: () => links.others(),
-		async ask({address: asked}, question) {
-			const reply = await links.mesh()?.request(asked, {type: 'suspicions', ...question}, timeouts.peerMs);
-			return reply?.ok ? readPeerReply(suspicionsReplySchema, reply.value, {address: asked, type: 'suspicions'}, log) : undefined;
-		},
+		ask: async ({address: asked}, question) => askPeer(asked, {type: 'suspicions', ...question}, suspicionsReplySchema),
 		ends: createEndpointEnds(async endpoint => probeAddress(endpoint, timeouts.probeMs)),
 		every: repeatByTimer,
 		random: Math.random,
 		log,
 		now,
 	});
+	const permits = createTally('permits', log);
+	const limits = createEndpointLimits({
+		self: () => links.self(),
+		others: () => links.others(),
+		isSettled: () => links.isSettled(),
+		askPermit: async (asked, question) => askPeer(asked, {type: 'permit', ...question}, permitReplySchema),
+		tellLimits: async (asked, message) => askPeer(asked, {type: 'limits', ...message}, limitsReplySchema),
+		noteHost(peer, how) {
+			links.noteHost(peer, how);
+		},
+		onChanged: onLimitChanged,
+		count: permits.count,
+		log,
+		now,
+	});
 	const board = createChangeBoard(elapsed);
 	const links = startPeerLinks({
 		self: {holder, address, hall},
@@ -87,7 +112,12 @@
 		},
 		answerChanges: board.answer,
 		answerSuspicions: poison.answer,
-		onListed: poison.peersListed,
+		answerPermit: limits.answerPermit,
+		answerLimits: limits.answerLimits,
+		onListed() {
+			poison.peersListed();
+			limits.peersListed();
+		},
 		log,
 		onLinkReplaced,
 		now,
@@ -95,6 +125,7 @@
 	return {
 		rights,
 		poison,
+		limits,
 		storeChanges: createStoreChanges({
 			holder, board, links: () => links, log,
 		}),
--- a/packages/entry/src/lib/peers/create-peer-answerer.ts
+++ b/packages/entry/src/lib/peers/create-peer-answerer.ts
@@ -10,7 +10,7 @@
 };
 
 /** Creates the function that checks what peers ask and passes it to who answers it. */
-export const createPeerAnswerer = ({lend, takeBack, answerChanges, answerSuspicions, holder, log}: Options) => async (from: Identity, body: unknown): Promise<unknown> => {
+export const createPeerAnswerer = ({lend, takeBack, answerChanges, answerSuspicions, answerPermit, answerLimits, holder, log}: Options) => async (from: Identity, body: unknown): Promise<unknown> => {
 	const message = peerMessageSchema.safeParse(body);
 	if (!message.success) {
 		log('peer_message_malformed', {from: from.incarnation});
@@ -40,6 +40,14 @@
 			return answerSuspicions(from.hall, data);
 		}
 
+		case 'permit': {
+			return answerPermit({holder: from.incarnation, hall: from.hall, address: data.asker}, data);
+		}
+
+		case 'limits': {
+			return answerLimits({holder: from.incarnation, hall: from.hall, address: data.sender}, data);
+		}
+
 		case 'lend': {
 			return {lender: holder, ...await lend(from.incarnation, data)};
 		}
--- a/packages/entry/src/lib/peers/create-peer-list.ts
+++ b/packages/entry/src/lib/peers/create-peer-list.ts
@@ -13,6 +13,8 @@
 type PeerList = {
 	/** Takes in what the directory lists. */
 	readonly setListed: (peers: readonly ListedPeer[]) => void;
+	/** Takes in one more host, in the place of an earlier life at its address. */
+	readonly add: (peer: ListedPeer) => void;
 	/** Takes in this host as peers find it. */
 	readonly setSelf: (self: ListedPeer) => void;
 	readonly self: () => ListedPeer;
@@ -58,6 +60,15 @@
 			listed = new Map(peers.map(peer => [peer.holder, peer]));
 			change();
 		},
+		add(peer) {
+			if (listed.has(peer.holder) || peer.address === self.address) {
+				return;
+			}
+
+			const others = [...listed.values()].filter(({address}) => address !== peer.address);
+			listed = new Map([...others, peer].map(entry => [entry.holder, entry]));
+			change();
+		},
 		setSelf(next) {
 			self = next;
 			change();
--- a/packages/entry/src/lib/peers/peer-handlers.ts
+++ b/packages/entry/src/lib/peers/peer-handlers.ts
@@ -1,6 +1,7 @@
 import type {SuspicionsQuestion, SuspicionsReply} from '@deckwheel/poison';
 import type {LoanReply} from '../lending/loan-reply.js';
 import type {LoanRequest} from '../lending/loan-request.js';
+import type {EndpointLimits} from '../request-limits/endpoint-limits.js';
 import type {ChangeReply} from '../store-changes/change-reply.js';
 
 /** Who answers which message of a peer. */
@@ -13,4 +14,8 @@
 	readonly answerChanges: (topic: string, after: number, holdMs: number) => Promise<ChangeReply>;
 	/** Answers a peer of a hall that tells of requests that end endpoints. */
 	readonly answerSuspicions: (hall: string, question: SuspicionsQuestion) => SuspicionsReply;
+	/** Answers a peer that asks for a permit for one request to an endpoint. */
+	readonly answerPermit: EndpointLimits['answerPermit'];
+	/** Takes in what a peer tells of limits of endpoints. */
+	readonly answerLimits: EndpointLimits['answerLimits'];
 };
--- a/packages/entry/src/lib/peers/peer-links.ts
+++ b/packages/entry/src/lib/peers/peer-links.ts
@@ -20,6 +20,8 @@
 	readonly isSettled: () => boolean;
 	/** This host and all that are listed; `undefined` until the directory was read after all hosts that started together had time to be listed. The same value until it changes. */
 	readonly hostNames: () => HostNames | undefined;
+	/** Takes in a host that showed itself (`heard`), or that a peer told of, until the directory is read again. */
+	readonly noteHost: (peer: ListedPeer, how: 'heard' | 'told') => void;
 	/** Notes that a peer did not answer: for a while it is not counted on. */
 	readonly suspect: (address: string) => void;
 	readonly close: () => Promise<void>;
--- a/packages/entry/src/lib/peers/peer-message-schema.ts
+++ b/packages/entry/src/lib/peers/peer-message-schema.ts
@@ -1,5 +1,7 @@
 import {suspicionsQuestionSchema} from '@deckwheel/poison';
 import {z} from 'zod';
+import {limitsMessageSchema} from '../request-limits/limits-message-schema.js';
+import {permitQuestionSchema} from '../request-limits/permit-question-schema.js';
 
 /** What hosts ask of each other. Amounts are tokens. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
@@ -21,4 +23,6 @@
 		type: z.literal('hand_back'), to: z.string(), budget: z.string(), total: z.number().nonnegative(),
 	}),
 	suspicionsQuestionSchema,
+	permitQuestionSchema,
+	limitsMessageSchema,
 ]);
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -133,6 +133,11 @@
 		hallSize: () => peers.hall().size,
 		isSettled: () => isSettled,
 		hostNames: () => isSettled ? peers.names() : undefined,
+		noteHost(peer, how) {
+			if (how === 'heard' || !peers.names().hosts.includes(peer.address)) {
+				peers.add(peer);
+			}
+		},
 		suspect(address) {
 			peers.suspect(address);
 			relist();
--- /dev/null
+++ b/packages/entry/src/lib/request-limits/create-endpoint-limits.ts
@@ -0,0 +1,151 @@
+import {coordinatorsOf} from '@deckwheel/routing';
+import type {ListedPeer} from '../../adapter/listed-peer.js';
+import type {Log} from '../../adapter/log.js';
+import {createLimitExchange} from './create-limit-exchange.js';
+import {createLimitTable} from './create-limit-table.js';
+import {createPermitIssuer} from './create-permit-issuer.js';
+import type {EndpointLimits} from './endpoint-limits.js';
+import type {LimitedEndpoint} from './limited-endpoint.js';
+import type {LimitsMessage} from './limits-message.js';
+import type {LimitsReply} from './limits-reply.js';
+import type {PermitQuestion} from './permit-question.js';
+import type {PermitReply} from './permit-reply.js';
+import type {Permit} from './permit.js';
+
+/** How long a coordinator that did not answer is not asked, in ms. */
+const silenceMs = 3000;
+
+/** When it is worth asking again while a host does not know the other hosts yet, or was taken for a coordinator and is none, in ms. */
+const unsettledMs = 200;
+
+type Options = {
+	/** This host, as it is listed. */
+	readonly self: () => ListedPeer;
+	/** All other hosts that are listed, of every hall. */
+	readonly others: () => readonly ListedPeer[];
+	/** Whether the list of hosts is known. */
+	readonly isSettled: () => boolean;
+	/** Asks one peer for a permit; `undefined` when it does not answer in time. */
+	readonly askPermit: (address: string, question: PermitQuestion) => Promise<PermitReply | undefined>;
+	/** Tells one peer of limits; `undefined` when it does not answer in time. */
+	readonly tellLimits: (address: string, message: LimitsMessage) => Promise<LimitsReply | undefined>;
+	/** Takes in a host that showed itself, or that a peer told of. */
+	readonly noteHost: (peer: ListedPeer, how: 'heard' | 'told') => void;
+	/** Called when an endpoint's limit changed: what it was closed for no longer counts. */
+	readonly onChanged: (endpoint: string) => void;
+	/** Counts how permits were obtained. */
+	readonly count: (outcome: 'granted' | 'refused' | 'unanswered') => void;
+	readonly log: Log;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/**
+Creates the task that keeps what all hosts together send to an endpoint within the limit that it names.
+
+Two hosts coordinate each endpoint (`coordinatorsOf`): the first hands out permits up to the limit, the second a part of it
+(`permitRate`), to hosts that cannot reach the first. Who reaches neither sends nothing there. The store is not asked: it may be
+away, and each request would cost it a call.
+*/
+export const createEndpointLimits = (options: Options): EndpointLimits => {
+	const {self, others, isSettled, askPermit, tellLimits, noteHost, onChanged, count, log, now} = options;
+	const table = createLimitTable({onChanged, log, now});
+	const issuer = createPermitIssuer(now);
+	const silentUntil = new Map<string, number>();
+
+	const rank = (endpoint: LimitedEndpoint): readonly string[] => coordinatorsOf(endpoint, [self(), ...others()]);
+
+	const exchange = createLimitExchange({
+		table,
+		self,
+		others,
+		coordinators: rank,
+		tell: tellLimits,
+		noteHost(peer) {
+			noteHost(peer, 'heard');
+		},
+		now,
+	});
+
+	const silenceOf = (address: string): number => silentUntil.get(address) ?? 0;
+
+	const ask = async (address: string, endpoint: LimitedEndpoint): Promise<Permit | undefined> => {
+		const reply = await askPermit(address, {asker: self().address, limit: table.tell(endpoint)});
+		if (!reply) {
+			silentUntil.set(address, now() + silenceMs);
+			return undefined;
+		}
+
+		exchange.learn(reply.limit);
+		for (const coordinator of reply.coordinators) {
+			noteHost(coordinator, 'told');
+		}
+
+		return reply.isGranted ? {isGranted: true} : {isGranted: false, retryAt: now() + reply.retryInMs};
+	};
+
+	const obtainFrom = async (coordinators: readonly string[], endpoint: LimitedEndpoint): Promise<Permit | undefined> => {
+		for (const [place, address] of coordinators.entries()) {
+			const perSecond = table.perSecond(endpoint.id);
+			if (perSecond === undefined) {
+				return {isGranted: true};
+			}
+
+			if (address === self().address) {
+				return issuer.issue(endpoint.id, perSecond, place);
+			}
+
+			const permit = silenceOf(address) > now() ? undefined : await ask(address, endpoint);
+			if (permit) {
+				return permit;
+			}
+		}
+
+		return undefined;
+	};
+
+	const decide = (endpoint: LimitedEndpoint): Permit => {
+		const perSecond = table.perSecond(endpoint.id);
+		if (perSecond === undefined) {
+			return {isGranted: true};
+		}
+
+		const place = rank(endpoint).indexOf(self().address);
+		return isSettled() && place !== -1 ? issuer.issue(endpoint.id, perSecond, place) : {isGranted: false, retryAt: now() + unsettledMs};
+	};
+
+	return {
+		heard: exchange.heard,
+		peersListed: exchange.peersListed,
+		answerLimits: exchange.answer,
+		isLimited: endpoint => table.perSecond(endpoint) !== undefined,
+		async obtain(endpoint) {
+			if (!isSettled()) {
+				return {isGranted: false, retryAt: now() + unsettledMs};
+			}
+
+			const coordinators = rank(endpoint);
+			const permit = await obtainFrom(coordinators, endpoint);
+			if (permit) {
+				count(permit.isGranted ? 'granted' : 'refused');
+				return permit;
+			}
+
+			count('unanswered');
+			return {isGranted: false, retryAt: Math.min(...coordinators.map(address => silenceOf(address)))};
+		},
+		answerPermit(asker, {limit}) {
+			noteHost(asker, 'heard');
+			exchange.learn(limit);
+			const endpoint = {id: limit.endpoint, hall: limit.hall};
+			const permit = decide(endpoint);
+			const hosts = new Map([self(), ...others()].map(host => [host.address, host]));
+			return {
+				isGranted: permit.isGranted,
+				retryInMs: permit.isGranted ? 0 : Math.max(0, permit.retryAt - now()),
+				limit: table.tell(endpoint),
+				coordinators: rank(endpoint).map(address => hosts.get(address)!),
+			};
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/lib/request-limits/create-limit-table.ts
@@ -0,0 +1,68 @@
+import {stepRequestLimit, type RequestLimit} from '@deckwheel/routing';
+import {LRUCache} from 'lru-cache';
+import type {Log} from '../../adapter/log.js';
+import type {LimitTable} from './limit-table.js';
+import type {LimitedEndpoint} from './limited-endpoint.js';
+
+/** Endpoints whose limits are remembered: a bound on memory. */
+const maxEndpoints = 5000;
+
+/** Limits told in one message: a bound on its size. */
+const maxTold = 500;
+
+type Entry = {readonly limit: RequestLimit; readonly hall: string};
+
+type Options = {
+	/** Called when an endpoint's limit changed. */
+	readonly onChanged: (endpoint: string) => void;
+	readonly log: Log;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/** Creates a table that knows no limit. What an endpoint said is kept by its life, so its next life begins without. */
+export const createLimitTable = ({onChanged, log, now}: Options): LimitTable => {
+	const entries = new LRUCache<string, Entry>({max: maxEndpoints});
+
+	const set = ({id, hall}: LimitedEndpoint, limit: RequestLimit | undefined, by: 'answer' | 'peer'): boolean => {
+		const before = entries.get(id)?.limit;
+		if (!limit || limit === before) {
+			return false;
+		}
+
+		entries.set(id, {limit, hall});
+		const isChanged = limit.perSecond !== before?.perSecond;
+		if (isChanged) {
+			log('endpoint_limit', {endpoint: id, per_s: limit.perSecond ?? 'none', by});
+			onChanged(id);
+		}
+
+		return isChanged;
+	};
+
+	const tell: LimitTable['tell'] = ({id, hall}) => {
+		const {perSecond, saidAt} = entries.get(id)!.limit;
+		return {
+			endpoint: id, hall, saidAgoMs: Math.max(0, now() - saidAt), ...(perSecond === undefined ? {} : {perSecond}),
+		};
+	};
+
+	return {
+		perSecond: id => entries.get(id)?.limit.perSecond,
+		noteAnswer(endpoint, perSecond, sentAt) {
+			const known = entries.get(endpoint.id)?.limit;
+			return set(endpoint, stepRequestLimit(known, {
+				type: 'answered', perSecond, sentAt, answeredAt: now(),
+			}), 'answer');
+		},
+		noteTold({endpoint: id, hall, perSecond, saidAgoMs}) {
+			const known = entries.get(id)?.limit;
+			return set({id, hall}, stepRequestLimit(known, {type: 'told', limit: {perSecond, saidAt: now() - saidAgoMs}}), 'peer');
+		},
+		tell,
+		tellAll: () => [...entries]
+			.filter(([, {limit}]) => limit.perSecond !== undefined)
+			.slice(0, maxTold)
+			.map(([id, {hall}]) => tell({id, hall})),
+	};
+};
--- a/packages/entry/src/lib/request/host-services.ts
+++ b/packages/entry/src/lib/request/host-services.ts
@@ -10,6 +10,7 @@
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
 import type {HallWatch} from '../hall-health/hall-watch.js';
+import type {EndpointLimits} from '../request-limits/endpoint-limits.js';
 import type {RightsKeeper} from '../rights/rights-keeper.js';
 
 /** What serving a request needs of the host. */
@@ -34,6 +35,7 @@
 	readonly unreadPatience: Bounds['unreadPatience'];
 	readonly headerNames: HeaderNames;
 	readonly chooser: EndpointChooser;
+	readonly limits: Pick<EndpointLimits, 'heard' | 'isLimited' | 'obtain'>;
 	readonly halls: HallWatch;
 	readonly poison: PoisonWatch;
 	readonly rights: RightsKeeper;
--- a/packages/entry/src/lib/request/refusal-of-result.ts
+++ b/packages/entry/src/lib/request/refusal-of-result.ts
@@ -9,6 +9,7 @@
 	['host_stopping', hostRefusals.hostStopping],
 	['request_blocked', hostRefusals.requestBlocked],
 	['endpoints_resting', hostRefusals.endpointsResting],
+	['endpoints_limited', hostRefusals.endpointsLimited],
 	['endpoints_cold', hostRefusals.endpointsCold],
 	['endpoints_evacuated', hostRefusals.endpointsEvacuated],
 	['not_run', hostRefusals.overloaded],
@@ -23,6 +24,7 @@
 | not_run | host_stopping: no time for a try | 503 host_stopping |
 | not_run | request_blocked: it ended endpoints | 429 request_blocked |
 | not_run | endpoints_resting: all asked for rest | 503 endpoints_resting |
+| not_run | endpoints_limited: all limit their requests, and others have the permits | 503 endpoints_limited |
 | not_run | endpoints_cold: all warm up, and others have their places | 503 endpoints_cold |
 | not_run | endpoints_evacuated: their halls are to get nothing | 503 endpoints_evacuated |
 | not_run | not_run: the endpoints said so | 503 overloaded |
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -8,6 +8,7 @@
 import {forwardedHeaders} from '../sending/forwarded-headers.js';
 import type {EndpointNotice} from '../sending/endpoint-notice.js';
 import {readNotice} from '../sending/read-notice.js';
+import {readRequestLimit} from '../sending/read-request-limit.js';
 import {sendAttempt} from '../sending/send-attempt.js';
 import {trackAttempt} from '../sending/track-attempt.js';
 import type {AttemptEnd} from './attempt-end.js';
@@ -57,6 +58,11 @@
 			host.noteConnect(endpoint, tookMs);
 		},
 		onHead(head) {
+			const limit = readRequestLimit(head.headers, host.headerNames);
+			if (limit) {
+				host.limits.heard(endpoint, limit.perSecond, sentAt);
+			}
+
 			const notice = readNotice(head, host.headerNames, host.now());
 			if (notice) {
 				noteNotice(endpoint, notice, host);
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -78,6 +78,7 @@
 	const service = pickService(route, Math.random()) ?? '';
 	const regions = regionsOf(request.admitted);
 	const isRepeatable = mayRunAgain(route);
+	const parts = prompt?.parts ?? [];
 	const tokensPerEvent = host.config()?.services.get(service)?.tokensPerEvent ?? 0;
 	const writer = createAnswerWriter(res, req.method === 'HEAD', () => host.closesAfter(res));
 	const requestEnd = createRequestEnd({
@@ -129,7 +130,7 @@
 
 	const tryEndpoint = async (endpoint: ListedEndpoint): Promise<AttemptEnd> => {
 		progress = stepProgress(progress, {type: 'sent', endpoint});
-		chooser.note({type: 'started', endpoint: endpoint.id});
+		chooser.started(endpoint.id, parts);
 		const startedAt = now();
 		const end = await runAttempt({
 			request, endpoint, writer, lastEventId: progress.lastEventId, mayMove: isRepeatable && progress.arrivals + 1 < route.maxAttempts, signal: requestEnd.signal,
@@ -148,13 +149,28 @@
 		return end;
 	};
 
-	for (;;) {
+	/** Whether the endpoint's limit lets the request through; if not, the endpoint is closed to this host for a while. */
+	const isPermitted = async ({id, hall}: ListedEndpoint): Promise<boolean> => {
+		const permit = await host.limits.obtain({id, hall});
+		if (!permit.isGranted) {
+			chooser.note({type: 'limited', endpoint: id, until: permit.retryAt});
+		}
+
+		return permit.isGranted;
+	};
+
+	const findEnd = (): string | undefined => {
 		if (requestEnd.isOver()) {
-			return giveUp(requestEnd.endedBy() ?? 'deadline');
+			return requestEnd.endedBy() ?? 'deadline';
 		}
 
-		if (!maySendOn()) {
-			return giveUp('host_stopping');
+		return maySendOn() ? undefined : 'host_stopping';
+	};
+
+	for (;;) {
+		const ended = findEnd();
+		if (ended !== undefined) {
+			return giveUp(ended);
 		}
 
 		const blockedUntil = host.poison.blockedUntil(request.fingerprint);
@@ -163,12 +179,23 @@
 		}
 
 		const choice = chooser.choose({
-			service, parts: prompt?.parts ?? [], tried: progress.tried, avoidedHalls: progress.avoidedHalls, regions,
+			service, parts, tried: progress.tried, avoidedHalls: progress.avoidedHalls, regions,
 		});
 		if (!choice) {
 			return giveUp('no_endpoint');
 		}
 
+		if (host.limits.isLimited(choice.endpoint.id)) {
+			if (!await isPermitted(choice.endpoint)) {
+				continue;
+			}
+
+			const endedMeanwhile = findEnd();
+			if (endedMeanwhile !== undefined) {
+				return giveUp(endedMeanwhile);
+			}
+		}
+
 		const end = await tryEndpoint(choice.endpoint);
 		const next = decideNextStep({
 			end: end.type, progress, maxAttempts: route.maxAttempts, isRepeatable, isOver: requestEnd.isOver(),
--- a/packages/entry/src/lib/sending/read-notice.ts
+++ b/packages/entry/src/lib/sending/read-notice.ts
@@ -19,11 +19,11 @@
 };
 
 /** Reads what an endpoint says of itself; `undefined` when it says nothing. `now` is monotonic ms. Pure. */
-export const readNotice = (head: Head, headerNames: Pick<HeaderNames, 'leaving' | 'requestLimit'>, now: number): EndpointNotice | undefined => {
+export const readNotice = (head: Head, headerNames: Pick<HeaderNames, 'leaving' | 'requestLimit' | 'stamp' | 'notRun'>, now: number): EndpointNotice | undefined => {
 	const {statusCode, headers} = head;
 	const isLeaving = headers[headerNames.leaving] === '1';
 	const restMs = statusCode === httpStatus.serviceUnavailable ? restMsOf(headers['retry-after']) : 0;
-	const requestLimit = readRequestLimit(headers[headerNames.requestLimit]);
+	const requestLimit = readRequestLimit(headers, headerNames)?.perSecond;
 	return isLeaving || restMs > 0 || requestLimit !== undefined
 		? {isLeaving, restUntil: restMs > 0 ? now + restMs : undefined, requestLimit}
 		: undefined;
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -49,6 +49,9 @@
 		onLinkReplaced() {
 			pool.keepOnly(new Set());
 		},
+		onLimitChanged(endpoint) {
+			chooser.note({type: 'limited', endpoint, until: 0});
+		},
 	});
 	const {rights} = peerTasks;
 	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
@@ -103,6 +106,7 @@
 		chooser,
 		halls,
 		poison: peerTasks.poison,
+		limits: peerTasks.limits,
 		rights,
 		pool,
 		retries: createRetryLimiter(bounds, now),
--- a/packages/entry/src/test/endpoint-limit.test.ts
+++ b/packages/entry/src/test/endpoint-limit.test.ts
@@ -55,7 +55,9 @@
 		entry.listEndpoints(endpoints.map(({listed}) => listed));
 	}
 
-	return {clock, endpoints, sendFromAll};
+	return {
+		hosts, clock, endpoints, sendFromAll,
+	};
 };
 
 test('hosts that each send little to an endpoint do not exceed the limit that it names for all of them', async t => {
@@ -75,3 +77,74 @@
 	t.true(limited!.length - before >= 3, 'the limit is used');
 	t.true(other!.length > 0);
 });
+
+test('a refusal of the endpoint, and the repeat elsewhere, take a permit too', async t => {
+	const {clock, endpoints, sendFromAll} = await launch(t, [(_req, res) => {
+		res.writeHead(503, {[headerNames.requestLimit]: '1', [headerNames.notRun]: '1'});
+		res.end();
+	}, ok]);
+	const {seen} = endpoints[0]!;
+	const before = seen.length;
+	for (let second = 0; second < 4; second++) {
+		clock.advance(1000);
+		const answers = await sendFromAll();
+		t.true(answers.every(({status}) => status === 200));
+	}
+
+	t.true(seen.length - before <= 5, `${seen.length - before} requests in 4 s`);
+});
+
+test('callers that do not fit into the limits of all endpoints are refused at once, and told when they do', async t => {
+	const {clock, endpoints, sendFromAll} = await launch(t, [limitedTo('0.5')]);
+	const {seen} = endpoints[0]!;
+	clock.advance(10_000);
+	await sendFromAll();
+	const before = seen.length;
+	const answers = await sendFromAll();
+	t.is(seen.length, before);
+	for (const {status, headers, body} of answers) {
+		t.is(status, 503);
+		t.like(JSON.parse(body), {error: {code: 'endpoints_limited', ran: 'not_run'}});
+		const seconds = Number(headers['retry-after']);
+		t.true(seconds > 0 && seconds <= 2, `${seconds} s`);
+	}
+});
+
+test('an endpoint that no longer names a limit gets what it got before', async t => {
+	let limit: string | undefined = '1';
+	const {hosts, clock, endpoints, sendFromAll} = await launch(t, [(req, res) => {
+		(limit === undefined ? ok : limitedTo(limit))(req, res);
+	}]);
+	limit = undefined;
+	await sendFromAll();
+	clock.advance(1000);
+	await sendFromAll();
+	await Promise.all(hosts.map(async ({logged}) => logged('endpoint_limit', ({per_s: perSecond}) => perSecond === 'none')));
+	const before = endpoints[0]!.seen.length;
+	const answers = [...await sendFromAll(), ...await sendFromAll()];
+	t.true(answers.every(({status}) => status === 200));
+	t.is(endpoints[0]!.seen.length - before, answers.length);
+});
+
+test('the limit of an endpoint does not bind its next life', async t => {
+	const {hosts, endpoints, sendFromAll} = await launch(t, [limitedTo('0')]);
+	const {listed, seen} = endpoints[0]!;
+	const before = seen.length;
+	for (const {entry} of hosts) {
+		entry.listEndpoints([{...listed, id: 'e0 in its next life'}]);
+	}
+
+	const answers = await sendFromAll();
+	t.true(answers.every(({status}) => status === 200));
+	t.is(seen.length - before, hostCount);
+});
+
+for (const value of ['-1', 'abc', '', 'NaN', '1e3', '1,5', '0x1', '99999999999999999999']) {
+	test(`a limit that makes no sense, or binds nobody, is none: ${value}`, async t => {
+		const {endpoints, sendFromAll} = await launch(t, [limitedTo(value)]);
+		const before = endpoints[0]!.seen.length;
+		const answers = [...await sendFromAll(), ...await sendFromAll()];
+		t.true(answers.every(({status}) => status === 200));
+		t.is(endpoints[0]!.seen.length - before, answers.length);
+	});
+}
--- a/packages/entry/src/test/hand-back.test.ts
+++ b/packages/entry/src/test/hand-back.test.ts
@@ -28,6 +28,10 @@
 		lend: async () => ({total: 0, reachesStore: true}),
 		answerChanges: async () => ({at: 0, changedAt: 0, ageMs: 0}),
 		answerSuspicions: () => ({suspicions: []}),
+		answerPermit() {
+			throw new Error('not asked');
+		},
+		answerLimits: () => ({limits: []}),
 		takeBack(_from, _budget, total) {
 			taken.push(total);
 		},
--- a/packages/routing/src/endpoints/endpoint-closure.ts
+++ b/packages/routing/src/endpoints/endpoint-closure.ts
@@ -16,6 +16,8 @@
 		| 'ejected'
 		/** It asked for rest. */
 		| 'resting'
+		/** It limits the requests of all hosts together, and others have the permits. */
+		| 'limited'
 		/** It warms up, and another request of this host or another host has its place. */
 		| 'cold';
 	/** When it is open again, in monotonic ms, where that is known. */
--- a/packages/routing/src/endpoints/endpoint-event.ts
+++ b/packages/routing/src/endpoints/endpoint-event.ts
@@ -14,6 +14,8 @@
 	| {readonly type: 'leaving'; readonly endpoint: string}
 	/** It turned a request away and wants none of this host until then, in monotonic ms. */
 	| {readonly type: 'rest_asked'; readonly endpoint: string; readonly until: number}
+	/** The permits of its limit on requests are used up for this host until then, in monotonic ms. */
+	| {readonly type: 'limited'; readonly endpoint: string; readonly until: number}
 	/** The request ended early for a reason that says nothing about the endpoint. */
 	| {readonly type: 'abandoned'; readonly endpoint: string}
 	| {readonly type: 'reported'; readonly endpoint: string; readonly total: number};
--- a/packages/routing/src/endpoints/endpoint-state.ts
+++ b/packages/routing/src/endpoints/endpoint-state.ts
@@ -13,6 +13,8 @@
 	readonly hasSaidLeaving: boolean;
 	/** Monotonic ms until which it wants no request of this host; 0 when it never asked for rest. */
 	readonly restUntil: number;
+	/** Monotonic ms until which the permits of its limit on requests are used up for this host; 0 when they never were. */
+	readonly limitedUntil: number;
 	/** This host's own open requests there: the one figure that does not lag. */
 	readonly inFlight: number;
 	/** Requests that this host ever sent there. */
--- a/packages/routing/src/endpoints/find-closure.ts
+++ b/packages/routing/src/endpoints/find-closure.ts
@@ -36,7 +36,7 @@
 @param now Monotonic ms.
 */
 export const findClosure = (state: EndpointState, request: Inputs, now: number): EndpointClosure | undefined => {
-	const {info, isListed, ejectedUntil, restUntil} = state;
+	const {info, isListed, ejectedUntil, restUntil, limitedUntil} = state;
 	if (!isListed) {
 		return {reason: 'unlisted'};
 	}
@@ -69,5 +69,9 @@
 		return {reason: 'resting', until: restUntil};
 	}
 
+	if (limitedUntil > now) {
+		return {reason: 'limited', until: limitedUntil};
+	}
+
 	return findColdClosure(state, request.warmup, now);
 };
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -31,6 +31,7 @@
 	listedAt: now,
 	hasSaidLeaving: false,
 	restUntil: 0,
+	limitedUntil: 0,
 	inFlight: 0,
 	started: 0,
 	lastStartedAt: now,
@@ -111,6 +112,10 @@
 			return {...state, restUntil: Math.max(state.restUntil, event.until)};
 		}
 
+		case 'limited': {
+			return {...state, limitedUntil: event.until};
+		}
+
 		case 'abandoned': {
 			return {...state, inFlight: state.inFlight - 1};
 		}
