A model course: a first coordinator that half of the hosts do not list

Cause: the mutation that keeps hosts from taking in a host that shows itself survived.

Ruled out: that it changes nothing: two first coordinators would each hand out the whole limit.

Conclusion: a gap of the test, not of the code.

--- a/packages/entry/src/test/request-limits-model.test.ts
+++ b/packages/entry/src/test/request-limits-model.test.ts
@@ -8,6 +8,7 @@
 */
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
+import {coordinatorsOf} from '@deckwheel/routing';
 import fc from 'fast-check';
 import type {ListedPeer} from '../adapter/listed-peer.js';
 import {createEndpointLimits} from '../lib/request-limits/create-endpoint-limits.js';
@@ -68,6 +69,8 @@
 
 const limitAt = (played: Course, at: number): number | undefined => bindingLimit(played.limits[phaseAt(played, at)]);
 
+const peerOf = (index: number, life = 0): ListedPeer => ({holder: `edge-${index}#${life}`, address: `10.0.0.${index}:1`, hall: `hall-${index % 3}`});
+
 /** Plays a course, and tells when requests reached the endpoint, and when it first named each of its limits. */
 const play = async (played: Course): Promise<Outcome> => {
 	const namedFirstAt = new Map<number, number>();
@@ -76,7 +79,6 @@
 	const answers: Array<{readonly at: number; readonly host: number; readonly life: number; readonly sentAt: number}> = [];
 	let now = 0;
 	const indexes = Array.from({length: played.count}, (_, index) => index);
-	const peerOf = (index: number, life = 0): ListedPeer => ({holder: `edge-${index}#${life}`, address: `10.0.0.${index}:1`, hall: `hall-${index % 3}`});
 	const isWithin = (spans: readonly Span[], index: number): boolean =>
 		spans.some(({host, from, forMs}) => host % played.count === index && now >= from && now < from + forMs);
 	const reaches = (one: number, other: number): boolean =>
@@ -244,6 +246,19 @@
 	t.deepEqual(findExcess(woken, await play(woken)), []);
 });
 
+test('a first coordinator that half of the hosts do not list is found by them, so that there are no two', async t => {
+	const ofCount = (count: number): readonly ListedPeer[] => Array.from({length: count}, (_, index) => peerOf(index));
+	const startsLast = Array.from({length: 30}, (_, index) => index + 9)
+		.filter(count => coordinatorsOf(endpoint, ofCount(count))[0] === peerOf(count - 1).address);
+	t.true(startsLast.length > 0);
+	for (const count of startsLast) {
+		const unlisted: Course = {
+			count, limits: [10], cuts: [], suspensions: [], restarts: [], seed: 1,
+		};
+		t.deepEqual(findExcess(unlisted, await play(unlisted)), [], `${count} hosts`);
+	}
+});
+
 test('whichever host is cut off from the others, all together keep the limit', async t => {
 	const indexes = Array.from({length: 6}, (_, index) => index);
 	for (const host of indexes) {
