--- a/packages/entry/src/adapter/change-answer.ts
+++ b/packages/entry/src/adapter/change-answer.ts
@@ -2,7 +2,7 @@
 export type ChangeAnswer =
 	/** Something changed after the revision that was asked about. */
 	| {readonly type: 'changed'}
-	/** Nothing had changed a moment ago; the topic is known whole up to the revision `at` of the store. */
+	/** Nothing had changed a moment ago; the peer knows the topic whole up to the revision `at` of the store. */
 	| {readonly type: 'unchanged'; readonly at: number}
 	/** No peer could be asked that reaches the store: this host has to look itself. */
 	| {readonly type: 'unknown'};
--- a/packages/entry/src/lib/store-changes/judge-change-reply.ts
+++ b/packages/entry/src/lib/store-changes/judge-change-reply.ts
@@ -12,5 +12,5 @@
 		return {type: 'changed'};
 	}
 
-	return ageMs <= freshMs ? {type: 'unchanged', at: Math.max(at, after)} : {type: 'unknown'};
+	return ageMs <= freshMs ? {type: 'unchanged', at} : {type: 'unknown'};
 };
--- a/packages/entry/src/test/create-change-board.test.ts
+++ b/packages/entry/src/test/create-change-board.test.ts
@@ -35,8 +35,8 @@
 	t.deepEqual(judgeChangeReply(reply, 10, 600), {type: 'unknown'});
 });
 
-test('a change that the asker has seen is no news, an earlier revision of the peer takes nothing back', t => {
-	t.deepEqual(judgeChangeReply({at: 9, changedAt: 8, ageMs: 0}, 12, 100), {type: 'unchanged', at: 12});
+test('a change that the asker has seen is no news, and the peer says up to which revision it knows', t => {
+	t.deepEqual(judgeChangeReply({at: 9, changedAt: 8, ageMs: 0}, 12, 100), {type: 'unchanged', at: 9});
 	t.deepEqual(judgeChangeReply({at: 20, changedAt: 13, ageMs: 9999}, 12, 100), {type: 'changed'});
 });
 
