Rights that a copy of the store lacks are written again before anything is drawn

What callers and operators would see: an organisation spends more than it prepaid. After the store came back from a copy, 1,600 of 1,000 tokens were reserved in the test.

Cause: a host drew rights after the copy was made; the copy has them as unallocated, and another host draws them too.

Ruled out: that each host's next write repairs it: a host that holds enough writes late or never, and one that died does not write. Taking the whole record of before for the copy: it would undo what was written in the new era. An epoch in each budget: it says who may write, not what is lost.

Change: a host that notices the restore writes again what it holds, and draws nothing for 5 s, so that others can do so. What it read before is merged into the copy (`mergeRestored`): holders count their writes, and of each the newer entry counts; lives that were folded are not charged beside what they were folded into, and one that was folded from the copy is charged what others know of it, once. A write on a revision of before is not sent, since the store may have given that revision out again; one that was taken by a new era unseen grants nothing. planDrawAmount takes isPaused in place of isRetiring.

Conclusion: a budget is not overspent as long as somebody who lives and is in reach has seen a lost write. Open: the last write of a slot before the restore, by a host that died or stays cut off for longer than 5 s, which nobody else has read.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -14,6 +14,8 @@
 	readonly listEndpoints: (endpoints: readonly ListedEndpoint[]) => void;
 	/** Replaces the halls whose endpoints are to get nothing more. What runs there may end. */
 	readonly evacuateHalls: (halls: ReadonlySet<string>) => void;
+	/** Notes that the platform's store came back from an older copy: what was written there last may be gone. */
+	readonly storeRestored: () => void;
 	/** Ends as planned: sends on nothing that may outlast the stop, finishes what runs, gives rights back. A second call waits for the first. */
 	readonly stop: () => Promise<void>;
 	/** Ends at once, as a death of the process would: nothing is finished or given back. */
--- a/packages/entry/src/lib/rights-store/create-slot-cache.ts
+++ b/packages/entry/src/lib/rights-store/create-slot-cache.ts
@@ -1,6 +1,7 @@
 import type {RightsStore} from '../../adapter/rights-store.js';
 import type {StoredRights} from '../../adapter/stored-rights.js';
 import type {KnownSlot} from './known-slot.js';
+import {mergeRestored} from './merge-restored.js';
 import type {StoreState} from './store-state.js';
 
 /**
@@ -22,19 +23,35 @@
 	readonly refresh: (slot: number, known: KnownSlot) => Promise<KnownSlot>;
 };
 
-/**
-Creates a cache that knows no slot.
+type Options = {
+	readonly store: RightsStore;
+	readonly state: StoreState;
+	/** Called when an object shows that the store came back from an older copy. */
+	readonly onRestored: () => void;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
 
-@param now Monotonic ms.
-*/
-export const createSlotCache = (store: RightsStore, state: StoreState, now: () => number): SlotCache => {
+/** Creates a cache that knows no slot. What it knew before the store was restored is kept in what it knows after it. */
+export const createSlotCache = ({store, state, onRestored, now}: Options): SlotCache => {
 	const slots = new Map<number, KnownSlot>();
-	const note: SlotCache['note'] = (slot, stored) => {
-		const noted = {...stored, readAt: now()};
+
+	const keep = (slot: number, stored: StoredRights, readAt: number): KnownSlot => {
+		const known = slots.get(slot);
+		const {era = 0} = stored;
+		const isRestored = known !== undefined && era > (known.era ?? 0);
+		const rights = isRestored ? mergeRestored(known.rights, stored.rights, era) : stored.rights;
+		const noted = {...stored, rights, readAt};
 		slots.set(slot, noted);
+		if (isRestored) {
+			onRestored();
+		}
+
 		return noted;
 	};
 
+	const note: SlotCache['note'] = (slot, stored) => keep(slot, stored, now());
+
 	return {
 		get: slot => slots.get(slot),
 		note,
@@ -52,13 +69,7 @@
 
 			const seen = await store.glance(`slot-${slot}`, glanceTimeoutMs);
 			const latest = slots.get(slot) ?? known;
-			if (!seen || seen.revision <= latest.revision) {
-				return latest;
-			}
-
-			const noted = {...seen, readAt: latest.readAt};
-			slots.set(slot, noted);
-			return noted;
+			return !seen || seen.revision <= latest.revision ? latest : keep(slot, seen, latest.readAt);
 		},
 	};
 };
--- a/packages/entry/src/lib/rights-store/create-slot-writer.ts
+++ b/packages/entry/src/lib/rights-store/create-slot-writer.ts
@@ -29,6 +29,8 @@
 	readonly isConcerned: (budget: string) => boolean;
 	/** Decides the draw on a budget once the store's side is known. */
 	readonly wants: (budget: string) => (view: StoreView, rights: BudgetRights) => number;
+	/** Called when the store came back from an older copy. */
+	readonly onRestored: () => void;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -40,8 +42,10 @@
 It owns what is known of the store's objects (`createSlotCache`) and the writes under way; what is written is decided by
 `planSlotWrite`.
 */
-export const createSlotWriter = ({host, holder, store, state, accounts, limits, isConcerned, wants, log, now}: Options): SlotWriter => {
-	const cache = createSlotCache(store, state, now);
+export const createSlotWriter = ({host, holder, store, state, accounts, limits, isConcerned, wants, onRestored, log, now}: Options): SlotWriter => {
+	const cache = createSlotCache({
+		store, state, onRestored, now,
+	});
 	const busy = new Map<number, Promise<boolean>>();
 
 	const slotOf = (budget: string): number => slotOfBudget(budget, slotCount);
@@ -60,7 +64,7 @@
 
 	const writeSlot = async (slot: number, known: KnownSlot): Promise<'done' | 'again' | 'failed'> => {
 		const plan = planSlotWrite({
-			host, holder, rights: known.rights, limits: limitsOf(slot), version: limits().version, accountOf: accounts.of, isConcerned, wants,
+			host, holder, rights: known.rights, limits: limitsOf(slot), version: limits().version, era: known.era, accountOf: accounts.of, isConcerned, wants,
 		});
 		if (plan.type === 'deposed') {
 			return 'failed';
--- a/packages/entry/src/lib/rights-store/plan-slot-write.ts
+++ b/packages/entry/src/lib/rights-store/plan-slot-write.ts
@@ -16,6 +16,8 @@
 	/** Prepaid tokens of the slot's budgets, by the configuration of this version. */
 	readonly limits: ReadonlyMap<string, number>;
 	readonly version: number;
+	/** The era of the store in which this is written; by default the first. */
+	readonly era?: number;
 	readonly accountOf: (budget: string) => HostAccount;
 	/** Whether this host has anything to say of a budget: hosts that only borrow do not. */
 	readonly isConcerned: (budget: string) => boolean;
@@ -23,7 +25,7 @@
 	readonly wants: (budget: string) => (view: StoreView, rights: BudgetRights) => number;
 };
 
-const drawRequest = (budget: string, rights: BudgetRights, {accountOf, wants}: Inputs): DrawRequest => {
+const drawRequest = (budget: string, rights: BudgetRights, {holder, era = 0, accountOf, wants}: Inputs): DrawRequest => {
 	const account = accountOf(budget);
 	return {
 		budget,
@@ -33,15 +35,16 @@
 		rate: demandRate(account),
 		billed: account.settled,
 		reserved: account.reserved,
+		written: {era, sequence: (rights.holders[holder]?.written?.sequence ?? 0) + 1},
 		wants: view => wants(budget)(view, rights),
 	};
 };
 
 /** Works out one write of a slot: limits and ended lives brought up to date, and what this host holds, spent and draws. Pure. */
 export const planSlotWrite = (inputs: Inputs): DrawPlan => {
-	const {host, holder, limits, version, isConcerned} = inputs;
+	const {host, holder, limits, version, era = 0, isConcerned} = inputs;
 	const prepared = prepareRights(inputs.rights, {
-		host, holder, limits, version,
+		host, holder, limits, version, era,
 	});
 	const requests = [...limits.keys()]
 		.filter(budget => prepared.budgets[budget] !== undefined && isConcerned(budget))
--- a/packages/entry/src/lib/rights-store/prepare-rights.ts
+++ b/packages/entry/src/lib/rights-store/prepare-rights.ts
@@ -9,6 +9,8 @@
 	readonly limits: ReadonlyMap<string, number>;
 	/** The version of that configuration. */
 	readonly version: number;
+	/** The era of the store in which this is written; by default the first. */
+	readonly era?: number;
 };
 
 const noRights: HolderRights = {
@@ -24,11 +26,20 @@
 	const granted = a.granted + b.granted;
 	const transferred = a.transferred + b.transferred;
 	return {
-		...noRights, granted, transferred, settled: Math.max(0, granted + transferred), billed: a.billed + b.billed,
+		...noRights,
+		granted,
+		transferred,
+		settled: Math.max(0, granted + transferred),
+		billed: a.billed + b.billed,
+		...(a.folded ? {folded: a.folded} : {}),
 	};
 };
 
-const retirePredecessors = (holders: BudgetRights['holders'], host: string, holder: string): BudgetRights['holders'] => {
+// Others may know an entry better than the copy from which the store was restored: they add what it lacks.
+const noteFolded = (retired: HolderRights, name: string, {granted, transferred, written}: HolderRights, era: number): HolderRights =>
+	written && written.era < era ? {...retired, folded: {...retired.folded, [name]: granted + transferred}} : retired;
+
+const retirePredecessors = (holders: BudgetRights['holders'], {host, holder, era = 0}: Inputs): BudgetRights['holders'] => {
 	const ended = Object.keys(holders).filter(name => name.startsWith(`${host}#`) && name !== holder);
 	if (ended.length === 0) {
 		return holders;
@@ -37,16 +48,17 @@
 	const kept = Object.entries(holders).filter(([name]) => !ended.includes(name) && name !== retiredHolder);
 	let retired = holders[retiredHolder] ?? noRights;
 	for (const name of ended) {
-		retired = merge(retired, holders[name]!);
+		retired = noteFolded(merge(retired, holders[name]!), name, holders[name]!, era);
 	}
 
-	return Object.fromEntries([...kept, [retiredHolder, retired]]);
+	const written = {era, sequence: (holders[retiredHolder]?.written?.sequence ?? 0) + 1};
+	return Object.fromEntries([...kept, [retiredHolder, {...retired, written}]]);
 };
 
-const prepareBudget = (rights: BudgetRights, limit: number, {host, holder, version}: Inputs): BudgetRights => ({
+const prepareBudget = (rights: BudgetRights, limit: number, inputs: Inputs): BudgetRights => ({
 	...rights,
-	...(version >= (rights.limitVersion ?? 0) ? {limit, limitVersion: rights.limit === limit ? rights.limitVersion : version} : {}),
-	holders: retirePredecessors(rights.holders, host, holder),
+	...(inputs.version >= (rights.limitVersion ?? 0) ? {limit, limitVersion: rights.limit === limit ? rights.limitVersion : inputs.version} : {}),
+	holders: retirePredecessors(rights.holders, inputs),
 });
 
 /**
--- a/packages/entry/src/lib/rights/create-rights-keeper.ts
+++ b/packages/entry/src/lib/rights/create-rights-keeper.ts
@@ -15,6 +15,7 @@
 import {createLastPart} from '../last-part/create-last-part.js';
 import type {BudgetLimits} from './budget-limits.js';
 import {createAccounts} from './create-accounts.js';
+import {createRestoreRecovery} from './create-restore-recovery.js';
 import {createRightsObtainer} from './create-rights-obtainer.js';
 import {holdAheadSettings} from './hold-ahead-settings.js';
 import {planDrawAmount} from './plan-draw-amount.js';
@@ -67,11 +68,18 @@
 		limits: () => limits,
 		isConcerned: budget => accounts.of(budget).granted !== 0 || queue.missing(budget) > 0 || allocators.drawsAhead(budget),
 		wants: budget => (view, rights) => planDrawAmount({
-			account: accounts.of(budget), available: accounts.available(budget), missing: queue.missing(budget), view, rights, holder, holdAhead, isRetiring,
+			account: accounts.of(budget), available: accounts.available(budget), missing: queue.missing(budget), view, rights, holder, holdAhead, isPaused: isRetiring || recovery.isDrawPaused(),
 		}),
+		onRestored() {
+			recovery.noteRestored();
+		},
 		log,
 		now,
 	});
+
+	const recovery = createRestoreRecovery({
+		accounts, writer, log, now,
+	});
 	const queue = createDrawQueue({accounts, writer: () => writer, now});
 	const balance = startRightsBalance({
 		holder, accounts, allocators, borrower, writer, state, holdAhead, log, now,
@@ -144,15 +152,16 @@
 		takeBack(budget, from, total) {
 			credit('rights_taken_back', budget, from, total);
 		},
-		noteRestored() {
-			log('rights_restored');
-		},
+		noteRestored: recovery.noteRestored,
 		retryAfterSeconds: () => planRetryAfter(state.downMs()),
 		async retire() {
 			isRetiring = true;
 			const slots = new Set(accounts.budgets().map(budget => writer.slotOf(budget)));
 			await Promise.all([...slots].map(async slot => giveAllBack(slot)));
 		},
-		close: balance.close,
+		close() {
+			recovery.close();
+			balance.close();
+		},
 	};
 };
--- a/packages/entry/src/lib/rights/plan-draw-amount.ts
+++ b/packages/entry/src/lib/rights/plan-draw-amount.ts
@@ -17,13 +17,13 @@
 	readonly rights: BudgetRights;
 	readonly holder: string;
 	readonly holdAhead: HoldAhead;
-	/** Whether this host is about to stop. */
-	readonly isRetiring: boolean;
+	/** Whether nothing is to be drawn now. */
+	readonly isPaused: boolean;
 };
 
 /** Decides how many tokens of a budget a write to the store draws. Pure. May be negative; the ledger keeps it within 0 and the rest. */
-export const planDrawAmount = ({account, available, missing, view, rights, holder, holdAhead, isRetiring}: Inputs): number => {
-	if (isRetiring) {
+export const planDrawAmount = ({account, available, missing, view, rights, holder, holdAhead, isPaused}: Inputs): number => {
+	if (isPaused) {
 		return 0;
 	}
 
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -184,6 +184,9 @@
 			chooser.evacuate(next);
 			log('halls_evacuated', {halls: [...next].join(',')});
 		},
+		storeRestored() {
+			rights.noteRestored();
+		},
 		async kill() {
 			acceptWatch.close();
 			health.close();
--- a/packages/entry/src/test/create-slot-writer.test.ts
+++ b/packages/entry/src/test/create-slot-writer.test.ts
@@ -25,6 +25,7 @@
 		limits: () => ({version: 1, byBudget: new Map([['org', 1000]])}),
 		isConcerned: () => true,
 		wants: () => () => 10,
+		onRestored: () => undefined,
 		log: () => undefined,
 		now,
 	});
--- a/packages/entry/src/test/lib/memory-rights-store.ts
+++ b/packages/entry/src/test/lib/memory-rights-store.ts
@@ -6,6 +6,7 @@
 export type MemoryRightsStore = RightsStore & {
 	readonly faults: {isDown: boolean; /** The next write is done, and its answer lost. */ losesNextAnswer: boolean};
 	readonly objects: ReadonlyMap<string, StoredRights>;
+	readonly era: () => number;
 	/** What it holds now. */
 	readonly copy: () => ReadonlyMap<string, StoredRights>;
 	/** Goes back to a copy, and begins a new era. */
@@ -25,6 +26,7 @@
 	return {
 		faults,
 		objects,
+		era: () => era,
 		copy: () => new Map(objects),
 		restore(copy) {
 			era++;
--- /dev/null
+++ b/packages/entry/src/test/merge-restored.test.ts
@@ -0,0 +1,65 @@
+import test from 'ava';
+import {
+	unallocated, type BudgetRights, type HolderRights, type RightsObject,
+} from '@deckwheel/ledger';
+import {mergeRestored} from '../lib/rights-store/merge-restored.js';
+import {prepareRights} from '../lib/rights-store/prepare-rights.js';
+import {retiredHolder} from '../lib/rights-store/retired-holder.js';
+
+const entry = (granted: number, era: number, sequence: number): HolderRights => ({
+	epoch: 0, granted, transferred: 0, rate: 0, settled: granted, billed: granted, written: {era, sequence},
+});
+
+const object = (holders: BudgetRights['holders'], limitVersion = 1, limit = 1000): RightsObject => ({
+	budgets: {
+		org: {
+			organisation: 'org', limit, limitVersion, topUps: [], holders,
+		},
+	},
+});
+
+const merge = (before: BudgetRights['holders'], found: BudgetRights['holders'], era = 2): BudgetRights['holders'] =>
+	mergeRestored(object(before), object(found), era).budgets.org!.holders;
+
+test('of each holder the newer entry counts, wherever it is', t => {
+	t.deepEqual(merge({'a#1': entry(50, 1, 5)}, {'a#1': entry(20, 1, 3)}), {'a#1': entry(50, 1, 5)});
+	t.deepEqual(merge({'a#1': entry(50, 1, 5)}, {'a#1': entry(70, 2, 6)}), {'a#1': entry(70, 2, 6)});
+	t.deepEqual(merge({'a#1': entry(50, 1, 5)}, {'a#1': entry(30, 2, 6)}), {'a#1': entry(30, 2, 6)}, 'it gave back');
+});
+
+test('a holder that only one of both knows is kept', t => {
+	t.deepEqual(merge({'a#1': entry(50, 1, 5)}, {}), {'a#1': entry(50, 1, 5)});
+	t.deepEqual(merge({}, {'b#1': entry(50, 2, 1)}), {'b#1': entry(50, 2, 1)});
+});
+
+test('a life that had been folded is not charged beside what it was folded into', t => {
+	const retired = entry(80, 1, 1);
+	t.deepEqual(merge({[retiredHolder]: retired, 'a#2': entry(10, 1, 1)}, {'a#1': entry(80, 1, 4)}), {[retiredHolder]: retired, 'a#2': entry(10, 1, 1)});
+});
+
+test('a life that was folded from the copy is charged what it charged later, once', t => {
+	const copy = object({'a#1': entry(60, 1, 3)});
+	const folded = prepareRights(copy, {
+		host: 'a', holder: 'a#2', limits: new Map([['org', 1000]]), version: 1, era: 2,
+	});
+	const merged = mergeRestored(object({'a#1': entry(100, 1, 5)}), folded, 2);
+	t.is(unallocated(merged.budgets.org!), 900);
+	t.is(unallocated(mergeRestored(object({'a#1': entry(100, 1, 5)}), merged, 2).budgets.org!), 900, 'by a second host that knew it');
+});
+
+test('merging again changes nothing', t => {
+	const before = {'a#1': entry(50, 1, 5), 'b#1': entry(5, 1, 1)};
+	const once = merge(before, {'a#1': entry(20, 1, 3), 'c#1': entry(7, 2, 1)});
+	t.deepEqual(merge(before, once), once);
+});
+
+test('the limit of the newer configuration counts, and a budget that the copy lacks is kept', t => {
+	const merged = mergeRestored(object({}, 5, 900), object({}, 3, 1000), 2);
+	t.is(merged.budgets.org!.limit, 900);
+	t.deepEqual(mergeRestored(object({'a#1': entry(5, 1, 1)}), {budgets: {}}, 2), object({'a#1': entry(5, 1, 1)}));
+});
+
+test('a budget that cannot be read in the copy is not replaced', t => {
+	const found: RightsObject = {budgets: {}, unreadable: {org: 'spoilt'}};
+	t.deepEqual(mergeRestored(object({'a#1': entry(5, 1, 1)}), found, 2), found);
+});
--- a/packages/entry/src/test/rights-after-a-restore.test.ts
+++ b/packages/entry/src/test/rights-after-a-restore.test.ts
@@ -1,6 +1,7 @@
 /** After the store came back from an older copy, rights that were drawn in between were drawn once more, and the budget was overspent. */
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
-import type {RightsObject} from '@deckwheel/ledger';
+import type {BudgetRights, RightsObject} from '@deckwheel/ledger';
 import {createMemoryRightsStore, type MemoryRightsStore} from './lib/memory-rights-store.js';
 import {startKeepers} from './lib/start-keepers.js';
 
@@ -41,11 +42,25 @@
 	return spent;
 };
 
-const restoreFor = (store: MemoryRightsStore, copy: ReturnType<MemoryRightsStore['copy']>, keepers: ReturnType<typeof startKeepers>): void => {
+const holdersOf = (store: MemoryRightsStore): BudgetRights['holders'] =>
+	[...store.objects.values()].find(({rights}) => rights.budgets.org)?.rights.budgets.org?.holders ?? {};
+
+/** Resolves once holders have written in the store's era. */
+const writtenAgain = async (store: MemoryRightsStore, holders: readonly string[]): Promise<void> => {
+	while (holders.some(holder => holdersOf(store)[holder]?.written?.era !== store.era())) {
+		await nextTurn();
+	}
+};
+
+/** Restores the store, lets hosts notice it, and waits until those that drew have written again. */
+const restoreFor = async (store: MemoryRightsStore, copy: ReturnType<MemoryRightsStore['copy']>, keepers: ReturnType<typeof startKeepers>): Promise<void> => {
+	const drew = keepers.map(({peer}) => peer.holder).filter(holder => (holdersOf(store)[holder]?.granted ?? 0) > 0);
 	store.restore(copy);
 	for (const {rights} of keepers) {
 		rights.noteRestored();
 	}
+
+	await writtenAgain(store, drew);
 };
 
 test('what a host drew and spent before the store was restored is not drawn again by another', async t => {
@@ -54,7 +69,7 @@
 	const copy = store.copy();
 	let spent = await reserve(0, 600);
 	t.is(spent, 600);
-	restoreFor(store, copy, keepers);
+	await restoreFor(store, copy, keepers);
 	spent += await spendAll(world);
 	clock.ms += laterMs;
 	spent += await spendAll(world);
@@ -62,6 +77,21 @@
 	t.true(spent > limit * 0.9, `${spent} of ${limit} tokens: what nobody spent is drawn again`);
 });
 
+test('a host that notices the restore first leaves the others time to write again what they hold', async t => {
+	const {clock, store, keepers, reserve} = launch(t);
+	const copy = store.copy();
+	let spent = await reserve(0, 600);
+	await restoreFor(store, copy, []);
+	keepers[1]!.rights.noteRestored();
+	spent += await reserve(1, 900);
+	clock.ms += 1000;
+	keepers[0]!.rights.noteRestored();
+	await writtenAgain(store, [keepers[0]!.peer.holder]);
+	clock.ms += laterMs;
+	spent += await reserve(1, 900);
+	t.is(spent, 600);
+});
+
 test('what a host drew that died is known by those who read it before the store was restored', async t => {
 	const world = launch(t);
 	const {clock, store, keepers, reserve} = world;
@@ -69,7 +99,7 @@
 	let spent = await reserve(0, 600);
 	spent += await reserve(1, 10);
 	keepers[0]!.kill();
-	restoreFor(store, copy, keepers.slice(1));
+	await restoreFor(store, copy, keepers.slice(1));
 	clock.ms += laterMs;
 	for (const index of [1, 2]) {
 		for (let got = await reserve(index, 10); got > 0; got = await reserve(index, 10)) {
@@ -86,7 +116,7 @@
 	const copy = store.copy();
 	keepers[0]!.rights.settle('org', 600, 100);
 	await keepers[0]!.rights.retire();
-	restoreFor(store, copy, keepers);
+	await restoreFor(store, copy, keepers);
 	clock.ms += laterMs;
 	t.is(await reserve(1, 800), 800);
 });
@@ -98,7 +128,7 @@
 		const copy = store.copy();
 		spent += await reserve(i % 3, 40);
 		keepers[i % 3]!.rights.settle('org', 40, 40);
-		restoreFor(store, copy, keepers);
+		await restoreFor(store, copy, keepers);
 		clock.ms += laterMs;
 	}
 
--- a/packages/ledger/src/store/draw-request.ts
+++ b/packages/ledger/src/store/draw-request.ts
@@ -1,3 +1,4 @@
+import type {HolderRights} from './holder-rights.js';
 import type {StoreView} from './store-view.js';
 
 /** One budget in a holder's write to the store: what the holder knows, and what more it wants. */
@@ -12,6 +13,8 @@
 	readonly billed: number;
 	/** The worst case of open requests; a holder need not tell it. */
 	readonly reserved?: number;
+	/** Which write of the holder this is; a holder need not tell it. */
+	readonly written?: HolderRights['written'];
 	/** Decides the draw once the store's side is known. */
 	readonly wants: (store: StoreView) => number;
 };
--- a/packages/ledger/src/store/holder-rights.ts
+++ b/packages/ledger/src/store/holder-rights.ts
@@ -11,4 +11,8 @@
 	readonly billed: number;
 	/** The worst case of the requests that were open then; absent where the holder does not tell. */
 	readonly reserved?: number;
+	/** Which write of the holder this is, and in which era of the store it was made; absent where the holder does not tell. */
+	readonly written?: {readonly era: number; readonly sequence: number};
+	/** In an entry that stands for several lives: those that were folded into it as an earlier era had left them, with what was charged for each. */
+	readonly folded?: Readonly<Record<string, number>>;
 };
--- a/packages/ledger/src/store/plan-draw.ts
+++ b/packages/ledger/src/store/plan-draw.ts
@@ -10,9 +10,9 @@
 	Object.values(rights.budgets).some(({holders}) => (holders[holder]?.epoch ?? 0) > epoch);
 
 const drawOne = (rights: BudgetRights, holder: string, epoch: number, request: DrawRequest): BudgetRights => {
-	const {granted, transferred, rate, settled, billed, reserved} = request;
+	const {granted, transferred, rate, settled, billed, reserved, written} = request;
 	const known = {
-		epoch, granted, transferred, rate: coarseRate(rate), settled, billed, ...(reserved === undefined ? {} : {reserved}),
+		epoch, granted, transferred, rate: coarseRate(rate), settled, billed, ...(reserved === undefined ? {} : {reserved}), ...(written ? {written} : {}),
 	};
 	// The holder's own total replaces the store's: if an earlier write of its own took effect
 	// unseen, this one withdraws it, and the store's version check keeps late copies out.
