Hosts list themselves again after the store was restored from a copy

What operators would see: hosts that had started shortly before a drill are unknown to all that start after it: nobody asks them for rights, and their hall counts as smaller. Where the secret was lost too, a host that starts makes another one and reaches no peer.

Cause: a host lists itself once, at its start.

Change: a host that notices the restore shares the secret that it knows, lists itself, and reads the list now and a second later. Another secret in its place is logged: peer_secret_replaced.

Conclusion: mended for hosts that live. A host that starts between the drill and the first of them to write makes a secret of its own: open.

--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -51,6 +51,8 @@
 	readonly storeChanges: StoreChanges;
 	/** As of `PeerLinks`. */
 	readonly hostNames: () => HostNames | undefined;
+	/** As of `PeerLinks`. */
+	readonly register: () => void;
 	readonly close: () => Promise<void>;
 };
 
@@ -130,6 +132,9 @@
 			holder, board, links: () => links, log,
 		}),
 		hostNames: () => links.hostNames(),
+		register() {
+			links.register();
+		},
 		async close() {
 			poison.close();
 			rights.close();
--- a/packages/entry/src/lib/peers/peer-links.ts
+++ b/packages/entry/src/lib/peers/peer-links.ts
@@ -22,6 +22,8 @@
 	readonly hostNames: () => HostNames | undefined;
 	/** Takes in a host that showed itself (`heard`), or that a peer told of, until the directory is read again. */
 	readonly noteHost: (peer: ListedPeer, how: 'heard' | 'told') => void;
+	/** Lists this host in the directory again, which may have lost it, and reads the directory. */
+	readonly register: () => void;
 	/** Notes that a peer did not answer: for a while it is not counted on. */
 	readonly suspect: (address: string) => void;
 	readonly close: () => Promise<void>;
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -50,6 +50,8 @@
 	let listAgainAt = 0;
 	let isClosed = false;
 	let isSettled = false;
+	/** The secret by which this host listens for peers. */
+	let joinedWith: string | undefined;
 
 	const list = async (): Promise<void> => {
 		const found = await directory.list();
@@ -99,15 +101,32 @@
 		peers.setSelf({...self, address: `${host}:${mesh.port}`});
 	};
 
+	const register = async (): Promise<void> => {
+		await untilDone(async () => await directory.register(peers.self()) || undefined);
+		await list();
+	};
+
+	// Others list themselves at about the same time.
+	const registerAgain = async (secret: string): Promise<void> => {
+		const shared = await untilDone(async () => directory.shareSecret(secret));
+		if (shared !== secret) {
+			log('peer_secret_replaced');
+		}
+
+		await register();
+		await sleep(settleMs, undefined, {ref: false});
+		await list();
+	};
+
 	const join = async (): Promise<void> => {
-		const secret = await untilDone(directory.shareSecret);
+		const secret = await untilDone(async () => directory.shareSecret());
 		if (secret === undefined || isClosed) {
 			return;
 		}
 
 		await listen(secret);
-		await untilDone(async () => await directory.register(peers.self()) || undefined);
-		await list();
+		joinedWith = secret;
+		await register();
 		await sleep(settleMs, undefined, {ref: false});
 		await list();
 		isSettled = true;
@@ -138,6 +157,11 @@
 				peers.add(peer);
 			}
 		},
+		register() {
+			if (joinedWith !== undefined) {
+				void registerAgain(joinedWith);
+			}
+		},
 		suspect(address) {
 			peers.suspect(address);
 			relist();
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -186,6 +186,7 @@
 		},
 		storeRestored() {
 			rights.noteRestored();
+			peerTasks.register();
 		},
 		async kill() {
 			acceptWatch.close();
