A request that lacks rights costs no write while draws wait for the store's recovery

Cause: the pause was known where a draw is sized, and not where it is decided whether one may bring something.

Ruled out: a change of what is drawn: it was nothing in either case.

Change: mayDraw knows the pause.

Measured: the new assertion in rights-after-a-restore.test.ts fails without the change and holds with it.

--- a/packages/entry/src/lib/rights/create-rights-keeper.ts
+++ b/packages/entry/src/lib/rights/create-rights-keeper.ts
@@ -86,6 +86,7 @@
 		budgets: () => limits.byBudget.keys(),
 		isSettled: () => links().isSettled(),
 		isRetiring: () => isRetiring,
+		isDrawPaused: recovery.isDrawPaused,
 	});
 	const obtainer = createRightsObtainer({
 		holder, accounts, allocators, borrower, writer, queue, balance, timeouts, now,
--- a/packages/entry/src/lib/rights/start-rights-balance.ts
+++ b/packages/entry/src/lib/rights/start-rights-balance.ts
@@ -34,6 +34,8 @@
 	/** Whether peers that started together had time to be listed. */
 	readonly isSettled: () => boolean;
 	readonly isRetiring: () => boolean;
+	/** Whether nothing is to be drawn now. */
+	readonly isDrawPaused: () => boolean;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -43,7 +45,7 @@
 Starts the task that keeps this host's rights near what its demand asks for: looks at each budget at a steady pace, and does
 what `planRights` and `planBorrowing` decide. It owns when each slot was written and looked at last.
 */
-export const startRightsBalance = ({holder, accounts, allocators, borrower, writer, state, holdAhead, budgets, isSettled, isRetiring, log, now}: Options): RightsBalance => {
+export const startRightsBalance = ({holder, accounts, allocators, borrower, writer, state, holdAhead, budgets, isSettled, isRetiring, isDrawPaused, log, now}: Options): RightsBalance => {
 	const writtenAt = new Map<number, number>();
 	const lookedAt = new Map<number, number>();
 
@@ -131,7 +133,7 @@
 		timer = setInterval(tick, tickMs);
 	}, Math.random() * tickMs);
 	return {
-		mayDraw: budget => mayDraw({
+		mayDraw: budget => !isDrawPaused() && mayDraw({
 			rights: writer.rightsOf(budget), ageMs: writer.ageOf(budget), mayCall: state.mayCall(), isRetiring: isRetiring(),
 		}),
 		close() {
--- a/packages/entry/src/test/rights-after-a-restore.test.ts
+++ b/packages/entry/src/test/rights-after-a-restore.test.ts
@@ -83,7 +83,9 @@
 	let spent = await reserve(0, 600);
 	await restoreFor(store, copy, []);
 	keepers[1]!.rights.noteRestored();
+	const before = store.copy();
 	spent += await reserve(1, 900);
+	t.deepEqual(store.copy(), before, 'a request that waits for rights costs no write');
 	clock.ms += 1000;
 	keepers[0]!.rights.noteRestored();
 	await writtenAgain(store, [keepers[0]!.peer.holder]);
