--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -1,4 +1,3 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {splitAddress} from '@deckwheel/core';
 import {createTally} from '@deckwheel/host-kit';
 import {openMesh, type Mesh} from '@deckwheel/mesh';
@@ -8,24 +7,16 @@
 import {countPeerQuestions} from './count-peer-questions.js';
 import {createPeerAnswerer} from './create-peer-answerer.js';
 import {createPeerList} from './create-peer-list.js';
+import {createRegistration} from './create-registration.js';
 import type {PeerHandlers} from './peer-handlers.js';
 import type {PeerLinks} from './peer-links.js';
 
-/** Between two calls to a directory that is out of reach, in ms. */
-const retryPauseMs = 500;
-
 /**
 The directory is not read more often than this for a holder that is not listed or a peer that is silent, in ms, so that
 a death of many hosts brings one call and not one for each.
 */
 const listPauseMs = 2000;
 
-/** Hosts that start together are all listed after this time, in ms. */
-const settleMs = 1000;
-
-/** When the directory is read once more after that, for hosts that came late, in ms. */
-const readAgainMs = 4000;
-
 type Options = PeerHandlers & {
 	readonly self: ListedPeer;
 	readonly directory: PeerDirectory;
@@ -48,10 +39,6 @@
 	const answer = createPeerAnswerer({...handlers, holder: self.holder, log});
 	let mesh: Mesh | undefined;
 	let listAgainAt = 0;
-	let isClosed = false;
-	let isSettled = false;
-	/** The secret by which this host listens for peers. */
-	let joinedWith: string | undefined;
 
 	const list = async (): Promise<void> => {
 		const found = await directory.list();
@@ -69,18 +56,6 @@
 		}
 	};
 
-	/** Calls the directory until it answers, or this host closes. */
-	const untilDone = async <T>(ask: () => Promise<T | undefined>): Promise<T | undefined> => {
-		for (;;) {
-			const answered = await ask();
-			if (answered !== undefined || isClosed) {
-				return answered;
-			}
-
-			await sleep(retryPauseMs);
-		}
-	};
-
 	// It was the link that was silent, and not the peer: hosts of a large hall that asked others meanwhile, or drew for
 	// themselves, would go on doing so for the time of the suspicion.
 	const noteReplaced = (address: string, quietMs: number): void => {
@@ -89,7 +64,6 @@
 		onLinkReplaced();
 	};
 
-	// A host listens before it is listed, so that no peer finds it listed and not listening.
 	const listen = async (secret: string): Promise<void> => {
 		const {host, port} = splitAddress(self.address);
 		mesh = countPeerQuestions(await openMesh({
@@ -101,40 +75,10 @@
 		peers.setSelf({...self, address: `${host}:${mesh.port}`});
 	};
 
-	const register = async (): Promise<void> => {
-		await untilDone(async () => await directory.register(peers.self()) || undefined);
-		await list();
-	};
-
-	// Others list themselves at about the same time.
-	const registerAgain = async (secret: string): Promise<void> => {
-		const shared = await untilDone(async () => directory.shareSecret(secret));
-		if (shared !== secret) {
-			log('peer_secret_replaced');
-		}
-
-		await register();
-		await sleep(settleMs, undefined, {ref: false});
-		await list();
-	};
-
-	const join = async (): Promise<void> => {
-		const secret = await untilDone(async () => directory.shareSecret());
-		if (secret === undefined || isClosed) {
-			return;
-		}
-
-		await listen(secret);
-		joinedWith = secret;
-		await register();
-		await sleep(settleMs, undefined, {ref: false});
-		await list();
-		isSettled = true;
-		await sleep(readAgainMs, undefined, {ref: false});
-		await list();
-	};
-
-	void join();
+	const registration = createRegistration({
+		directory, self: peers.self, listen, list, log,
+	});
+	void registration.start();
 	return {
 		mesh: () => mesh,
 		self: peers.self,
@@ -150,24 +94,22 @@
 		},
 		hallPeers: () => peers.hall().peers,
 		hallSize: () => peers.hall().size,
-		isSettled: () => isSettled,
-		hostNames: () => isSettled ? peers.names() : undefined,
+		isSettled: registration.isSettled,
+		hostNames: () => registration.isSettled() ? peers.names() : undefined,
 		noteHost(peer, how) {
 			if (how === 'heard' || !peers.names().hosts.includes(peer.address)) {
 				peers.add(peer);
 			}
 		},
 		register() {
-			if (joinedWith !== undefined) {
-				void registerAgain(joinedWith);
-			}
+			void registration.renew();
 		},
 		suspect(address) {
 			peers.suspect(address);
 			relist();
 		},
 		async close() {
-			isClosed = true;
+			registration.close();
 			await mesh?.close();
 		},
 	};
--- a/packages/entry/src/lib/request-limits/create-endpoint-limits.ts
+++ b/packages/entry/src/lib/request-limits/create-endpoint-limits.ts
@@ -3,6 +3,7 @@
 import type {Log} from '../../adapter/log.js';
 import {createLimitExchange} from './create-limit-exchange.js';
 import {createLimitTable} from './create-limit-table.js';
+import {createPermitClient} from './create-permit-client.js';
 import {createPermitIssuer} from './create-permit-issuer.js';
 import type {EndpointLimits} from './endpoint-limits.js';
 import type {LimitedEndpoint} from './limited-endpoint.js';
@@ -12,9 +13,6 @@
 import type {PermitReply} from './permit-reply.js';
 import type {Permit} from './permit.js';
 
-/** How long a coordinator that did not answer is not asked, in ms. */
-const silenceMs = 3000;
-
 /** When it is worth asking again while a host does not know the other hosts yet, or was taken for a coordinator and is none, in ms. */
 const unsettledMs = 200;
 
@@ -51,15 +49,14 @@
 	const {self, others, isSettled, askPermit, tellLimits, noteHost, onChanged, count, log, now} = options;
 	const table = createLimitTable({onChanged, log, now});
 	const issuer = createPermitIssuer(now);
-	const silentUntil = new Map<string, number>();
 
-	const rank = (endpoint: LimitedEndpoint): readonly string[] => coordinatorsOf(endpoint, [self(), ...others()]);
+	const coordinators = (endpoint: LimitedEndpoint): readonly string[] => coordinatorsOf(endpoint, [self(), ...others()]);
 
 	const exchange = createLimitExchange({
 		table,
 		self,
 		others,
-		coordinators: rank,
+		coordinators,
 		tell: tellLimits,
 		noteHost(peer) {
 			noteHost(peer, 'heard');
@@ -67,42 +64,17 @@
 		now,
 	});
 
-	const silenceOf = (address: string): number => silentUntil.get(address) ?? 0;
-
-	const ask = async (address: string, endpoint: LimitedEndpoint): Promise<Permit | undefined> => {
-		const reply = await askPermit(address, {asker: self().address, limit: table.tell(endpoint)});
-		if (!reply) {
-			silentUntil.set(address, now() + silenceMs);
-			return undefined;
-		}
-
-		exchange.learn(reply.limit);
-		for (const coordinator of reply.coordinators) {
-			noteHost(coordinator, 'told');
-		}
-
-		return reply.isGranted ? {isGranted: true} : {isGranted: false, retryAt: now() + reply.retryInMs};
-	};
-
-	const obtainFrom = async (coordinators: readonly string[], endpoint: LimitedEndpoint): Promise<Permit | undefined> => {
-		for (const [place, address] of coordinators.entries()) {
-			const perSecond = table.perSecond(endpoint.id);
-			if (perSecond === undefined) {
-				return {isGranted: true};
-			}
-
-			if (address === self().address) {
-				return issuer.issue(endpoint.id, perSecond, place);
-			}
-
-			const permit = silenceOf(address) > now() ? undefined : await ask(address, endpoint);
-			if (permit) {
-				return permit;
-			}
-		}
-
-		return undefined;
-	};
+	const client = createPermitClient({
+		table,
+		learn: exchange.learn,
+		self,
+		issue: issuer.issue,
+		ask: askPermit,
+		noteHost(peer) {
+			noteHost(peer, 'told');
+		},
+		now,
+	});
 
 	const decide = (endpoint: LimitedEndpoint): Permit => {
 		const perSecond = table.perSecond(endpoint.id);
@@ -110,8 +82,8 @@
 			return {isGranted: true};
 		}
 
-		const place = rank(endpoint).indexOf(self().address);
-		return isSettled() && place !== -1 ? issuer.issue(endpoint.id, perSecond, place) : {isGranted: false, retryAt: now() + unsettledMs};
+		const rank = coordinators(endpoint).indexOf(self().address);
+		return isSettled() && rank !== -1 ? issuer.issue(endpoint.id, perSecond, rank) : {isGranted: false, retryAt: now() + unsettledMs};
 	};
 
 	return {
@@ -124,15 +96,15 @@
 				return {isGranted: false, retryAt: now() + unsettledMs};
 			}
 
-			const coordinators = rank(endpoint);
-			const permit = await obtainFrom(coordinators, endpoint);
-			if (permit) {
-				count(permit.isGranted ? 'granted' : 'refused');
-				return permit;
+			const ranked = coordinators(endpoint);
+			const permit = await client.obtain(endpoint, ranked);
+			if (permit === 'unanswered') {
+				count('unanswered');
+				return {isGranted: false, retryAt: client.askAgainAt(ranked)};
 			}
 
-			count('unanswered');
-			return {isGranted: false, retryAt: Math.min(...coordinators.map(address => silenceOf(address)))};
+			count(permit.isGranted ? 'granted' : 'refused');
+			return permit;
 		},
 		answerPermit(asker, {limit}) {
 			noteHost(asker, 'heard');
@@ -144,7 +116,7 @@
 				isGranted: permit.isGranted,
 				retryInMs: permit.isGranted ? 0 : Math.max(0, permit.retryAt - now()),
 				limit: table.tell(endpoint),
-				coordinators: rank(endpoint).map(address => hosts.get(address)!),
+				coordinators: coordinators(endpoint).map(address => hosts.get(address)!),
 			};
 		},
 	};
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -11,6 +11,7 @@
 import {judgeEndpoint} from './judge-endpoint.js';
 import type {NextStep} from './next-step.js';
 import {noProgress} from './no-progress.js';
+import {obtainPermit} from './obtain-permit.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestProgress} from './request-progress.js';
 import type {RequestResult} from './request-result.js';
@@ -149,16 +150,6 @@
 		return end;
 	};
 
-	/** Whether the endpoint's limit lets the request through; if not, the endpoint is closed to this host for a while. */
-	const isPermitted = async ({id, hall}: ListedEndpoint): Promise<boolean> => {
-		const permit = await host.limits.obtain({id, hall});
-		if (!permit.isGranted) {
-			chooser.note({type: 'limited', endpoint: id, until: permit.retryAt});
-		}
-
-		return permit.isGranted;
-	};
-
 	const findEnd = (): string | undefined => {
 		if (requestEnd.isOver()) {
 			return requestEnd.endedBy() ?? 'deadline';
@@ -186,7 +177,7 @@
 		}
 
 		if (host.limits.isLimited(choice.endpoint.id)) {
-			if (!await isPermitted(choice.endpoint)) {
+			if (!await obtainPermit(choice.endpoint, host)) {
 				continue;
 			}
 
--- a/packages/entry/src/lib/rights/create-restore-recovery.ts
+++ b/packages/entry/src/lib/rights-store/create-restore-recovery.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Log} from '../../adapter/log.js';
-import type {SlotWriter} from '../rights-store/slot-writer.js';
-import type {Accounts} from './accounts.js';
+import type {Accounts} from '../rights/accounts.js';
+import type {SlotWriter} from './slot-writer.js';
 import type {RestoreRecovery} from './restore-recovery.js';
 
 /**
