--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -95,7 +95,7 @@
 		others: () => links.others(),
 		isSettled: () => links.isSettled(),
 		askPermit: async (asked, question) => askPeer(asked, {type: 'permit', ...question}, permitReplySchema),
-		tellLimits: async (asked, message) => askPeer(asked, {type: 'limits', ...message}, limitsReplySchema),
+		sendLimits: async (asked, message) => askPeer(asked, {type: 'limits', ...message}, limitsReplySchema),
 		noteHost(peer, how) {
 			links.noteHost(peer, how);
 		},
--- a/packages/entry/src/lib/peers/peer-links.ts
+++ b/packages/entry/src/lib/peers/peer-links.ts
@@ -20,8 +20,8 @@
 	readonly isSettled: () => boolean;
 	/** This host and all that are listed; `undefined` until the directory was read after all hosts that started together had time to be listed. The same value until it changes. */
 	readonly hostNames: () => HostNames | undefined;
-	/** Takes in a host that showed itself (`heard`), or that a peer told of, until the directory is read again. */
-	readonly noteHost: (peer: ListedPeer, how: 'heard' | 'told') => void;
+	/** Takes in a host that showed itself (`direct`), or that a peer reported, until the directory is read again. */
+	readonly noteHost: (peer: ListedPeer, how: 'direct' | 'reported') => void;
 	/** Lists this host in the directory again, which may have lost it, and reads the directory. */
 	readonly register: () => void;
 	/** Notes that a peer did not answer: for a while it is not counted on. */
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -97,7 +97,7 @@
 		isSettled: registration.isSettled,
 		hostNames: () => registration.isSettled() ? peers.names() : undefined,
 		noteHost(peer, how) {
-			if (how === 'heard' || !peers.names().hosts.includes(peer.address)) {
+			if (how === 'direct' || !peers.names().hosts.includes(peer.address)) {
 				peers.add(peer);
 			}
 		},
--- a/packages/entry/src/lib/request-limits/create-endpoint-limits.ts
+++ b/packages/entry/src/lib/request-limits/create-endpoint-limits.ts
@@ -26,9 +26,9 @@
 	/** Asks one peer for a permit; `undefined` when it does not answer in time. */
 	readonly askPermit: (address: string, question: PermitQuestion) => Promise<PermitReply | undefined>;
 	/** Tells one peer of limits; `undefined` when it does not answer in time. */
-	readonly tellLimits: (address: string, message: LimitsMessage) => Promise<LimitsReply | undefined>;
-	/** Takes in a host that showed itself, or that a peer told of. */
-	readonly noteHost: (peer: ListedPeer, how: 'heard' | 'told') => void;
+	readonly sendLimits: (address: string, message: LimitsMessage) => Promise<LimitsReply | undefined>;
+	/** Takes in a host that showed itself, or that a peer reported. */
+	readonly noteHost: (peer: ListedPeer, how: 'direct' | 'reported') => void;
 	/** Called when an endpoint's limit changed: what it was closed for no longer counts. */
 	readonly onChanged: (endpoint: string) => void;
 	/** Counts how permits were obtained. */
@@ -46,7 +46,7 @@
 away, and each request would cost it a call.
 */
 export const createEndpointLimits = (options: Options): EndpointLimits => {
-	const {self, others, isSettled, askPermit, tellLimits, noteHost, onChanged, count, log, now} = options;
+	const {self, others, isSettled, askPermit, sendLimits, noteHost, onChanged, count, log, now} = options;
 	const table = createLimitTable({onChanged, log, now});
 	const issuer = createPermitIssuer(now);
 
@@ -57,21 +57,21 @@
 		self,
 		others,
 		coordinators,
-		tell: tellLimits,
+		send: sendLimits,
 		noteHost(peer) {
-			noteHost(peer, 'heard');
+			noteHost(peer, 'direct');
 		},
 		now,
 	});
 
 	const client = createPermitClient({
 		table,
-		learn: exchange.learn,
+		applyReport: exchange.applyReport,
 		self,
 		issue: issuer.issue,
 		ask: askPermit,
 		noteHost(peer) {
-			noteHost(peer, 'told');
+			noteHost(peer, 'reported');
 		},
 		now,
 	});
@@ -87,7 +87,7 @@
 	};
 
 	return {
-		heard: exchange.heard,
+		noteAnswer: exchange.noteAnswer,
 		peersListed: exchange.peersListed,
 		answerLimits: exchange.answer,
 		isLimited: endpoint => table.perSecond(endpoint) !== undefined,
@@ -107,15 +107,15 @@
 			return permit;
 		},
 		answerPermit(asker, {limit}) {
-			noteHost(asker, 'heard');
-			exchange.learn(limit);
+			noteHost(asker, 'direct');
+			exchange.applyReport(limit);
 			const endpoint = {id: limit.endpoint, hall: limit.hall};
 			const permit = decide(endpoint);
 			const hosts = new Map([self(), ...others()].map(host => [host.address, host]));
 			return {
 				isGranted: permit.isGranted,
 				retryInMs: permit.isGranted ? 0 : Math.max(0, permit.retryAt - now()),
-				limit: table.tell(endpoint),
+				limit: table.report(endpoint),
 				coordinators: coordinators(endpoint).map(address => hosts.get(address)!),
 			};
 		},
--- a/packages/entry/src/lib/request-limits/create-limit-exchange.ts
+++ b/packages/entry/src/lib/request-limits/create-limit-exchange.ts
@@ -8,9 +8,9 @@
 import type {LimitsReply} from './limits-reply.js';
 
 /** Between two messages to all about one endpoint, in ms: one that names another limit in each answer must not flood the hosts. */
-const tellPauseMs = 1000;
+const broadcastPauseMs = 1000;
 
-/** Endpoints for which it is remembered when all were told last: a bound on memory. */
+/** Endpoints for which it is remembered when all were informed last: a bound on memory. */
 const maxEndpoints = 5000;
 
 /** Peers that a host asks for the limits that they know when it starts. */
@@ -24,61 +24,61 @@
 	readonly others: () => readonly ListedPeer[];
 	/** Addresses of the hosts that hand out permits for an endpoint. */
 	readonly coordinators: (endpoint: LimitedEndpoint) => readonly string[];
-	/** Tells one peer; `undefined` when it does not answer in time. */
-	readonly tell: (address: string, message: LimitsMessage) => Promise<LimitsReply | undefined>;
+	/** Informs one peer; `undefined` when it does not answer in time. */
+	readonly send: (address: string, message: LimitsMessage) => Promise<LimitsReply | undefined>;
 	/** Takes in a host that showed itself. */
 	readonly noteHost: (peer: ListedPeer) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
-/** Creates the exchange of a host that has told and asked nobody yet. A host that hears of a change tells the coordinators, and these tell all. */
-export const createLimitExchange = ({table, self, others, coordinators, tell, noteHost, now}: Options): LimitExchange => {
-	const toldAt = new LRUCache<string, number>({max: maxEndpoints});
+/** Creates the exchange of a host that has sent nothing yet. A host that notices a change reports it to the coordinators, and these to all. */
+export const createLimitExchange = ({table, self, others, coordinators, send, noteHost, now}: Options): LimitExchange => {
+	const informedAt = new LRUCache<string, number>({max: maxEndpoints});
 	let hasAsked = false;
 
-	const talkTo = async (address: string, message: Omit<LimitsMessage, 'sender'>): Promise<void> => {
-		const reply = await tell(address, {sender: self().address, ...message});
-		for (const told of reply?.limits ?? []) {
-			learn(told);
+	const sendTo = async (address: string, message: Omit<LimitsMessage, 'sender'>): Promise<void> => {
+		const reply = await send(address, {sender: self().address, ...message});
+		for (const report of reply?.limits ?? []) {
+			applyReport(report);
 		}
 	};
 
-	const spread = (endpoint: LimitedEndpoint): void => {
-		if (now() - (toldAt.get(endpoint.id) ?? Number.NEGATIVE_INFINITY) < tellPauseMs) {
+	const broadcast = (endpoint: LimitedEndpoint): void => {
+		if (now() - (informedAt.get(endpoint.id) ?? Number.NEGATIVE_INFINITY) < broadcastPauseMs) {
 			return;
 		}
 
-		toldAt.set(endpoint.id, now());
+		informedAt.set(endpoint.id, now());
 		const ranked = coordinators(endpoint);
 		const isCoordinator = ranked.includes(self().address);
 		for (const {address} of others()) {
 			if (isCoordinator || ranked.includes(address)) {
-				void talkTo(address, {limits: [table.tell(endpoint)], wantsAll: false});
+				void sendTo(address, {limits: [table.report(endpoint)], wantsAll: false});
 			}
 		}
 	};
 
-	const learn: LimitExchange['learn'] = told => {
-		if (table.noteTold(told)) {
-			spread({id: told.endpoint, hall: told.hall});
+	const applyReport: LimitExchange['applyReport'] = report => {
+		if (table.applyReport(report)) {
+			broadcast({id: report.endpoint, hall: report.hall});
 		}
 	};
 
 	return {
-		heard(endpoint, perSecond, sentAt) {
-			if (table.noteAnswer(endpoint, perSecond, sentAt)) {
-				spread(endpoint);
+		noteAnswer(endpoint, perSecond, askedAt) {
+			if (table.applyAnswer(endpoint, perSecond, askedAt)) {
+				broadcast(endpoint);
 			}
 		},
-		learn,
+		applyReport,
 		answer(sender, {limits, wantsAll}) {
 			noteHost(sender);
-			for (const told of limits) {
-				learn(told);
+			for (const report of limits) {
+				applyReport(report);
 			}
 
-			return {limits: wantsAll ? [...table.tellAll()] : []};
+			return {limits: wantsAll ? [...table.reportAll()] : []};
 		},
 		peersListed() {
 			if (hasAsked || others().length === 0) {
@@ -88,7 +88,7 @@
 			hasAsked = true;
 			const asked = rankByRendezvous(self().holder, others().map(({address}) => address)).slice(0, peersAsked);
 			for (const address of asked) {
-				void talkTo(address, {limits: [], wantsAll: true});
+				void sendTo(address, {limits: [], wantsAll: true});
 			}
 		},
 	};
--- a/packages/entry/src/lib/request-limits/create-limit-table.ts
+++ b/packages/entry/src/lib/request-limits/create-limit-table.ts
@@ -7,8 +7,8 @@
 /** Endpoints whose limits are remembered: a bound on memory. */
 const maxEndpoints = 5000;
 
-/** Limits told in one message: a bound on its size. */
-const maxTold = 500;
+/** Limits in one message: a bound on its size. */
+const maxReported = 500;
 
 type Entry = {readonly limit: RequestLimit; readonly hall: string};
 
@@ -37,7 +37,7 @@
 		return isChanged;
 	};
 
-	const tell: LimitTable['tell'] = ({id, hall}) => {
+	const report: LimitTable['report'] = ({id, hall}) => {
 		const {perSecond, askedAt, readAt} = entries.get(id)!.limit;
 		return {
 			endpoint: id,
@@ -50,16 +50,16 @@
 
 	return {
 		perSecond: id => entries.get(id)?.limit.perSecond,
-		noteAnswer(endpoint, perSecond, askedAt) {
+		applyAnswer(endpoint, perSecond, askedAt) {
 			// Nearly all endpoints never name a limit.
 			return (perSecond !== undefined || entries.has(endpoint.id)) && set(endpoint, {perSecond, askedAt, readAt: now()}, 'answer');
 		},
-		noteTold: ({endpoint: id, hall, perSecond, askedAgoMs, readAgoMs}) =>
+		applyReport: ({endpoint: id, hall, perSecond, askedAgoMs, readAgoMs}) =>
 			set({id, hall}, {perSecond, askedAt: now() - askedAgoMs, readAt: now() - readAgoMs}, 'peer'),
-		tell,
-		tellAll: () => [...entries]
+		report,
+		reportAll: () => [...entries]
 			.filter(([, {limit}]) => limit.perSecond !== undefined)
-			.slice(0, maxTold)
-			.map(([id, {hall}]) => tell({id, hall})),
+			.slice(0, maxReported)
+			.map(([id, {hall}]) => report({id, hall})),
 	};
 };
--- a/packages/entry/src/lib/request-limits/create-permit-client.ts
+++ b/packages/entry/src/lib/request-limits/create-permit-client.ts
@@ -11,14 +11,14 @@
 
 type Options = {
 	readonly table: LimitTable;
-	readonly learn: LimitExchange['learn'];
+	readonly applyReport: LimitExchange['applyReport'];
 	/** This host, as it is listed. */
 	readonly self: () => ListedPeer;
 	/** Hands out a permit as the coordinator of that rank, from 0. */
 	readonly issue: (endpoint: string, perSecond: number, rank: number) => Permit;
 	/** Asks one peer for a permit; `undefined` when it does not answer in time. */
 	readonly ask: (address: string, question: PermitQuestion) => Promise<PermitReply | undefined>;
-	/** Takes in a host that a peer told of. */
+	/** Takes in a host that a peer reported. */
 	readonly noteHost: (peer: ListedPeer) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -33,18 +33,18 @@
 };
 
 /** Creates a client that takes all coordinators to be in reach. */
-export const createPermitClient = ({table, learn, self, issue, ask, noteHost, now}: Options): PermitClient => {
+export const createPermitClient = ({table, applyReport, self, issue, ask, noteHost, now}: Options): PermitClient => {
 	const silentUntil = new Map<string, number>();
 	const silenceOf = (address: string): number => silentUntil.get(address) ?? 0;
 
 	const askOne = async (address: string, endpoint: LimitedEndpoint): Promise<Permit | undefined> => {
-		const reply = await ask(address, {asker: self().address, limit: table.tell(endpoint)});
+		const reply = await ask(address, {asker: self().address, limit: table.report(endpoint)});
 		if (!reply) {
 			silentUntil.set(address, now() + silenceMs);
 			return undefined;
 		}
 
-		learn(reply.limit);
+		applyReport(reply.limit);
 		for (const coordinator of reply.coordinators) {
 			noteHost(coordinator);
 		}
--- a/packages/entry/src/lib/request-limits/endpoint-limits.ts
+++ b/packages/entry/src/lib/request-limits/endpoint-limits.ts
@@ -6,13 +6,13 @@
 import type {Permit} from './permit.js';
 
 /** Keeps what all hosts together send to an endpoint within the limit that it names. */
-export type EndpointLimits = Pick<LimitExchange, 'heard' | 'peersListed'> & {
+export type EndpointLimits = Pick<LimitExchange, 'noteAnswer' | 'peersListed'> & {
 	/** Whether a request needs a permit now. */
 	readonly isLimited: (endpoint: string) => boolean;
 	/** Obtains a permit for one request to an endpoint with a limit. */
 	readonly obtain: (endpoint: LimitedEndpoint) => Promise<Permit>;
 	/** Answers a peer that asks this host, as a coordinator, for a permit. */
 	readonly answerPermit: (asker: ListedPeer, question: Omit<PermitQuestion, 'asker'>) => PermitReply;
-	/** Answers a peer that tells of limits, or asks for them. */
+	/** Answers a peer that reports limits, or asks for them. */
 	readonly answerLimits: LimitExchange['answer'];
 };
--- a/packages/entry/src/lib/request-limits/told-limit-schema.ts
+++ b/packages/entry/src/lib/request-limits/limit-report-schema.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 
 /** What hosts tell each other of an endpoint's limit on requests. An age in place of a time: their clocks share nothing. */
-export const toldLimitSchema = z.object({
+export const limitReportSchema = z.object({
 	/** The life of the endpoint. */
 	endpoint: z.string().max(200),
 	/** The hall of the endpoint. */
--- a/packages/entry/src/lib/request-limits/limits-reply-schema.ts
+++ b/packages/entry/src/lib/request-limits/limits-reply-schema.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {toldLimitSchema} from './told-limit-schema.js';
+import {limitReportSchema} from './limit-report-schema.js';
 
 /** What a peer knows of limits, where it was asked for that. */
-export const limitsReplySchema = z.object({limits: z.array(toldLimitSchema)});
+export const limitsReplySchema = z.object({limits: z.array(limitReportSchema)});
--- a/packages/entry/src/lib/request/host-services.ts
+++ b/packages/entry/src/lib/request/host-services.ts
@@ -35,7 +35,7 @@
 	readonly unreadPatience: Bounds['unreadPatience'];
 	readonly headerNames: HeaderNames;
 	readonly chooser: EndpointChooser;
-	readonly limits: Pick<EndpointLimits, 'heard' | 'isLimited' | 'obtain'>;
+	readonly limits: Pick<EndpointLimits, 'noteAnswer' | 'isLimited' | 'obtain'>;
 	readonly halls: HallWatch;
 	readonly poison: PoisonWatch;
 	readonly rights: RightsKeeper;
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -60,7 +60,7 @@
 		onHead(head) {
 			const limit = readRequestLimit(head.headers, host.headerNames);
 			if (limit) {
-				host.limits.heard(endpoint, limit.perSecond, sentAt);
+				host.limits.noteAnswer(endpoint, limit.perSecond, sentAt);
 			}
 
 			const notice = readNotice(head, host.headerNames, host.now());
--- a/packages/entry/src/test/request-limits-model.test.ts
+++ b/packages/entry/src/test/request-limits-model.test.ts
@@ -100,9 +100,9 @@
 			others: () => isSettled() ? [...listed.values()] : [],
 			isSettled,
 			askPermit: async (address, question) => ask(address, limits => limits.answerPermit(self, question)),
-			tellLimits: async (address, message) => ask(address, limits => limits.answerLimits(self, message)),
+			sendLimits: async (address, message) => ask(address, limits => limits.answerLimits(self, message)),
 			noteHost(peer, how) {
-				if (peer.address !== self.address && (how === 'heard' || !listed.has(peer.address))) {
+				if (peer.address !== self.address && (how === 'direct' || !listed.has(peer.address))) {
 					listed.set(peer.address, peer);
 				}
 			},
@@ -142,7 +142,7 @@
 			const phase = phaseAt(played, answer.at);
 			namedFirstAt.set(phase, Math.min(answer.at, namedFirstAt.get(phase) ?? endMs));
 			if (hosts[answer.host]!.life === answer.life) {
-				hosts[answer.host]!.limits.heard(endpoint, limitAt(played, answer.at), answer.sentAt);
+				hosts[answer.host]!.limits.noteAnswer(endpoint, limitAt(played, answer.at), answer.sentAt);
 			}
 		}
 	};
