A host that read a budget before the copy was made does not take its newer holders for folded

What callers and operators would see: after a restore of the store, an organisation spends more than it prepaid. A host whose view of the budget is older than the copy drops holders that the copy has, and what they drew can be drawn again.

Cause: mergeRestored took what a host read before the restore for later than the copy. A host that had not looked at a slot for long has an older view. Found by reading the diff.

Ruled out: dropping no holder at all: folded lives would be charged beside what they were folded into. Merging only views from after the copy: a view does not tell when it was read in the store's history.

Change: folds are counted, and the count tells which of both is later: only a holder that the later one lacks was folded. Of two entries with the same count the larger counts.

Conclusion: merged is the later of both states. It changes nothing where the store is not restored.

--- a/packages/entry/src/lib/rights-store/merge-restored.ts
+++ b/packages/entry/src/lib/rights-store/merge-restored.ts
@@ -7,8 +7,32 @@
 
 const sequenceOf = (entry: HolderRights): number => entry.written?.sequence ?? 0;
 
-// A holder alone writes its entry, and counts its writes.
-const newer = (before: HolderRights, found: HolderRights): HolderRights => sequenceOf(found) > sequenceOf(before) ? found : before;
+// An entry's writes are counted; entries of earlier versions tell no count.
+const newer = (before: HolderRights, found: HolderRights): HolderRights => {
+	const difference = sequenceOf(found) - sequenceOf(before);
+	return difference > 0 || (difference === 0 && found.granted > before.granted) ? found : before;
+};
+
+/**
+Which of both has more lives folded: a holder that the later one lacks was folded in it. `undefined` where none was folded in between, or
+where lives were folded in both eras.
+*/
+const findLaterFold = (before: HolderRights | undefined, found: HolderRights | undefined, era: number): 'before' | 'found' | undefined => {
+	const difference = (found ? sequenceOf(found) : 0) - (before ? sequenceOf(before) : 0);
+	if (difference === 0 || isWrittenIn(found, era)) {
+		return undefined;
+	}
+
+	return difference > 0 ? 'found' : 'before';
+};
+
+const pickRetired = (before: HolderRights | undefined, found: HolderRights | undefined, era: number): HolderRights | undefined => {
+	if (!before || !found) {
+		return found ?? before;
+	}
+
+	return isWrittenIn(found, era) ? found : newer(before, found);
+};
 
 // What it was charged when it was folded was an earlier state of it.
 const addFolded = (retired: HolderRights, name: string, entry: HolderRights): HolderRights => {
@@ -22,20 +46,19 @@
 };
 
 const mergeHolders = (before: Holders, found: Holders, era: number): Holders => {
-	const isFoldedAnew = isWrittenIn(found[retiredHolder], era);
-	let retired = isFoldedAnew ? found[retiredHolder] : before[retiredHolder] ?? found[retiredHolder];
+	const laterFold = findLaterFold(before[retiredHolder], found[retiredHolder], era);
+	let retired = pickRetired(before[retiredHolder], found[retiredHolder], era);
 	const merged: Record<string, HolderRights> = {};
 	for (const [name, entry] of Object.entries(found)) {
-		// One that is not known any more had been folded when the copy was made.
-		if (name !== retiredHolder && (before[name] !== undefined || isFoldedAnew || isWrittenIn(entry, era))) {
-			merged[name] = entry;
+		const isFolded = before[name] === undefined && laterFold === 'before' && !isWrittenIn(entry, era);
+		if (name !== retiredHolder && !isFolded) {
+			merged[name] = before[name] ? newer(before[name], entry) : entry;
 		}
 	}
 
-	for (const [name, entry] of Object.entries(before).filter(([other]) => other !== retiredHolder)) {
-		if (found[name]) {
-			merged[name] = newer(entry, found[name]);
-		} else if (retired?.folded?.[name] === undefined) {
+	const missing = Object.entries(before).filter(([name]) => name !== retiredHolder && found[name] === undefined && laterFold !== 'found');
+	for (const [name, entry] of missing) {
+		if (retired?.folded?.[name] === undefined) {
 			merged[name] = entry;
 		} else {
 			retired = addFolded(retired, name, entry);
--- a/packages/entry/src/test/merge-restored.test.ts
+++ b/packages/entry/src/test/merge-restored.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import fc from 'fast-check';
 import {
 	unallocated, type BudgetRights, type HolderRights, type RightsObject,
 } from '@deckwheel/ledger';
@@ -63,3 +64,41 @@
 	const found: RightsObject = {budgets: {}, unreadable: {org: 'spoilt'}};
 	t.deepEqual(mergeRestored(object({'a#1': entry(5, 1, 1)}), found, 2), found);
 });
+
+type Step = {readonly host: number; readonly tokens: number; readonly restarts: boolean};
+
+/** The states of a budget that three hosts draw on one after the other; a host that restarts folds its earlier lives with its next write. */
+const playHistory = (steps: readonly Step[]): readonly RightsObject[] => {
+	const lives = [0, 0, 0];
+	const states: RightsObject[] = [object({}, 1, 100_000)];
+	for (const {host, tokens, restarts} of steps) {
+		lives[host]! += restarts ? 1 : 0;
+		const holder = `edge-${host}#${lives[host]}`;
+		const prepared = prepareRights(states.at(-1)!, {
+			host: `edge-${host}`, holder, limits: new Map([['org', 100_000]]), version: 1, era: 1,
+		}).budgets.org!;
+		const before = prepared.holders[holder];
+		const written = entry((before?.granted ?? 0) + tokens, 1, (before?.written?.sequence ?? 0) + 1);
+		states.push({budgets: {org: {...prepared, holders: {...prepared.holders, [holder]: written}}}});
+	}
+
+	return states;
+};
+
+const steps = fc.array(fc.record({host: fc.nat(2), tokens: fc.integer({min: 1, max: 500}), restarts: fc.boolean()}), {minLength: 1, maxLength: 25});
+
+test('what is merged is the later of both, whether this host read before or after the copy was made', t => {
+	fc.assert(fc.property(steps, fc.nat(), fc.array(fc.nat(), {minLength: 1, maxLength: 3}), (played, copyAt, readAt) => {
+		const states = playHistory(played);
+		const copy = copyAt % states.length;
+		const reads = readAt.map(index => index % states.length);
+		let merged = states[copy]!;
+		for (const index of reads) {
+			merged = mergeRestored(states[index]!, merged, 2);
+		}
+
+		const latest = states[Math.max(copy, ...reads)]!.budgets.org!;
+		t.is(unallocated(merged.budgets.org!), unallocated(latest));
+		t.deepEqual(Object.keys(merged.budgets.org!.holders).toSorted(), Object.keys(latest.holders).toSorted());
+	}), {numRuns: 500});
+});
