--- a/packages/entry/src/lib/request-limits/create-endpoint-limits.ts
+++ b/packages/entry/src/lib/request-limits/create-endpoint-limits.ts
@@ -76,13 +76,13 @@
 		now,
 	});
 
-	const decide = (endpoint: LimitedEndpoint): Permit => {
+	const decide = (endpoint: LimitedEndpoint, ranked: readonly string[]): Permit => {
 		const perSecond = table.perSecond(endpoint.id);
 		if (perSecond === undefined) {
 			return {isGranted: true};
 		}
 
-		const rank = coordinators(endpoint).indexOf(self().address);
+		const rank = ranked.indexOf(self().address);
 		return isSettled() && rank !== -1 ? issuer.issue(endpoint.id, perSecond, rank) : {isGranted: false, retryAt: now() + unsettledMs};
 	};
 
@@ -110,13 +110,14 @@
 			noteHost(asker, 'direct');
 			exchange.applyReport(limit);
 			const endpoint = {id: limit.endpoint, hall: limit.hall};
-			const permit = decide(endpoint);
+			const ranked = coordinators(endpoint);
+			const permit = decide(endpoint, ranked);
 			const hosts = new Map([self(), ...others()].map(host => [host.address, host]));
 			return {
 				isGranted: permit.isGranted,
 				retryInMs: permit.isGranted ? 0 : Math.max(0, permit.retryAt - now()),
 				limit: table.report(endpoint),
-				coordinators: coordinators(endpoint).map(address => hosts.get(address)!),
+				coordinators: ranked.map(address => hosts.get(address)!),
 			};
 		},
 	};
--- a/packages/entry/src/lib/request/obtain-permit.ts
+++ b/packages/entry/src/lib/request-limits/obtain-permit.ts
@@ -1,5 +1,5 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import type {HostServices} from './host-services.js';
+import type {HostServices} from '../request/host-services.js';
 
 /** Obtains what a request needs to be sent to an endpoint that may have a limit. Where it is not to be had, the endpoint is closed to this host for a while. */
 export const obtainPermit = async ({id, hall}: ListedEndpoint, {limits, chooser}: Pick<HostServices, 'limits' | 'chooser'>): Promise<boolean> => {
