Record the response of a run that finishes after a failure that was billed

Every further retry of the key ran the request again, with another response each time; the tokens of those runs were charged to the budget as wasted.

Cause: applySettle recorded the response only where the op also carried the bill. A failure without a retry bills the claim and has no response, so the response of each later run was dropped, and retryClaim, which needs one, started a further run.

Change: bill and response are each set once, possibly by different runs. The first bill stays; a later run that finishes is wasted, not billed. The same holds for a lost run whose outcome recovery finds after another run was billed.

Left: a failed run that recovery settles bills the claim while another run of it is still open.

--- a/packages/ledger/src/claims/apply-op.ts
+++ b/packages/ledger/src/claims/apply-op.ts
@@ -63,9 +63,9 @@
 	assertInvariant(run !== undefined && (run.state === 'running' || run.state === 'lost'), 'A run was settled twice.');
 	assertInvariant(op.bill === undefined || claim.bill === undefined, 'A claim was billed twice.');
 	const ended = withRun(claim, {...run, state: op.outcome, served: op.served});
-	const billed: Claim = op.bill === undefined ? ended : {...ended, bill: op.bill, answer: op.answer};
+	const recorded: Claim = {...ended, bill: ended.bill ?? op.bill, answer: ended.answer ?? op.answer};
 	const charged = op.outcome === 'lost' ? ledger : chargeRun(ledger, claim, run, {served: op.served, bill: op.bill ?? 0});
-	return withClaim(charged, op.claim, billed);
+	return withClaim(charged, op.claim, recorded);
 };
 
 const applyStrand = (ledger: Ledger, op: LedgerOp & {type: 'strand'}): Ledger => {
--- a/packages/ledger/src/claims/claim.ts
+++ b/packages/ledger/src/claims/claim.ts
@@ -11,9 +11,9 @@
 	readonly repeatable: boolean;
 	/** All runs, oldest first. */
 	readonly runs: readonly Run[];
-	/** Tokens billed. Set once; a claim is never billed again. */
+	/** Tokens billed. Set by the first outcome that ends the request, a failure without a retry included; a claim is never billed again. */
 	readonly bill?: number;
-	/** The complete response, recorded together with the bill of a finished run. */
+	/** The complete response of the first finished run. It may be recorded later than the bill: a repeatable request runs again after a failure that was billed. */
 	readonly answer?: StoredResponse;
 	/** Wall-clock time in ms until which the claim is kept, so that retries are recognised. */
 	readonly keepUntil: number;
--- a/packages/ledger/src/claims/ledger-op.ts
+++ b/packages/ledger/src/claims/ledger-op.ts
@@ -11,7 +11,7 @@
 	| {readonly type: 'open'; readonly budget: string; readonly key: string; readonly fingerprint: string; readonly repeatable: boolean; readonly keepUntil: number; readonly run: Run}
 	/** A further run of a claim. */
 	| {readonly type: 'rerun'; readonly claim: string; readonly run: Run}
-	/** A run ended. `served` and `bill` are tokens; `bill` is present when this outcome bills the claim. */
+	/** A run ended. `served` and `bill` are tokens; `bill` is present when this outcome bills the claim, `answer` when the run finished. */
 	| {readonly type: 'settle'; readonly claim: string; readonly run: number; readonly outcome: RunOutcome; readonly served: number; readonly bill?: number; readonly answer?: StoredResponse}
 	/** The store confirmed this total grant on the budget. */
 	| {readonly type: 'grant'; readonly budget: string; readonly granted: number}
--- a/packages/ledger/src/lib/decide-settle.ts
+++ b/packages/ledger/src/lib/decide-settle.ts
@@ -3,7 +3,7 @@
 import type {Ledger} from '../claims/ledger.js';
 import type {SettleRequest} from '../claims/settle-request.js';
 
-/** Records how a run ended. Only a run's first outcome counts, but a `lost` run can still get its real outcome. Only the first bill of a claim counts. */
+/** Records how a run ended. Only a run's first outcome counts, but a `lost` run can still get its real outcome. Only the first bill of a claim counts, and only its first response; the two may come from different runs. */
 export const decideSettle = (ledger: Ledger, request: SettleRequest): Decision => {
 	const id = claimId(request.budget, request.key);
 	const claim = ledger.claims.get(id);
