Withhold the closing events of a stream that its engine cancelled

A client that stops at [DONE] takes the part for the whole answer.

Cause: readEngineStream passed each event on before the end of the run was known, the closing chunk of a cancelled stream included.

Ruled out: the settlement and the refusal, which were right (failed, endpoint_failed, ran).

Change: once the engine says that the stream was cancelled, nothing more of it is passed on.

Evidence: the second test of retry-after-a-failed-run.test.ts failed before (isWhole true beside the error), passes now; the daemon's tests pass.

Conclusion: fixed.

--- a/packages/daemon/src/lib/running/streams/read-engine-stream.ts
+++ b/packages/daemon/src/lib/running/streams/read-engine-stream.ts
@@ -22,7 +22,7 @@
 	readonly url: string;
 	readonly headers: Readonly<Record<string, string>>;
 	readonly body?: string;
-	/** Called for each event of the answer, in order, as text for the caller. */
+	/** Called for each event of the answer, in order, as text for the caller. The closing events of a cancelled stream are left out: they would make the answer look complete. */
 	readonly onEvent: (event: string, data: string) => void;
 	readonly signal?: AbortSignal;
 };
@@ -61,7 +61,9 @@
 		onEvent(message) {
 			end = parseEnd(message.data) ?? end;
 			isDone ||= message.data === '[DONE]';
-			onEvent(toText(message), message.data);
+			if (end?.type !== 'failed') {
+				onEvent(toText(message), message.data);
+			}
 		},
 	});
 	const stream = got.stream(url, {
