Share the starts of the request queue by start-time fair queuing

Cause: the lower bound of chargeOrganisation was the least count of the whole queue, the organisation itself included, so it raised nothing; and it was applied only after the newcomer had been chosen by a count of 0. Counts of organisations whose last request left were dropped, and starts at other targets and priorities counted too.

Ruled out: the priorities' round robin (its credit is bounded and counts only what could start) and the order by startBy (one organisation alone is served in that order as before).

Change: a group has a virtual time; a member that joins or returns is due at it. Two levels within a priority, targets and their organisations; a target weighs as much as the organisations that wait for it. State is dropped with the last request of a group.

--- a/packages/routing/src/request-queue/dequeue-request.ts
+++ b/packages/routing/src/request-queue/dequeue-request.ts
@@ -1,4 +1,7 @@
+import {chargeStart} from '../lib/charge-start.js';
+import {pickDue} from '../lib/pick-due.js';
 import {smooth} from '../lib/smooth.js';
+import type {FairShare} from './fair-share.js';
 import type {Priority} from './priority.js';
 import type {QueuedRequest} from './queued-request.js';
 import type {QueueState} from './queue-state.js';
@@ -26,26 +29,42 @@
 	return {chosen: chosen!, credit};
 };
 
-const servedTo = (queue: QueueState, organisation: string): number => queue.servedByOrganisation.get(organisation) ?? 0;
+const newShare: FairShare = {virtualTime: 0, dueByMember: new Map()};
 
-const pickRequest = (queue: QueueState, ready: readonly QueuedRequest[]): QueuedRequest =>
-	ready.toSorted((a, b) =>
-		servedTo(queue, a.organisation) - servedTo(queue, b.organisation) || a.startBy - b.startBy)[0]!;
+// The targets of one priority share its starts, and the organisations of one target share the target's.
+const organisationShareKey = ({priority, target}: QueuedRequest): string => `${priority}\n${target}`;
 
-// Counts the start as 1 / `weight` for the request's organisation, and drops the counts of organisations without a queued request.
-// `lowestServed` is meant to keep an organisation that returns to the queue from getting all the starts that it missed.
-const chargeOrganisation = (queue: QueueState, request: QueuedRequest): ReadonlyMap<string, number> => {
-	const present = new Set(queue.waiting.map(({organisation}) => organisation));
-	const lowestServed = Math.min(...[...present].map(organisation => servedTo(queue, organisation)));
-	const kept = [...queue.servedByOrganisation].filter(([organisation]) => present.has(organisation));
-	return new Map([...kept, [request.organisation, Math.max(lowestServed, servedTo(queue, request.organisation)) + (1 / request.weight)]]);
+const shareOf = (queue: QueueState, key: string): FairShare => queue.shares.get(key) ?? newShare;
+
+const pickRequest = (queue: QueueState, candidates: readonly QueuedRequest[], priority: Priority): QueuedRequest => {
+	const first = pickDue(shareOf(queue, priority), candidates, ({target}) => target);
+	const ofTarget = candidates.filter(({target}) => target === first.target);
+	return pickDue(shareOf(queue, organisationShareKey(first)), ofTarget, ({organisation}) => organisation);
+};
+
+const totalWeight = (requests: readonly QueuedRequest[]): number => {
+	const weights = new Map(requests.map(({organisation, weight}) => [organisation, weight]));
+	return [...weights.values()].reduce((sum, weight) => sum + weight, 0);
+};
+
+// A target weighs as much as all organisations that wait for it, so that an organisation's share does not depend on which target it asks for.
+const chargeRequest = (queue: QueueState, request: QueuedRequest, remaining: readonly QueuedRequest[]): QueueState['shares'] => {
+	const {priority, target, organisation, weight} = request;
+	const ofPriority = remaining.filter(other => other.priority === priority);
+	const ofTarget = ofPriority.filter(other => other.target === target);
+	const targetShare = chargeStart(shareOf(queue, priority), target, 1 / totalWeight([...ofTarget, request]), member => ofPriority.some(other => other.target === member));
+	const key = organisationShareKey(request);
+	const organisationShare = chargeStart(shareOf(queue, key), organisation, 1 / weight, member => ofTarget.some(other => other.organisation === member));
+	const queued = new Set(remaining.flatMap(other => [other.priority, organisationShareKey(other)]));
+	return new Map([...queue.shares, [priority, targetShare] as const, [key, organisationShare] as const].filter(([name]) => queued.has(name)));
 };
 
 /**
 Takes the next request out of the queue. Pure.
 
-The priority is chosen by weighted round robin. Of that priority's requests, one of the organisation that has been served the least
-for its weight is next; between equally served organisations, and within one, it is the request with the earliest `startBy`.
+The priority is chosen by weighted round robin. The starts of a priority are shared among its targets, and those of a target among
+its organisations by their weights (`FairShare`). An organisation that joins the queue or returns to it gets no more than its share
+from then on, and takes nothing from the others for starts that it missed.
 
 @param canStart Whether an endpoint has free capacity for the request now.
 @param now Monotonic ms.
@@ -57,7 +76,7 @@
 	}
 
 	const {chosen, credit} = pickPriority(queue, ready);
-	const next = pickRequest(queue, ready.filter(({priority}) => priority === chosen));
+	const next = pickRequest(queue, ready.filter(({priority}) => priority === chosen), chosen);
 	const waiting = queue.waiting.filter(({id}) => id !== next.id);
 	const sinceLastMs = Math.min(maxStartGapMs, now - queue.lastStartedAt);
 	return {
@@ -66,7 +85,7 @@
 			...queue,
 			waiting,
 			credit,
-			servedByOrganisation: chargeOrganisation(queue, next),
+			shares: chargeRequest(queue, next, waiting),
 			msPerStart: smooth(queue.msPerStart, sinceLastMs),
 			lastStartedAt: now,
 		},
--- a/packages/routing/src/request-queue/queue-state.ts
+++ b/packages/routing/src/request-queue/queue-state.ts
@@ -1,14 +1,12 @@
+import type {FairShare} from './fair-share.js';
 import type {Priority} from './priority.js';
 import type {QueuedRequest} from './queued-request.js';
 
 /** The state of a host's bounded request queue. */
 export type QueueState = {
 	readonly waiting: readonly QueuedRequest[];
-	/**
-	The requests started for each organisation of the queue, each counted as 1 / `weight`; a missing organisation counts as 0. The
-	organisation with the lowest count is served next.
-	*/
-	readonly servedByOrganisation: ReadonlyMap<string, number>;
+	/** How the starts of each priority are shared among its targets, by priority, and those of a target among its organisations, by priority and target. Kept while requests of the group wait. */
+	readonly shares: ReadonlyMap<string, FairShare>;
 	/** The credit of each priority in a smooth weighted round robin. The priority with the most credit starts next. */
 	readonly credit: Readonly<Record<Priority, number>>;
 	/** The smoothed interval between two starts of requests while requests wait, in ms. */
