Do not ask peers again and again for rights that they do not have

What callers saw: on a large deployment whose budgets run short, hosts and links carry ten times the loan requests of quiet times, nine of ten in vain, and requests that lack rights are refused only after they were made.

Cause: nothing remembered that peers had nothing. Each refused request asked both allocators, and each allocator up to six holders for its clients; the pause of 250 ms for holders was set after the fact, by each request.

A lender gives a part of whatever it has, so nothing lent proves that nothing is available, for any amount.

Change: after a loan that brought nothing, the same peers are not asked for that budget for 250 ms, doubled up to 2 s; a loan that brings something or a top-up ends it; silence and kept rights begin none. Noted once for a loan.

In create-borrower.test.ts the stand-in for peers that do not reply now says that their supply is unknown; its check is as it was. All tests of the entry host pass.

--- a/packages/entry/src/lib/lending/create-borrower.ts
+++ b/packages/entry/src/lib/lending/create-borrower.ts
@@ -5,12 +5,14 @@
 import type {Borrower} from './borrower.js';
 import type {LoanClient} from './loan-client.js';
 import type {LoanNeed} from './loan-need.js';
+import type {LoanPauses} from './loan-pauses.js';
 import {mostUrgentRank} from './most-urgent-rank.js';
 import {planBorrowing} from './plan-borrowing.js';
 
 type Options = {
 	readonly accounts: Accounts;
 	readonly loanClient: LoanClient;
+	readonly loanPauses: LoanPauses;
 	/** The allocators of this hall, in the order in which they are asked for rights. */
 	readonly allocatorsOf: (budget: string) => readonly ListedPeer[];
 	readonly log: Log;
@@ -30,8 +32,10 @@
 
 The result of that loan is final for all requests that it was made for. If each of them requested another loan when this one brought too
 little, the last one would wait for the loans of all others: 17.9 s were measured while peers did not reply, where 0.2 s are intended.
+
+While peers have nothing to lend of a budget (`LoanPauses`), no loan is requested from them.
 */
-export const createBorrower = ({accounts, loanClient, allocatorsOf, log, now}: Options): Borrower => {
+export const createBorrower = ({accounts, loanClient, loanPauses, allocatorsOf, log, now}: Options): Borrower => {
 	const pendingLoans = new Map<string, PendingLoan>();
 	/** Tokens that the request needed for which a loan was last requested, by budget. */
 	const lastTokens = new Map<string, number>();
@@ -53,11 +57,10 @@
 		return sum;
 	};
 
-	/** Requests one loan for all requests that wait, the given one among them. */
-	const borrowForAll = async ({budget, tokens, source, peers, deadline}: LoanNeed): Promise<boolean> => {
-		lastTokens.set(budget, tokens);
+	/** Requests one loan for all requests that wait, and notes what came of it. */
+	const requestForAll = async ({budget, source, peers, deadline}: LoanNeed): Promise<boolean> => {
 		const allTokens = sumTokens(waitingFor(budget));
-		const hasReachedStore = loanClient.borrow({
+		const outcome = await loanClient.borrow({
 			budget,
 			tokens: planOf(budget, allTokens).wanted,
 			demanded: accounts.get(budget).demanded + allTokens,
@@ -66,6 +69,15 @@
 			deadline,
 			isEnough: () => accounts.available(budget) >= allTokens,
 		});
+		loanPauses.note(source, budget, outcome);
+		return outcome.hasReachedStore;
+	};
+
+	/** Requests one loan for all requests that wait, the given one among them. */
+	const borrowForAll = async (need: LoanNeed): Promise<boolean> => {
+		const {budget, tokens, source} = need;
+		lastTokens.set(budget, tokens);
+		const hasReachedStore = requestForAll(need);
 		pendingLoans.set(budget, {source, hasReachedStore});
 		await hasReachedStore;
 		pendingLoans.delete(budget);
@@ -89,6 +101,11 @@
 			return hasReachedStore;
 		}
 
+		const pause = loanPauses.current(source, budget);
+		if (pause) {
+			return pause.hasReachedStore;
+		}
+
 		// The time that the request waited for earlier loans is added to the deadline, so that its own loan has the full time.
 		return borrowForAll({...need, deadline: deadline + now() - startedAt});
 	};
--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -3,6 +3,7 @@
 import {readPeerReply} from '../peers/read-peer-reply.js';
 import {handBackReplySchema} from './hand-back-reply-schema.js';
 import type {LoanClient} from './loan-client.js';
+import type {LoanOutcome} from './loan-outcome.js';
 import type {LoanReply} from './loan-reply.js';
 import type {LoanRequest} from './loan-request.js';
 import {loanReplySchema} from './loan-reply-schema.js';
@@ -12,6 +13,19 @@
 
 type LoanMessage = LoanRequest & {readonly type: 'lend'};
 
+type ReceivedLoan = LoanReply & {
+	/** Whether the reply brought tokens beyond those of the lender's earlier replies. */
+	readonly hasLent: boolean;
+};
+
+const supplyOf = (loans: readonly ReceivedLoan[]): LoanOutcome['supply'] => {
+	if (loans.some(({hasLent}) => hasLent)) {
+		return 'some';
+	}
+
+	return loans.length === 0 || loans.some(({isKept}) => isKept) ? 'unknown' : 'none';
+};
+
 type Options = {
 	readonly mesh: () => Mesh | undefined;
 	/** The total that this host knows to have received from a lender on a budget, in tokens. */
@@ -42,7 +56,7 @@
 		silentPeers.add(address);
 	};
 
-	const requestLoan = async (link: Mesh, address: string, message: LoanMessage, timeoutMs: number): Promise<LoanReply | undefined> => {
+	const requestLoan = async (link: Mesh, address: string, message: LoanMessage, timeoutMs: number): Promise<ReceivedLoan | undefined> => {
 		const reply = await link.request(address, message, timeoutMs);
 		if (!reply.ok) {
 			noteSilence(address, reply.error);
@@ -51,17 +65,19 @@
 
 		silentPeers.delete(address);
 		const loan = readPeerReply(loanReplySchema, reply.value, {address, type: message.type}, log);
-		if (loan) {
-			onLoan(message.budget, loan.lender, loan.total);
+		if (!loan) {
+			return undefined;
 		}
 
-		return loan;
+		const hasLent = loan.total > receivedFrom(message.budget, loan.lender);
+		onLoan(message.budget, loan.lender, loan.total);
+		return {...loan, hasLent};
 	};
 
 	return {
 		async borrow({budget, tokens, demanded, rank, peers, deadline = Number.POSITIVE_INFINITY, isEnough}) {
 			const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
-			let hasReachedStore = false;
+			const loans: ReceivedLoan[] = [];
 			for (const [address, holder] of [...byAddress].slice(0, maxPeersAsked)) {
 				const link = mesh();
 				const timeoutMs = Math.min(replyTimeoutMs, deadline - now());
@@ -69,16 +85,19 @@
 					break;
 				}
 
-				const reply = await requestLoan(link, address, {
+				const loan = await requestLoan(link, address, {
 					type: 'lend', budget, tokens, demanded, received: receivedFrom(budget, holder), ...(rank && {rank}),
 				}, timeoutMs);
-				hasReachedStore ||= reply?.reachesStore ?? false;
-				if (isEnough() || reply?.isKept) {
+				if (loan) {
+					loans.push(loan);
+				}
+
+				if (isEnough() || loan?.isKept) {
 					break;
 				}
 			}
 
-			return hasReachedStore;
+			return {hasReachedStore: loans.some(({reachesStore}) => reachesStore), supply: supplyOf(loans)};
 		},
 		async handBack({address, holder}, budget, total) {
 			const reply = await mesh()?.request(address, {
--- /dev/null
+++ b/packages/entry/src/lib/lending/create-loan-pauses.ts
@@ -0,0 +1,37 @@
+import type {LoanNeed} from './loan-need.js';
+import type {LoanPause} from './loan-pause.js';
+import type {LoanPauses} from './loan-pauses.js';
+import {stepLoanPause} from './step-loan-pause.js';
+
+const sources: ReadonlyArray<LoanNeed['source']> = ['allocators', 'holders'];
+const keyOf = (source: LoanNeed['source'], budget: string): string => `${source}\n${budget}`;
+
+/**
+Creates the record of loan pauses. Without it, each refused request on a budget that is used up asks all peers again.
+
+@param now Monotonic ms.
+*/
+export const createLoanPauses = (now: () => number): LoanPauses => {
+	const pauses = new Map<string, LoanPause>();
+
+	return {
+		current(source, budget) {
+			const pause = pauses.get(keyOf(source, budget));
+			return pause && now() < pause.until ? pause : undefined;
+		},
+		note(source, budget, outcome) {
+			const key = keyOf(source, budget);
+			const pause = stepLoanPause(pauses.get(key), outcome, now());
+			if (pause) {
+				pauses.set(key, pause);
+			} else {
+				pauses.delete(key);
+			}
+		},
+		end(budget) {
+			for (const source of sources) {
+				pauses.delete(keyOf(source, budget));
+			}
+		},
+	};
+};
--- a/packages/entry/src/lib/lending/loan-client.ts
+++ b/packages/entry/src/lib/lending/loan-client.ts
@@ -1,15 +1,14 @@
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {BorrowOptions} from './borrow-options.js';
+import type {LoanOutcome} from './loan-outcome.js';
 
 /** The borrowing side of loans between hosts. The lending side is `createLender`. */
 export type LoanClient = {
 	/**
 	Asks peers one after the other for rights, until this host has enough, a peer keeps what is left of the budget for more urgent or
 	for later requests, or the deadline has passed.
-
-	@returns Whether one of the peers replied that it draws rights for this host and reaches the store.
 	*/
-	readonly borrow: (options: BorrowOptions) => Promise<boolean>;
+	readonly borrow: (options: BorrowOptions) => Promise<LoanOutcome>;
 	/**
 	Hands rights back to a peer by telling it the total that this host ever gave to it, in tokens.
 
--- a/packages/entry/src/lib/rights/create-rights-acquirer.ts
+++ b/packages/entry/src/lib/rights/create-rights-acquirer.ts
@@ -12,12 +12,6 @@
 import type {RightsAcquirer} from './rights-acquirer.js';
 import type {RightsSource} from './rights-source.js';
 
-/**
-How long a host sends the holders of a budget no loan requests after they had too little to lend, in ms. The pause keeps a
-shortage from causing a burst of messages between hosts.
-*/
-const holdersPauseMs = 250;
-
 type Options = {
 	/** The name of this incarnation of the host as a holder of rights. */
 	readonly holder: string;
@@ -37,12 +31,9 @@
 };
 
 /**
-Creates the acquirer of a host's rights. It tries the sources of rights in the order of `decideRightsSource`, and owns the time from
-which the holders of each budget may be asked for loans again.
+Creates the acquirer of a host's rights. It tries the sources of rights in the order of `decideRightsSource`.
 */
 export const createRightsAcquirer = ({holder, accounts, allocators, borrower, writer, queue, balancer, peerOf, timeouts, isRetiring, now}: Options): RightsAcquirer => {
-	const nextHoldersAttemptAt = new Map<string, number>();
-
 	const holderPeersOf = (budget: string): readonly ListedPeer[] => {
 		const rights = writer.rightsOf(budget);
 		const names = rights ? rankHolders(rights, holder) : [];
@@ -50,16 +41,9 @@
 	};
 
 	const borrowFromHolders = async (budget: string, tokens: number, deadline: number): Promise<void> => {
-		if (now() < (nextHoldersAttemptAt.get(budget) ?? 0)) {
-			return;
-		}
-
 		await borrower.borrow({
 			budget, tokens, source: 'holders', peers: holderPeersOf(budget), deadline,
 		});
-		if (accounts.available(budget) < tokens) {
-			nextHoldersAttemptAt.set(budget, now() + holdersPauseMs);
-		}
 	};
 
 	const draw = async (budget: string, tokens: number, deadline: number): Promise<boolean> =>
--- a/packages/entry/src/lib/rights/create-rights-manager.ts
+++ b/packages/entry/src/lib/rights/create-rights-manager.ts
@@ -5,6 +5,7 @@
 import {createAllocators} from '../lending/create-allocators.js';
 import {createBorrower} from '../lending/create-borrower.js';
 import {createLender} from '../lending/create-lender.js';
+import {createLoanPauses} from '../lending/create-loan-pauses.js';
 import type {LoanClient} from '../lending/loan-client.js';
 import type {PeerLinks} from '../peers/peer-links.js';
 import {createDrawQueue} from '../rights-store/create-draw-queue.js';
@@ -57,8 +58,9 @@
 	const holdingPolicy = holdingPolicyByRate(holdingPolicySettings, () => largestRequest, () => planHorizon(state.upSince(), now(), holdingPolicySettings.horizonSeconds));
 
 	const allocators = createAllocators({holder, links, slotOf: budget => slotOfBudget(budget, slotCount)});
+	const loanPauses = createLoanPauses(now);
 	const borrower = createBorrower({
-		accounts, loanClient, allocatorsOf: allocators.others, log, now,
+		accounts, loanClient, loanPauses, allocatorsOf: allocators.others, log, now,
 	});
 	const writer = createSlotWriter({
 		host,
@@ -117,7 +119,13 @@
 	return {
 		configure({version, organisationsByKey}) {
 			const limited = [...organisationsByKey.values()].filter(({limit}) => limit !== undefined);
+			const before = limits.byBudget;
 			limits = {version, byBudget: new Map(limited.map(({name, limit}) => [name, limit!]))};
+			for (const [budget, limit] of limits.byBudget) {
+				if (limit > (before.get(budget) ?? 0)) {
+					loanPauses.end(budget);
+				}
+			}
 		},
 		async reserve(budget, tokens, deadline, priority) {
 			largestRequest = Math.max(largestRequest, tokens);
--- a/packages/entry/src/test/create-borrower.test.ts
+++ b/packages/entry/src/test/create-borrower.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {createAccounts} from '../lib/rights/create-accounts.js';
 import {createBorrower} from '../lib/lending/create-borrower.js';
+import {createLoanPauses} from '../lib/lending/create-loan-pauses.js';
 import type {BorrowOptions} from '../lib/lending/borrow-options.js';
 
 const budget = 'org';
@@ -22,10 +23,11 @@
 				});
 				lent += options.tokens * lentShare;
 				accounts.apply(budget, {type: 'received', from: allocator.holder, total: lent});
-				return true;
+				return {hasReachedStore: true, supply: lentShare === 0 ? 'unknown' : 'some'};
 			},
 			handBack: async () => 'taken',
 		},
+		loanPauses: createLoanPauses(() => 0),
 		allocatorsOf: () => [allocator],
 		log: () => undefined,
 		now: () => 0,
--- a/packages/entry/src/test/create-loan-client.test.ts
+++ b/packages/entry/src/test/create-loan-client.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {fail, succeed} from '@deckwheel/core';
+import {fail, succeed, type Result} from '@deckwheel/core';
 import type {LinkError, Mesh} from '@deckwheel/mesh';
 import {transferred} from '@deckwheel/ledger';
 import {defaultTimeouts} from '../default-timeouts.js';
@@ -49,7 +49,7 @@
 		log: () => undefined,
 		now: () => 0,
 	});
-	const borrow = async (): Promise<boolean> => loanClient.borrow({
+	const borrow = async () => loanClient.borrow({
 		budget: 'budget', tokens: 100, demanded: 0, peers: [peer('edge-1#a', '127.0.0.1:1')], isEnough: () => false,
 	});
 	await borrow();
@@ -98,3 +98,31 @@
 	});
 	t.deepEqual(timeouts, [80, 30]);
 });
+
+test('a loan tells whether the peers that replied lent anything, had nothing, or keep what they have', async t => {
+	const received = 30;
+	const replies: Readonly<Record<string, Result<unknown, LinkError>>> = {
+		'127.0.0.1:1': fail('unknown'),
+		'127.0.0.1:2': succeed({lender: 'edge-2#a', total: received, reachesStore: true}),
+		'127.0.0.1:3': succeed({lender: 'edge-3#a', total: received + 1, reachesStore: false}),
+		'127.0.0.1:4': succeed({
+			lender: 'edge-4#a', total: received, reachesStore: false, isKept: true,
+		}),
+	};
+	const loanClient = createLoanClient({
+		mesh: () => meshOf(async address => replies[address]!),
+		onLoan: () => undefined,
+		receivedFrom: () => received,
+		onSilence: () => undefined,
+		replyTimeoutMs: defaultTimeouts.peerMs,
+		log: () => undefined,
+		now: () => 0,
+	});
+	const borrowFrom = async (...addresses: readonly string[]) => loanClient.borrow({
+		budget: 'budget', tokens: 100, demanded: 0, peers: addresses.map(address => peer(address, address)), isEnough: () => false,
+	});
+	t.deepEqual(await borrowFrom('127.0.0.1:1'), {hasReachedStore: false, supply: 'unknown'});
+	t.deepEqual(await borrowFrom('127.0.0.1:1', '127.0.0.1:2'), {hasReachedStore: true, supply: 'none'});
+	t.deepEqual(await borrowFrom('127.0.0.1:2', '127.0.0.1:3'), {hasReachedStore: true, supply: 'some'});
+	t.deepEqual(await borrowFrom('127.0.0.1:2', '127.0.0.1:4'), {hasReachedStore: true, supply: 'unknown'});
+});
--- a/packages/entry/src/test/hand-back.test.ts
+++ b/packages/entry/src/test/hand-back.test.ts
@@ -11,6 +11,7 @@
 import test from 'ava';
 import {available} from '@deckwheel/ledger';
 import {createBorrower} from '../lib/lending/create-borrower.js';
+import {createLoanPauses} from '../lib/lending/create-loan-pauses.js';
 import {createPeerRequestHandler} from '../lib/peers/create-peer-request-handler.js';
 import {createAccounts} from '../lib/rights/create-accounts.js';
 
@@ -55,9 +56,10 @@
 	const borrower = createBorrower({
 		accounts,
 		loanClient: {
-			borrow: async () => true,
+			borrow: async () => ({hasReachedStore: true, supply: 'some'}),
 			handBack: async () => 'refused',
 		},
+		loanPauses: createLoanPauses(() => 0),
 		allocatorsOf: () => [earlierIncarnation],
 		log: () => undefined,
 		now: () => 0,
