Count loans that bring a few tokens as too small

Cause: a loan of a few tokens ended the pause. Settled requests free such amounts all the time: edge-hall-c-9 was lent 1, 16, 70, 141 and 9 tokens for requests of thousands, and asked its six peers again each time.

Ruled out: kept rights (472 of 3,902) and new pairs of host and budget (458 pairs, 49 of them ask 1,344 times).

Change: a loan ends the pause if one of the requests that waited for it can be served. What peers have left is no more than what they lent, so it would not serve another one either. The borrower decides it, once for each loan.

--- a/packages/entry/src/lib/lending/create-borrower.ts
+++ b/packages/entry/src/lib/lending/create-borrower.ts
@@ -33,7 +33,7 @@
 The result of that loan is final for all requests that it was made for. If each of them requested another loan when this one brought too
 little, the last one would wait for the loans of all others: 17.9 s were measured while peers did not reply, where 0.2 s are intended.
 
-While peers have nothing to lend of a budget (`LoanPauses`), no loan is requested from them.
+While peers have too little to lend of a budget (`LoanPauses`), no loan is requested from them.
 */
 export const createBorrower = ({accounts, loanClient, loanPauses, allocatorsOf, log, now}: Options): Borrower => {
 	const pendingLoans = new Map<string, PendingLoan>();
@@ -69,7 +69,8 @@
 			deadline,
 			isEnough: () => accounts.available(budget) >= allTokens,
 		});
-		loanPauses.note(source, budget, outcome);
+		const isEnough = waitingFor(budget).some(({tokens}) => tokens <= accounts.available(budget));
+		loanPauses.note(source, budget, {...outcome, isEnough});
 		return outcome.hasReachedStore;
 	};
 
--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -13,19 +13,6 @@
 
 type LoanMessage = LoanRequest & {readonly type: 'lend'};
 
-type ReceivedLoan = LoanReply & {
-	/** Whether the reply brought tokens beyond those of the lender's earlier replies. */
-	readonly hasLent: boolean;
-};
-
-const supplyOf = (loans: readonly ReceivedLoan[]): LoanOutcome['supply'] => {
-	if (loans.some(({hasLent}) => hasLent)) {
-		return 'some';
-	}
-
-	return loans.length === 0 || loans.some(({isKept}) => isKept) ? 'unknown' : 'none';
-};
-
 type Options = {
 	readonly mesh: () => Mesh | undefined;
 	/** The total that this host knows to have received from a lender on a budget, in tokens. */
@@ -56,7 +43,7 @@
 		silentPeers.add(address);
 	};
 
-	const requestLoan = async (link: Mesh, address: string, message: LoanMessage, timeoutMs: number): Promise<ReceivedLoan | undefined> => {
+	const requestLoan = async (link: Mesh, address: string, message: LoanMessage, timeoutMs: number): Promise<LoanReply | undefined> => {
 		const reply = await link.request(address, message, timeoutMs);
 		if (!reply.ok) {
 			noteSilence(address, reply.error);
@@ -65,19 +52,17 @@
 
 		silentPeers.delete(address);
 		const loan = readPeerReply(loanReplySchema, reply.value, {address, type: message.type}, log);
-		if (!loan) {
-			return undefined;
+		if (loan) {
+			onLoan(message.budget, loan.lender, loan.total);
 		}
 
-		const hasLent = loan.total > receivedFrom(message.budget, loan.lender);
-		onLoan(message.budget, loan.lender, loan.total);
-		return {...loan, hasLent};
+		return loan;
 	};
 
 	return {
 		async borrow({budget, tokens, demanded, rank, peers, deadline = Number.POSITIVE_INFINITY, isEnough}) {
 			const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
-			const loans: ReceivedLoan[] = [];
+			const loans: LoanReply[] = [];
 			for (const [address, holder] of [...byAddress].slice(0, maxPeersAsked)) {
 				const link = mesh();
 				const timeoutMs = Math.min(replyTimeoutMs, deadline - now());
@@ -97,7 +82,7 @@
 				}
 			}
 
-			return {hasReachedStore: loans.some(({reachesStore}) => reachesStore), supply: supplyOf(loans)};
+			return {hasReachedStore: loans.some(({reachesStore}) => reachesStore), isConclusive: loans.length > 0 && !loans.some(({isKept}) => isKept)};
 		},
 		async handBack({address, holder}, budget, total) {
 			const reply = await mesh()?.request(address, {
--- a/packages/entry/src/lib/lending/create-loan-pauses.ts
+++ b/packages/entry/src/lib/lending/create-loan-pauses.ts
@@ -19,9 +19,9 @@
 			const pause = pauses.get(keyOf(source, budget));
 			return pause && now() < pause.until ? pause : undefined;
 		},
-		note(source, budget, outcome) {
+		note(source, budget, loan) {
 			const key = keyOf(source, budget);
-			const pause = stepLoanPause(pauses.get(key), outcome, now());
+			const pause = stepLoanPause(pauses.get(key), loan, now());
 			if (pause) {
 				pauses.set(key, pause);
 			} else {
--- a/packages/entry/src/lib/lending/loan-outcome.ts
+++ b/packages/entry/src/lib/lending/loan-outcome.ts
@@ -1,7 +1,7 @@
-/** What came of asking peers for a loan. */
+/** What peers replied when they were asked for a loan. What they lent is in this host's account. */
 export type LoanOutcome = {
 	/** Whether one of the peers replied that it draws rights for this host and reaches the store. */
 	readonly hasReachedStore: boolean;
-	/** Whether the peers have rights to lend: `some` if they lent any, `none` if those that replied had nothing, `unknown` if none replied or one keeps what it has. */
-	readonly supply: 'some' | 'none' | 'unknown';
+	/** Whether the peers lent what they can: at least one replied, and none keeps rights for more urgent or for later requests. */
+	readonly isConclusive: boolean;
 };
--- a/packages/entry/src/lib/lending/loan-pause.ts
+++ b/packages/entry/src/lib/lending/loan-pause.ts
@@ -1,6 +1,6 @@
-/** Peers had nothing to lend of a budget, and are not asked again for some time. */
+/** Peers had too little to lend of a budget, and are not asked again for some time. */
 export type LoanPause = {
-	/** Loans in a row that brought nothing. */
+	/** Loans in a row that did not suffice for any request. */
 	readonly failures: number;
 	/** Monotonic ms. */
 	readonly until: number;
--- a/packages/entry/src/lib/lending/loan-pauses.ts
+++ b/packages/entry/src/lib/lending/loan-pauses.ts
@@ -6,8 +6,8 @@
 export type LoanPauses = {
 	/** The pause that holds now; `undefined` if peers may be asked. */
 	readonly current: (source: LoanNeed['source'], budget: string) => LoanPause | undefined;
-	/** Notes what came of a loan. */
-	readonly note: (source: LoanNeed['source'], budget: string, outcome: LoanOutcome) => void;
+	/** Notes what came of a loan. `isEnough`: whether at least one of the requests that waited for it can be served. */
+	readonly note: (source: LoanNeed['source'], budget: string, loan: LoanOutcome & {readonly isEnough: boolean}) => void;
 	/** Ends the pauses of a budget that was topped up. */
 	readonly end: (budget: string) => void;
 };
--- a/packages/entry/src/test/create-borrower.test.ts
+++ b/packages/entry/src/test/create-borrower.test.ts
@@ -7,8 +7,14 @@
 const budget = 'org';
 const allocator = {holder: 'edge-1#a', address: '10.0.0.1:1', hall: 'h'};
 
-/** @param lentShare The part of the requested tokens that a loan brings, 0 to 1. */
-const start = (lentShare = 1) => {
+type LoanFixture = {
+	/** The part of the requested tokens that a loan brings, 0 to 1. */
+	readonly lentShare?: number;
+	/** Whether a peer replied. */
+	readonly isConclusive?: boolean;
+};
+
+const start = ({lentShare = 1, isConclusive = false}: LoanFixture = {}) => {
 	const accounts = createAccounts();
 	const loans: BorrowOptions[] = [];
 	const replies: Array<() => void> = [];
@@ -23,7 +29,7 @@
 				});
 				lent += options.tokens * lentShare;
 				accounts.apply(budget, {type: 'received', from: allocator.holder, total: lent});
-				return {hasReachedStore: true, supply: lentShare === 0 ? 'unknown' : 'some'};
+				return {hasReachedStore: true, isConclusive};
 			},
 			handBack: async () => 'taken',
 		},
@@ -66,7 +72,7 @@
 requested a loan of its own, one after the other, and the last one waited for all of them.
 */
 test('a loan that brings nothing is final for all requests that it was requested for', async t => {
-	const {loans, replies, reserve} = start(0);
+	const {loans, replies, reserve} = start({lentShare: 0});
 	const first = reserve(100);
 	const others = [200, 300, 400].map(async tokens => reserve(tokens));
 	// Every loan request gets its reply as soon as it is made.
@@ -77,3 +83,14 @@
 	clearInterval(replying);
 	t.is(loans.length, 2);
 });
+
+// Guards against peers that are asked again for each request since every loan brings a few tokens.
+test('peers that lend less than any waiting request needs are not asked for the next one', async t => {
+	const {loans, replies, reserve} = start({lentShare: 0.01, isConclusive: true});
+	const first = reserve(1000);
+	replies.shift()!();
+	t.false(await first);
+	t.false(await reserve(500));
+	t.is(loans.length, 1);
+	t.true(await reserve(10), 'what they lent is used');
+});
--- a/packages/entry/src/test/create-loan-client.test.ts
+++ b/packages/entry/src/test/create-loan-client.test.ts
@@ -99,14 +99,13 @@
 	t.deepEqual(timeouts, [80, 30]);
 });
 
-test('a loan tells whether the peers that replied lent anything, had nothing, or keep what they have', async t => {
+test('a loan is conclusive if a peer replied and none keeps what it has', async t => {
 	const received = 30;
 	const replies: Readonly<Record<string, Result<unknown, LinkError>>> = {
 		'127.0.0.1:1': fail('unknown'),
 		'127.0.0.1:2': succeed({lender: 'edge-2#a', total: received, reachesStore: true}),
-		'127.0.0.1:3': succeed({lender: 'edge-3#a', total: received + 1, reachesStore: false}),
-		'127.0.0.1:4': succeed({
-			lender: 'edge-4#a', total: received, reachesStore: false, isKept: true,
+		'127.0.0.1:3': succeed({
+			lender: 'edge-3#a', total: received, reachesStore: false, isKept: true,
 		}),
 	};
 	const loanClient = createLoanClient({
@@ -121,8 +120,7 @@
 	const borrowFrom = async (...addresses: readonly string[]) => loanClient.borrow({
 		budget: 'budget', tokens: 100, demanded: 0, peers: addresses.map(address => peer(address, address)), isEnough: () => false,
 	});
-	t.deepEqual(await borrowFrom('127.0.0.1:1'), {hasReachedStore: false, supply: 'unknown'});
-	t.deepEqual(await borrowFrom('127.0.0.1:1', '127.0.0.1:2'), {hasReachedStore: true, supply: 'none'});
-	t.deepEqual(await borrowFrom('127.0.0.1:2', '127.0.0.1:3'), {hasReachedStore: true, supply: 'some'});
-	t.deepEqual(await borrowFrom('127.0.0.1:2', '127.0.0.1:4'), {hasReachedStore: true, supply: 'unknown'});
+	t.deepEqual(await borrowFrom('127.0.0.1:1'), {hasReachedStore: false, isConclusive: false});
+	t.deepEqual(await borrowFrom('127.0.0.1:1', '127.0.0.1:2'), {hasReachedStore: true, isConclusive: true});
+	t.deepEqual(await borrowFrom('127.0.0.1:2', '127.0.0.1:3'), {hasReachedStore: true, isConclusive: false});
 });
--- a/packages/entry/src/test/hand-back.test.ts
+++ b/packages/entry/src/test/hand-back.test.ts
@@ -56,7 +56,7 @@
 	const borrower = createBorrower({
 		accounts,
 		loanClient: {
-			borrow: async () => ({hasReachedStore: true, supply: 'some'}),
+			borrow: async () => ({hasReachedStore: true, isConclusive: true}),
 			handBack: async () => 'refused',
 		},
 		loanPauses: createLoanPauses(() => 0),
--- a/packages/entry/src/test/loan-pauses.test.ts
+++ b/packages/entry/src/test/loan-pauses.test.ts
@@ -5,7 +5,7 @@
 import {startRightsManagers} from './lib/start-rights-managers.js';
 
 const budget = 'org';
-const noSupply = {hasReachedStore: true, supply: 'none'} as const;
+const tooSmall = {hasReachedStore: true, isConclusive: true, isEnough: false} as const;
 
 const kills: Array<() => void> = [];
 
@@ -27,20 +27,20 @@
 	};
 };
 
-test('a loan that brings nothing pauses the loans of its budget from the same peers', t => {
+test('a loan that is too small pauses the loans of its budget from the same peers', t => {
 	const pauses = createPauses();
-	pauses.note('allocators', budget, noSupply);
+	pauses.note('allocators', budget, tooSmall);
 	t.true(pauses.current('allocators', budget)?.hasReachedStore);
 	t.is(pauses.current('holders', budget), undefined);
 	t.is(pauses.current('allocators', 'other'), undefined);
 });
 
-test('the pause doubles with each loan in a row that brings nothing, up to 2 s, and a loan that brings some ends the row', t => {
+test('the pause doubles with each loan in a row that is too small, up to 2 s, and a loan that suffices ends the row', t => {
 	const pauses = createPauses();
 	let at = 0;
 	for (const pauseMs of [250, 500, 1000, 2000, 2000]) {
 		pauses.at(at);
-		pauses.note('allocators', budget, noSupply);
+		pauses.note('allocators', budget, tooSmall);
 		pauses.at(at + pauseMs - 1);
 		t.true(pauses.isPaused());
 		at += pauseMs;
@@ -48,17 +48,17 @@
 		t.false(pauses.isPaused());
 	}
 
-	pauses.note('allocators', budget, {hasReachedStore: true, supply: 'some'});
-	pauses.note('allocators', budget, noSupply);
+	pauses.note('allocators', budget, {...tooSmall, isEnough: true});
+	pauses.note('allocators', budget, tooSmall);
 	pauses.at(at + 250);
 	t.false(pauses.isPaused());
 });
 
 test('a pause long ago does not lengthen the next one', t => {
 	const pauses = createPauses();
-	pauses.note('allocators', budget, noSupply);
+	pauses.note('allocators', budget, tooSmall);
 	pauses.at(60_000);
-	pauses.note('allocators', budget, noSupply);
+	pauses.note('allocators', budget, tooSmall);
 	pauses.at(60_250);
 	t.false(pauses.isPaused());
 });
@@ -66,16 +66,16 @@
 // Guards against refusals without asking after peers fell silent, or for urgent requests from which nothing is kept.
 test('a loan that does not show what peers have begins no pause and ends none', t => {
 	const pauses = createPauses();
-	pauses.note('allocators', budget, {hasReachedStore: false, supply: 'unknown'});
+	pauses.note('allocators', budget, {hasReachedStore: false, isConclusive: false, isEnough: false});
 	t.false(pauses.isPaused());
-	pauses.note('allocators', budget, noSupply);
-	pauses.note('allocators', budget, {hasReachedStore: false, supply: 'unknown'});
+	pauses.note('allocators', budget, tooSmall);
+	pauses.note('allocators', budget, {hasReachedStore: false, isConclusive: false, isEnough: false});
 	t.true(pauses.isPaused());
 });
 
 test('a top-up ends the pauses of its budget', t => {
 	const pauses = createPauses();
-	pauses.note('allocators', budget, noSupply);
+	pauses.note('allocators', budget, tooSmall);
 	pauses.end('other');
 	t.true(pauses.isPaused());
 	pauses.end(budget);
