Split the fair sharing of starts into small modules

No change of behaviour: picking and charging of requests leave dequeue-request.ts for lib/, one function a file.

--- a/packages/routing/src/request-queue/dequeue-request.ts
+++ b/packages/routing/src/request-queue/dequeue-request.ts
@@ -1,7 +1,6 @@
-import {chargeStart} from '../lib/charge-start.js';
-import {pickDue} from '../lib/pick-due.js';
+import {chargeRequest} from '../lib/charge-request.js';
+import {pickRequest} from '../lib/pick-request.js';
 import {smooth} from '../lib/smooth.js';
-import type {FairShare} from './fair-share.js';
 import type {Priority} from './priority.js';
 import type {QueuedRequest} from './queued-request.js';
 import type {QueueState} from './queue-state.js';
@@ -29,36 +28,6 @@
 	return {chosen: chosen!, credit};
 };
 
-const newShare: FairShare = {virtualTime: 0, dueByMember: new Map()};
-
-// The targets of one priority share its starts, and the organisations of one target share the target's.
-const organisationShareKey = ({priority, target}: QueuedRequest): string => `${priority}\n${target}`;
-
-const shareOf = (queue: QueueState, key: string): FairShare => queue.shares.get(key) ?? newShare;
-
-const pickRequest = (queue: QueueState, candidates: readonly QueuedRequest[], priority: Priority): QueuedRequest => {
-	const first = pickDue(shareOf(queue, priority), candidates, ({target}) => target);
-	const ofTarget = candidates.filter(({target}) => target === first.target);
-	return pickDue(shareOf(queue, organisationShareKey(first)), ofTarget, ({organisation}) => organisation);
-};
-
-const totalWeight = (requests: readonly QueuedRequest[]): number => {
-	const weights = new Map(requests.map(({organisation, weight}) => [organisation, weight]));
-	return [...weights.values()].reduce((sum, weight) => sum + weight, 0);
-};
-
-// A target weighs as much as all organisations that wait for it, so that an organisation's share does not depend on which target it asks for.
-const chargeRequest = (queue: QueueState, request: QueuedRequest, remaining: readonly QueuedRequest[]): QueueState['shares'] => {
-	const {priority, target, organisation, weight} = request;
-	const ofPriority = remaining.filter(other => other.priority === priority);
-	const ofTarget = ofPriority.filter(other => other.target === target);
-	const targetShare = chargeStart(shareOf(queue, priority), target, 1 / totalWeight([...ofTarget, request]), member => ofPriority.some(other => other.target === member));
-	const key = organisationShareKey(request);
-	const organisationShare = chargeStart(shareOf(queue, key), organisation, 1 / weight, member => ofTarget.some(other => other.organisation === member));
-	const queued = new Set(remaining.flatMap(other => [other.priority, organisationShareKey(other)]));
-	return new Map([...queue.shares, [priority, targetShare] as const, [key, organisationShare] as const].filter(([name]) => queued.has(name)));
-};
-
 /**
 Takes the next request out of the queue. Pure.
 
@@ -76,7 +45,7 @@
 	}
 
 	const {chosen, credit} = pickPriority(queue, ready);
-	const next = pickRequest(queue, ready.filter(({priority}) => priority === chosen), chosen);
+	const next = pickRequest(queue.shares, ready.filter(({priority}) => priority === chosen));
 	const waiting = queue.waiting.filter(({id}) => id !== next.id);
 	const sinceLastMs = Math.min(maxStartGapMs, now - queue.lastStartedAt);
 	return {
@@ -85,7 +54,7 @@
 			...queue,
 			waiting,
 			credit,
-			shares: chargeRequest(queue, next, waiting),
+			shares: chargeRequest(queue.shares, next, waiting),
 			msPerStart: smooth(queue.msPerStart, sinceLastMs),
 			lastStartedAt: now,
 		},
