A loan whose deadline leaves peers unasked pauses nothing

What callers would see: a host under load asks one of six peers, its time is up, and it asks none of them for up to 2 s, though the others have rights.

Cause: isConclusive asked whether a peer replied and none keeps rights, not whether all were asked.

Change: a round that its deadline ends is not conclusive.

--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -63,10 +63,12 @@
 		async borrow({budget, tokens, demanded, rank, peers, deadline = Number.POSITIVE_INFINITY, isEnough}) {
 			const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
 			const loans: LoanReply[] = [];
+			let isCutShort = false;
 			for (const [address, holder] of [...byAddress].slice(0, maxPeersAsked)) {
 				const link = mesh();
 				const timeoutMs = Math.min(replyTimeoutMs, deadline - now());
 				if (!link || timeoutMs <= 0) {
+					isCutShort = true;
 					break;
 				}
 
@@ -82,7 +84,7 @@
 				}
 			}
 
-			return {hasReachedStore: loans.some(({reachesStore}) => reachesStore), isConclusive: loans.length > 0 && !loans.some(({isKept}) => isKept)};
+			return {hasReachedStore: loans.some(({reachesStore}) => reachesStore), isConclusive: loans.length > 0 && !isCutShort && !loans.some(({isKept}) => isKept)};
 		},
 		async handBack({address, holder}, budget, total) {
 			const reply = await mesh()?.request(address, {
--- a/packages/entry/src/test/create-loan-client.test.ts
+++ b/packages/entry/src/test/create-loan-client.test.ts
@@ -99,6 +99,29 @@
 	t.deepEqual(timeouts, [80, 30]);
 });
 
+// Guards against a pause in loans after peers were not asked at all.
+test('a loan whose deadline passes before all peers were asked is not conclusive', async t => {
+	let time = 0;
+	const loanClient = createLoanClient({
+		mesh: () => meshOf(async () => {
+			time += 100;
+			return succeed({lender: 'edge-1#a', total: 0, reachesStore: true});
+		}),
+		onLoan: () => undefined,
+		receivedFrom: () => 0,
+		onSilence: () => undefined,
+		replyTimeoutMs: defaultTimeouts.peerMs,
+		log: () => undefined,
+		now: () => time,
+	});
+	const peers = ['127.0.0.1:1', '127.0.0.1:2'].map(address => peer(address, address));
+	const borrowUntil = async (deadline: number) => loanClient.borrow({
+		budget: 'budget', tokens: 100, demanded: 0, peers, deadline, isEnough: () => false,
+	});
+	t.deepEqual(await borrowUntil(100), {hasReachedStore: true, isConclusive: false});
+	t.deepEqual(await borrowUntil(time + 1000), {hasReachedStore: true, isConclusive: true});
+});
+
 test('a loan is conclusive if a peer replied and none keeps what it has', async t => {
 	const received = 30;
 	const replies: Readonly<Record<string, Result<unknown, LinkError>>> = {
