--- a/packages/entry/src/lib/lending/step-loan-pause.ts
+++ b/packages/entry/src/lib/lending/step-loan-pause.ts
@@ -1,4 +1,4 @@
-import type {LoanOutcome} from './loan-outcome.js';
+import type {FinishedLoan} from './finished-loan.js';
 import type {LoanPause} from './loan-pause.js';
 
 /** The pause after a first loan that was too small, in ms. Allocators trust a record of the store that shows nothing left for about as long. */
@@ -7,9 +7,6 @@
 /** The longest pause, in ms. A caller whose request was refused for lack of rights is told to return no sooner. */
 const maxPauseMs = 2000;
 
-/** A loan that peers were asked for. `isEnough`: whether at least one of the requests that waited for it can be served. */
-type FinishedLoan = LoanOutcome & {readonly isEnough: boolean};
-
 /**
 Decides for how long peers are not asked again after a loan. Peers lend a part of whatever they have, so what they have left is no more than
 they lent, and does not suffice for a request either. The pause doubles with each further loan in a row that is too small. Pure.
