Share starts fairly where organisations ask for several targets

Cause: targets had a due time of their own, charged at the weight of those who waited when it was served. After a start for an organisation of weight 0.1 alone the target is due ten units later, whoever has joined since.

With one target the bound held before.

Ruled out: rescaling the charge by the weights of the moment (a second rule for the same thing), and one virtual time for all targets (levels the weights at a slow target beside a fast one, which a test forbids).

Change: no weights of targets. Each target has a time that runs with its priority's and stands still while the target is full and somebody waits there; then all its organisations move on together. An organisation in several targets is charged as many times as much.

The property holds at the theoretical bound, one start each for every target.

--- a/packages/routing/src/lib/charge-request.ts
+++ b/packages/routing/src/lib/charge-request.ts
@@ -1,35 +1,25 @@
+import type {PriorityShare} from '../request-queue/priority-share.js';
 import type {QueuedRequest} from '../request-queue/queued-request.js';
-import type {QueueState} from '../request-queue/queue-state.js';
-import {chargeStart} from './charge-start.js';
-import {shareKeys} from './share-keys.js';
-import {shareOf} from './share-of.js';
+import type {TargetShare} from '../request-queue/target-share.js';
 
-const sumOfWeights = (requests: readonly QueuedRequest[]): number => {
-	const weights = new Map(requests.map(({organisation, weight}) => [organisation, weight]));
-	return [...weights.values()].reduce((sum, weight) => sum + weight, 0);
-};
+// A target that was full has missed starts of its priority. All its organisations are due later, so their shares among each other stay as they are.
+const postpone = ({virtualTime, dueByOrganisation}: TargetShare, by: number): TargetShare => ({
+	virtualTime: virtualTime + by,
+	dueByOrganisation: new Map([...dueByOrganisation].map(([organisation, due]) => [organisation, due + by])),
+});
 
 /**
-Charges a start to the request's target and organisation, and drops the shares of groups without a queued request.
-
-A target weighs as much as all organisations that wait for it, so that an organisation's share does not depend on which target it asks for.
+Charges the start of a request to its organisation. An organisation that waits for several targets is charged as many times as much, so that it
+gets no more than one that waits for one of them.
 
-@param remaining The requests that stay in the queue.
+@param share The share of the request's priority, advanced by `advanceShare`.
+@param targetCount The number of targets for which the organisation waits.
 */
-export const chargeRequest = (shares: QueueState['shares'], request: QueuedRequest, remaining: readonly QueuedRequest[]): QueueState['shares'] => {
-	const {priority, target, organisation, weight} = request;
-	const keys = shareKeys(request);
-	const ofPriority = remaining.filter(other => other.priority === priority);
-	const ofTarget = ofPriority.filter(other => other.target === target);
-	const charged = new Map([
-		...shares,
-		[keys.targets, chargeStart(shareOf(shares, keys.targets), {
-			member: target, cost: 1 / sumOfWeights([...ofTarget, request]), isQueued: member => ofPriority.some(other => other.target === member),
-		})],
-		[keys.organisations, chargeStart(shareOf(shares, keys.organisations), {
-			member: organisation, cost: 1 / weight, isQueued: member => ofTarget.some(other => other.organisation === member),
-		})],
-	]);
-	const queued = new Set(remaining.flatMap(other => Object.values(shareKeys(other))));
-	return new Map([...charged].filter(([key]) => queued.has(key)));
+export const chargeRequest = (share: PriorityShare, {target, organisation, weight}: QueuedRequest, targetCount: number): PriorityShare => {
+	const before = share.targets.get(target)!;
+	const dueSince = before.dueByOrganisation.get(organisation)!;
+	const due = Math.max(share.virtualTime, dueSince);
+	const {virtualTime, dueByOrganisation} = postpone(before, due - dueSince);
+	const charged = new Map([...dueByOrganisation, [organisation, due + (targetCount / weight)]]);
+	return {virtualTime: due, targets: new Map([...share.targets, [target, {virtualTime, dueByOrganisation: charged}]])};
 };
--- a/packages/routing/src/lib/pick-request.ts
+++ b/packages/routing/src/lib/pick-request.ts
@@ -1,16 +1,14 @@
+import type {PriorityShare} from '../request-queue/priority-share.js';
 import type {QueuedRequest} from '../request-queue/queued-request.js';
-import type {QueueState} from '../request-queue/queue-state.js';
-import {pickDue} from './pick-due.js';
-import {shareKeys} from './share-keys.js';
-import {shareOf} from './share-of.js';
 
 /**
-Picks the request that starts next: first the target that is due, then the organisation that is due there.
+Picks the request that is due first. Of those that are due already, the one that has been due longest is next, and of these the one with the
+earliest `startBy`.
 
-@param candidates Requests of one priority that can start; at least one.
+@param share The share of the requests' priority, advanced by `advanceShare`.
+@param candidates The requests that can start; at least one.
 */
-export const pickRequest = (shares: QueueState['shares'], candidates: readonly QueuedRequest[]): QueuedRequest => {
-	const first = pickDue(shareOf(shares, shareKeys(candidates[0]!).targets), candidates, ({target}) => target);
-	const ofTarget = candidates.filter(({target}) => target === first.target);
-	return pickDue(shareOf(shares, shareKeys(first).organisations), ofTarget, ({organisation}) => organisation);
+export const pickRequest = ({targets}: PriorityShare, candidates: readonly QueuedRequest[]): QueuedRequest => {
+	const dueAt = ({target, organisation}: QueuedRequest): number => targets.get(target)!.dueByOrganisation.get(organisation)!;
+	return candidates.toSorted((a, b) => dueAt(a) - dueAt(b) || a.startBy - b.startBy)[0]!;
 };
--- a/packages/routing/src/request-queue/dequeue-request.ts
+++ b/packages/routing/src/request-queue/dequeue-request.ts
@@ -1,3 +1,4 @@
+import {advanceShare} from '../lib/advance-share.js';
 import {chargeRequest} from '../lib/charge-request.js';
 import {pickRequest} from '../lib/pick-request.js';
 import {smooth} from '../lib/smooth.js';
@@ -31,9 +32,9 @@
 /**
 Takes the next request out of the queue. Pure.
 
-The priority is chosen by weighted round robin. The starts of a priority are shared among its targets, and those of a target among
-its organisations by their weights (`FairShare`). An organisation that joins the queue or returns to it gets no more than its share
-from then on, and takes nothing from the others for starts that it missed.
+The priority is chosen by weighted round robin. The starts of a priority are shared among organisations by their weights (`PriorityShare`).
+An organisation that joins the queue or returns to it gets no more than its share from then on, and takes nothing from the others for
+starts that it missed.
 
 @param canStart Whether an endpoint has free capacity for the request now.
 @param now Monotonic ms.
@@ -45,16 +46,20 @@
 	}
 
 	const {chosen, credit} = pickPriority(queue, ready);
-	const next = pickRequest(queue.shares, ready.filter(({priority}) => priority === chosen));
-	const waiting = queue.waiting.filter(({id}) => id !== next.id);
+	const ofPriority = queue.waiting.filter(({priority}) => priority === chosen);
+	const share = advanceShare(queue.shares[chosen], ofPriority);
+	const next = pickRequest(share, ready.filter(({priority}) => priority === chosen));
+	const targets = new Set(ofPriority.filter(({organisation}) => organisation === next.organisation).map(({target}) => target));
+	const charged = chargeRequest(share, next, targets.size);
 	const sinceLastMs = Math.min(maxStartGapMs, now - queue.lastStartedAt);
 	return {
 		next,
 		queue: {
 			...queue,
-			waiting,
+			waiting: queue.waiting.filter(({id}) => id !== next.id),
 			credit,
-			shares: chargeRequest(queue.shares, next, waiting),
+			// Advanced again, so that an organisation which has left counts as new when it returns before the next start.
+			shares: {...queue.shares, [chosen]: advanceShare(charged, ofPriority.filter(({id}) => id !== next.id))},
 			msPerStart: smooth(queue.msPerStart, sinceLastMs),
 			lastStartedAt: now,
 		},
--- a/packages/routing/src/request-queue/queue-state.ts
+++ b/packages/routing/src/request-queue/queue-state.ts
@@ -1,12 +1,12 @@
-import type {FairShare} from './fair-share.js';
+import type {PriorityShare} from './priority-share.js';
 import type {Priority} from './priority.js';
 import type {QueuedRequest} from './queued-request.js';
 
 /** The state of a host's bounded request queue. */
 export type QueueState = {
 	readonly waiting: readonly QueuedRequest[];
-	/** How the starts of each priority are shared among its targets, by priority, and those of a target among its organisations, by priority and target. Kept while requests of the group wait. */
-	readonly shares: ReadonlyMap<string, FairShare>;
+	/** How the starts of each priority are shared among organisations. */
+	readonly shares: Readonly<Record<Priority, PriorityShare>>;
 	/** The credit of each priority in a smooth weighted round robin. The priority with the most credit starts next. */
 	readonly credit: Readonly<Record<Priority, number>>;
 	/** The smoothed interval between two starts of requests while requests wait, in ms. */
--- a/packages/routing/src/test/queue-fairness.test.ts
+++ b/packages/routing/src/test/queue-fairness.test.ts
@@ -11,6 +11,9 @@
 /** Starts are whole, so an organisation that joins in the middle of a round may be one start ahead of its share or behind it. */
 const roundingStarts = 1;
 
+/** What sums of virtual time may be off by. */
+const roundingError = 1e-6;
+
 /** An organisation that keeps `depth` requests waiting. */
 type Client = {
 	readonly organisation: string;
@@ -43,8 +46,6 @@
 	};
 
 	return {
-		refill,
-		startOne,
 		/** Starts `count` requests and returns the organisations in the order of their starts. */
 		start(count: number, clients: readonly Client[], canStart?: (request: QueuedRequest) => boolean): readonly string[] {
 			return Array.from({length: count}, () => {
@@ -59,10 +60,29 @@
 		leave(organisation: string): void {
 			queue = {...queue, waiting: queue.waiting.filter(request => request.organisation !== organisation)};
 		},
-		shareCount: () => [...queue.shares.values()].reduce((sum, {dueByMember}) => sum + dueByMember.size, 0),
+		/** Ends the waiting of all but these clients. */
+		keep(clients: readonly Client[]): void {
+			queue = {...queue, waiting: queue.waiting.filter(({organisation, target}) => clients.some(client => client.organisation === organisation && (client.target ?? 'm') === target))};
+		},
+		shareCount: () => Object.values(queue.shares).flatMap(({targets}) => [...targets.values()]).reduce((sum, {dueByOrganisation}) => sum + dueByOrganisation.size, 0),
 	};
 };
 
+/** The largest lead that the first of two organisations gains over the second within any span of the starts, in starts by weight; negative leads count as well. */
+const largestLead = (starts: readonly string[], [first, second]: readonly [string, string], weightOf: (organisation: string) => number): number => {
+	let lead = 0;
+	let highest = 0;
+	let lowest = 0;
+	for (const organisation of starts) {
+		lead += organisation === first ? 1 / weightOf(first) : 0;
+		lead -= organisation === second ? 1 / weightOf(second) : 0;
+		highest = Math.max(highest, lead);
+		lowest = Math.min(lowest, lead);
+	}
+
+	return highest - lowest;
+};
+
 const countOf = (starts: readonly string[], organisation: string): number => starts.filter(other => other === organisation).length;
 
 // Guards against an organisation that joins the queue and gets all starts until it has caught up with the others.
@@ -142,6 +162,22 @@
 	t.deepEqual(['a', 'b', 'c', 'd'].map(organisation => countOf(starts, organisation)), [10, 10, 10, 10]);
 });
 
+// Guards against an organisation that waits until its target has made up for a start of a light organisation.
+test('an organisation that joins a target at which only a light one waited gets its share at once', t => {
+	const load = createLoad();
+	const clients = [{organisation: 'light', weight: 0.1}, {organisation: 'b', target: 'other'}];
+	load.start(2, clients);
+	const starts = load.start(12, [...clients, {organisation: 'c'}]);
+	t.true(Math.abs(countOf(starts, 'c') - 6) <= roundingStarts);
+});
+
+// Guards against an organisation that gets a share of its own for each target that it asks for.
+test('an organisation that asks for several targets gets no more than one that asks for one of them', t => {
+	const load = createLoad();
+	const starts = load.start(40, [{organisation: 'a'}, {organisation: 'a', target: 'other'}, {organisation: 'b'}]);
+	t.is(countOf(starts, 'a'), 20);
+});
+
 // Guards against unfair shares on a slow target while a fast one goes on beside it.
 test('starts at a fast target leave the shares at a slow one as they are', t => {
 	const load = createLoad();
@@ -165,6 +201,18 @@
 	t.true(load.shareCount() <= 6);
 });
 
+// Guards against an organisation that is charged for the time in which another one had left, when that one returns between two starts.
+test('an organisation that leaves for two starts delays no other one when it returns', t => {
+	const load = createLoad();
+	const [b, a] = [{organisation: 'b', weight: 3, depth: 1}, {organisation: 'a', weight: 2, depth: 1}];
+	load.start(17, [b, a]);
+	load.leave('a');
+	load.start(2, [b]);
+	const starts = load.start(32, [b, a]);
+	const lead = largestLead(starts, ['a', 'b'], organisation => organisation === 'a' ? a.weight : b.weight);
+	t.true(lead <= (1 / a.weight) + (1 / b.weight) + roundingError);
+});
+
 const clientOf = (organisation: string) => fc.record({
 	organisation: fc.constant(organisation),
 	weight: fc.constantFrom(0.5, 1, 2),
@@ -209,3 +257,42 @@
 	}), {seed, numRuns: 500});
 	t.true(checked > 1000, `only ${checked} pairs were compared`);
 });
+
+const organisations = ['a', 'b', 'c', 'd'] as const;
+const weightsOfAll = fc.tuple(...organisations.map(() => fc.constantFrom(0.1, 0.25, 0.5, 1, 2, 3, 10)));
+const anyClient = (targets: readonly string[]) => fc.record({
+	organisation: fc.constantFrom(...organisations), target: fc.constantFrom(...targets), depth: fc.integer({min: 1, max: 4}), patienceMs: fc.constantFrom(100, 1000, 10_000),
+});
+const anyPhases = (targets: readonly string[]) => fc.array(fc.record({
+	clients: fc.uniqueArray(anyClient(targets), {selector: ({organisation, target}) => `${organisation} ${target}`, minLength: 2, maxLength: 6}),
+	count: fc.integer({min: 1, max: 120}),
+}), {minLength: 1, maxLength: 6});
+
+// Guards against a lead of any organisation over another one, by any weights, at any targets, whatever came before.
+for (const targets of [['m'], ['m', 'other']]) {
+	test(`two organisations that both wait never get further apart than one start at each target, by their weights (${targets.length} targets)`, t => {
+		t.log(`seed ${seed}`);
+		let checked = 0;
+		fc.assert(fc.property(anyPhases(targets), weightsOfAll, (history, weights) => {
+			const weightByName = new Map<string, number>(organisations.map((name, index) => [name, weights[index]!]));
+			const weightOf = (organisation: string): number => weightByName.get(organisation)!;
+			const load = createLoad();
+			for (const {clients, count} of history) {
+				load.keep(clients);
+				const starts = load.start(count, clients.map(client => ({...client, weight: weightOf(client.organisation)})));
+				const active = organisations.filter(name => clients.some(({organisation}) => organisation === name));
+				for (const first of active) {
+					for (const second of active.filter(name => name > first)) {
+						const allowed = targets.length * ((1 / weightOf(first)) + (1 / weightOf(second)));
+						const lead = largestLead(starts, [first, second], weightOf);
+						checked++;
+						if (lead > allowed + roundingError) {
+							throw new Error(`${first} and ${second} got ${lead} apart, ${allowed} is allowed`);
+						}
+					}
+				}
+			}
+		}), {seed, numRuns: 500});
+		t.true(checked > 1000, `only ${checked} pairs were compared`);
+	});
+}
