Compute the delays that double in one place

Ruled out: a library for backoff, which keeps state of its own; the callers keep theirs.

Conclusion: no change of behaviour.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 export {assertInvariant} from './assert-invariant.js';
 export type {Clock} from './clock.js';
 export {createElapsedClock} from './create-elapsed-clock.js';
+export {doublingDelay} from './doubling-delay.js';
 export {fail} from './fail.js';
 export type {ValidationIssue} from './validation-issue.js';
 export {findValidationIssues} from './find-validation-issues.js';
--- a/packages/entry/src/lib/lending/step-loan-pause.ts
+++ b/packages/entry/src/lib/lending/step-loan-pause.ts
@@ -1,3 +1,4 @@
+import {doublingDelay} from '@deckwheel/core';
 import type {FinishedLoan} from './finished-loan.js';
 import type {LoanPause} from './loan-pause.js';
 
@@ -26,5 +27,6 @@
 
 	const isInRow = pause !== undefined && now < pause.until + maxPauseMs;
 	const failures = isInRow ? pause.failures + 1 : 1;
-	return {failures, until: now + Math.min(maxPauseMs, firstPauseMs * (2 ** (failures - 1))), hasReachedStore};
+	const pauseMs = doublingDelay({firstMs: firstPauseMs, maxMs: maxPauseMs, doublings: failures - 1});
+	return {failures, until: now + pauseMs, hasReachedStore};
 };
--- a/packages/entry/src/lib/rights-store/create-store-state.ts
+++ b/packages/entry/src/lib/rights-store/create-store-state.ts
@@ -1,3 +1,4 @@
+import {doublingDelay} from '@deckwheel/core';
 import type {Log} from '../../adapter/log.js';
 import type {StoreState} from './store-state.js';
 
@@ -31,7 +32,7 @@
 			}
 
 			failures = hasAnswered ? 0 : failures + 1;
-			retryAt = hasAnswered ? 0 : now() + Math.min(maxRetryDelayMs, firstRetryDelayMs * (2 ** (failures - 1)));
+			retryAt = hasAnswered ? 0 : now() + doublingDelay({firstMs: firstRetryDelayMs, maxMs: maxRetryDelayMs, doublings: failures - 1});
 		},
 	};
 };
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -1,3 +1,4 @@
+import {doublingDelay} from '@deckwheel/core';
 import {smooth} from '../lib/smooth.js';
 import type {EndpointEvent} from './endpoint-event.js';
 import type {EndpointInfo} from './endpoint-info.js';
@@ -47,7 +48,7 @@
 	}
 
 	const doublings = failures - failuresBeforeEjection;
-	return now + Math.min(maxEjectionMs, initialEjectionMs * (2 ** doublings));
+	return now + doublingDelay({firstMs: initialEjectionMs, maxMs: maxEjectionMs, doublings});
 };
 
 const afterSuccess = (state: EndpointState, event: EndpointEvent & {type: 'succeeded'}): EndpointState => ({
