Agree on the types of load sharing

EndpointLoad is what placing, waiting and shedding will read; LoadTracker and TrackedRun are how the entry host feeds it.

--- /dev/null
+++ b/packages/entry/src/lib/load-sharing/load-tracker.ts
@@ -0,0 +1,14 @@
+import type {EndpointLoad} from '@deckwheel/routing';
+import type {TrackedRun} from './tracked-run.js';
+
+/** Tracks the load of endpoints: this host's own, and that of other hosts by what they report. */
+export type LoadTracker = {
+	/** The load of an endpoint now. `endpoint` is the id of one incarnation. */
+	readonly loadOf: (endpoint: string) => EndpointLoad;
+	/**
+	Notes that this host sent a request to an endpoint.
+
+	@param promptTokens The tokens of the prompt that the endpoint probably has to prefill; 0 for a request without a prompt.
+	*/
+	readonly noteSent: (endpoint: string, promptTokens: number) => TrackedRun;
+};
