Hand rights on to where they are lent from

Cause: two rules with different targets, and rights that nobody looked after. The first allocator did not reply and its standby could not reach the store, so the busiest host drew for itself: for 8 to 14 s of its demand, like an allocator. As a client it handed all beyond 3 s back to the standby each 0.5 s, and drew again when it had little left, five times in 5.3 s. Once the first allocator was back, the standby neither lent these rights, which clients ask for only if the first one does not suffice, nor returned them: it had not drawn them.

Ruled out: loans under way (each of the four totals handed back was taken within 2 ms); a store that was out of reach of the standby (it was back from 13.8 s on, and nothing was returned in 27 s).

Change: a host that is no allocator draws no more than it keeps (kept-tokens.ts), and nothing without a request that waits. An allocator that neither draws ahead nor holds rights of its own hands back what it does not need, as clients do.

Conclusion: no call to the store is added; one message a hand-back.

--- a/packages/entry/src/lib/lending/plan-borrowing.ts
+++ b/packages/entry/src/lib/lending/plan-borrowing.ts
@@ -1,8 +1,5 @@
-/** A host with steady demand borrows this many seconds of its own demand beyond what the waiting requests lack. */
-const borrowAheadSeconds = 1.5;
-
-/** A host with steady demand keeps at most this many seconds of its own demand: twice what it borrows ahead, so that it does not hand back what it has just borrowed. */
-const maxKeptSeconds = 3;
+import {borrowAheadSeconds} from './borrow-ahead-seconds.js';
+import {keptTokens} from './kept-tokens.js';
 
 /** Idle rights of up to this many tokens are kept, since they are not worth a message. */
 const minSurplusTokens = 500;
@@ -30,9 +27,8 @@
 hosts would add up to a part of the budget that serves no request.
 */
 export const planBorrowing = ({available, rate, tokens}: Inputs): BorrowingPlan => {
-	const isSteady = tokens > 0 && rate * borrowAheadSeconds >= tokens;
-	const ahead = isSteady ? rate * borrowAheadSeconds : 0;
-	const kept = isSteady ? rate * maxKeptSeconds : 0;
+	const kept = keptTokens({rate, tokens});
+	const ahead = kept > 0 ? rate * borrowAheadSeconds : 0;
 	const idle = Math.floor(available - kept);
 	return {
 		wanted: Math.max(0, Math.ceil(tokens - available + ahead)),
--- a/packages/entry/src/lib/rights/create-rights-manager.ts
+++ b/packages/entry/src/lib/rights/create-rights-manager.ts
@@ -72,7 +72,7 @@
 		isEntryNeeded: budget => accounts.get(budget).granted !== 0 || queue.missing(budget) > 0 || allocators.drawsAhead(budget),
 		drawAmountOf: budget => (view, rights) => planDrawAmount({
 			account: accounts.get(budget), available: accounts.available(budget), missing: queue.missing(budget), view, rights, holder, holdingPolicy,
-			isDrawPaused: isRetiring || recovery.isDrawPaused(),
+			isAllocator: allocators.isAllocator(budget), isDrawPaused: isRetiring || recovery.isDrawPaused(),
 		}),
 		onRestored() {
 			recovery.noteRestored();
--- a/packages/entry/src/lib/rights/plan-draw-amount.ts
+++ b/packages/entry/src/lib/rights/plan-draw-amount.ts
@@ -1,6 +1,7 @@
 import {
 	drawAmount, type BudgetRights, type HoldingPolicy, type StoreView,
 } from '@deckwheel/ledger';
+import {keptTokens} from '../lending/kept-tokens.js';
 import {countHolders} from '../rights-store/count-holders.js';
 import {remainingTokens} from '../rights-store/remaining-tokens.js';
 import {demandRate} from './demand-rate.js';
@@ -19,6 +20,8 @@
 	/** The name of this incarnation of the host as a holder of rights. */
 	readonly holder: string;
 	readonly holdingPolicy: HoldingPolicy;
+	/** Whether this host is an allocator of the budget. Another host draws only while no allocator lends to it. */
+	readonly isAllocator: boolean;
 	/** Whether this host draws nothing now: while it shuts down, or for a time after the store was restored from an older copy. */
 	readonly isDrawPaused: boolean;
 };
@@ -27,16 +30,15 @@
 Decides how many tokens of a budget a write to the store draws. Pure. The result may be negative or more than the store has left;
 `planDraw` in `packages/ledger` limits it to what can be drawn.
 */
-export const planDrawAmount = ({account, available, missing, view, rights, holder, holdingPolicy, isDrawPaused}: Inputs): number => {
+export const planDrawAmount = ({account, available, missing, view, rights, holder, holdingPolicy, isAllocator, isDrawPaused}: Inputs): number => {
 	if (isDrawPaused) {
 		return 0;
 	}
 
+	const tokensPerSecond = demandRate(account);
 	const target = holdingPolicy({
-		...view,
-		remaining: remainingTokens(rights, holder, account),
-		tokensPerSecond: demandRate(account),
-		holders: countHolders(rights, holder),
+		...view, remaining: remainingTokens(rights, holder, account), tokensPerSecond, holders: countHolders(rights, holder),
 	});
-	return drawAmount({target, available, missing});
+	const mostKept = isAllocator ? target : keptTokens({rate: tokensPerSecond, tokens: missing});
+	return drawAmount({target: Math.min(target, mostKept), available, missing});
 };
--- a/packages/entry/src/lib/rights/plan-rights.ts
+++ b/packages/entry/src/lib/rights/plan-rights.ts
@@ -26,6 +26,8 @@
 	readonly holdingPolicy: HoldingPolicy;
 	/** Whether the limit of the budget fell below what the store has granted of it. Then no host may keep unspent rights. */
 	readonly isOverGranted: boolean;
+	/** Whether this host is an allocator of the budget. Other hosts draw for waiting requests only, and return what they drew and do not need. */
+	readonly isAllocator: boolean;
 	/** Whether the store is in reach. Rights that are returned while it is out of reach could be used by no host. */
 	readonly isStoreUp: boolean;
 };
@@ -35,14 +37,14 @@
 
 `deckwheeld` decides what it returns by `surplus` in `packages/ledger`, whose comment says why the two differ.
 */
-export const planRights = ({account, store, holders, holdingPolicy, isOverGranted, isStoreUp}: Inputs): RightsPlan => {
+export const planRights = ({account, store, holders, holdingPolicy, isOverGranted, isAllocator, isStoreUp}: Inputs): RightsPlan => {
 	const availableTokens = available(account);
 	if (isOverGranted) {
 		return availableTokens > 0 ? {type: 'give_back', tokens: availableTokens} : {type: 'keep'};
 	}
 
 	const target = holdingPolicy({...store, tokensPerSecond: demandRate(account), holders});
-	if (availableTokens < target * drawBelowPart && store.unallocated > 0) {
+	if (isAllocator && availableTokens < target * drawBelowPart && store.unallocated > 0) {
 		return {type: 'draw'};
 	}
 
--- a/packages/entry/src/lib/rights/start-rights-balancer.ts
+++ b/packages/entry/src/lib/rights/start-rights-balancer.ts
@@ -64,6 +64,7 @@
 			holdingPolicy,
 			holders: countHolders(rights, holder),
 			isOverGranted: unallocated(rights) < 0,
+			isAllocator: allocators.isAllocator(budget),
 			isStoreUp: state.isUp(),
 			store: adjustStaleView(view, writer.rightsAgeMs(budget)),
 		});
@@ -117,7 +118,8 @@
 			return;
 		}
 
-		for (const budget of accounts.budgets().filter(name => !allocators.isAllocator(name))) {
+		// A standby may hold rights that it did not draw: clients hand rights back to it while they do not reach the first allocator.
+		for (const budget of accounts.budgets().filter(name => !allocators.isAllocator(name) || !isStoreHolder(name))) {
 			void borrower.handBackIdle(budget);
 		}
 
--- a/packages/entry/src/test/lib/start-rights-managers.ts
+++ b/packages/entry/src/test/lib/start-rights-managers.ts
@@ -16,11 +16,20 @@
 	readonly events: string[];
 	/** Ends the host as a crash does: it returns no rights. */
 	readonly kill: () => void;
+	/** Faults that a test can switch on and off. */
+	readonly setFaults: (faults: Faults) => void;
 };
 
+/** Whether a host is unreachable for its peers, and whether the store is down for it. */
+type Faults = {readonly isUnreachable: boolean; readonly isStoreDown: boolean};
+
+type HandBack = {readonly type: 'hand_back'; readonly budget: string; readonly total: number};
+
+const noFaults: Faults = {isUnreachable: false, isStoreDown: false};
+
 /**
-Starts the rights managers of the hosts of one data hall, linked without sockets. Peers reply at once; after they were killed they are
-unreachable.
+Starts the rights managers of the hosts of one data hall, linked without sockets. Peers reply at once; after they were killed, and by a fault,
+they are unreachable.
 
 @param count The number of hosts.
 @param limit Prepaid tokens of the budget `org`.
@@ -30,17 +39,37 @@
 	const peers: readonly ListedPeer[] = Array.from({length: count}, (_, index) => ({holder: `edge-${index}#a`, address: `10.0.0.${index}:1`, hall: 'h'}));
 	const rightsManagers = new Map<string, RightsManager>();
 	const suspected = new Set<string>();
+	const faults = new Map<string, Faults>();
+	const faultsOf = ({holder}: ListedPeer): Faults => faults.get(holder) ?? noFaults;
 	let reachablePeers = peers;
+	const findReachablePeers = (): void => {
+		reachablePeers = peers.filter(entry => !suspected.has(entry.address) && !faultsOf(entry).isUnreachable);
+	};
 
 	const startRightsManager = (peer: ListedPeer): HostWithRights => {
 		const events: string[] = [];
+		const storeOfHost: RightsStore = {
+			read: async slot => faultsOf(peer).isStoreDown ? fail({type: 'unavailable'}) : store.read(slot),
+			peek: async (slot, timeoutMs) => faultsOf(peer).isStoreDown ? undefined : store.peek(slot, timeoutMs),
+			write: async (slot, rights, revision) => faultsOf(peer).isStoreDown ? fail({type: 'unavailable'}) : store.write(slot, rights, revision),
+		};
 		const loanClient = createLoanClient({
 			mesh: () => ({
 				port: 0,
 				async request(address, body) {
 					const lender = peers.find(entry => entry.address === address)!;
 					const rightsManager = rightsManagers.get(lender.holder);
-					return rightsManager ? succeed({lender: lender.holder, ...await rightsManager.lend(peer.holder, body as LoanRequest)}) : fail('unreachable');
+					if (!rightsManager || faultsOf(lender).isUnreachable || faultsOf(peer).isUnreachable) {
+						return fail('unreachable');
+					}
+
+					const message = body as HandBack | (LoanRequest & {readonly type: 'lend'});
+					if (message.type === 'hand_back') {
+						rightsManager.takeBack(message.budget, peer.holder, message.total);
+						return succeed({isTaken: true});
+					}
+
+					return succeed({lender: lender.holder, ...await rightsManager.lend(peer.holder, message)});
 				},
 				send: () => undefined,
 				quietMs: () => undefined,
@@ -51,8 +80,11 @@
 				rights.receive(budget, from, total);
 			},
 			onSilence(address) {
-				suspected.add(address);
-				reachablePeers = peers.filter(entry => !suspected.has(entry.address));
+				if (!faultsOf(peers.find(entry => entry.address === address)!).isUnreachable) {
+					suspected.add(address);
+				}
+
+				findReachablePeers();
 			},
 			replyTimeoutMs: defaultTimeouts.peerMs,
 			log: () => undefined,
@@ -61,7 +93,7 @@
 		const rights = createRightsManager({
 			host: hostOfHolder(peer.holder),
 			holder: peer.holder,
-			store,
+			store: storeOfHost,
 			loanClient,
 			links: () => ({
 				hallPeers: () => reachablePeers, hallSize: () => count, isPeerListKnown: () => true, peerOf: holder => peers.find(entry => entry.holder === holder),
@@ -82,6 +114,10 @@
 				rights.close();
 				rightsManagers.delete(peer.holder);
 			},
+			setFaults(next) {
+				faults.set(peer.holder, next);
+				findReachablePeers();
+			},
 		};
 	};
 
--- a/packages/entry/src/test/plan-draw-amount.test.ts
+++ b/packages/entry/src/test/plan-draw-amount.test.ts
@@ -24,8 +24,31 @@
 		holder,
 		// Holds half of what remains.
 		holdingPolicy: ({remaining}) => remaining / 2,
+		isAllocator: true,
 		isDrawPaused: false,
 	});
 	t.is(wanted(600), 200);
 	t.is(wanted(0), 200);
 });
+
+// A host that is no allocator hands back what it has beyond 3 s of its demand. Drawing for longer, it moved most of a budget to its allocator.
+test('a host that is no allocator draws no more than it keeps', t => {
+	const drawnBy = (isAllocator: boolean, missing: number): number => planDrawAmount({
+		account: {...emptyHostAccount, rate: 1000, observedSeconds: 60},
+		available: 0,
+		missing,
+		view: {
+			unallocated: 1_000_000, remaining: 1_000_000, fleetTokensPerSecond: 1000, demandShare: 1,
+		},
+		rights: {
+			organisation: 'org', limit: 1_000_000, topUps: [], holders: {},
+		},
+		holder,
+		holdingPolicy: ({tokensPerSecond}) => tokensPerSecond * 8,
+		isAllocator,
+		isDrawPaused: false,
+	});
+	t.is(drawnBy(true, 1000), 8001);
+	t.is(drawnBy(false, 1000), 3001);
+	t.is(drawnBy(false, 5000), 5000, 'its demand is not steady: it draws for the request that waits');
+});
--- a/packages/entry/src/test/plan-rights.test.ts
+++ b/packages/entry/src/test/plan-rights.test.ts
@@ -8,7 +8,7 @@
 	unallocated: 1_000_000, remaining: 1_000_000, demandShare: 0.5, fleetTokensPerSecond: 1e6,
 };
 const base = {
-	store, holders: 2, holdingPolicy, isOverGranted: false, isStoreUp: true,
+	store, holders: 2, holdingPolicy, isOverGranted: false, isAllocator: true, isStoreUp: true,
 };
 const holding = (tokens: number) => ({...emptyHostAccount, granted: tokens});
 
@@ -32,3 +32,8 @@
 test('a host returns all unspent rights when the limit fell below what the store has granted', t => {
 	t.deepEqual(planRights({...base, isOverGranted: true, account: {...holding(9000), reserved: 2000, settled: 1000}}), {type: 'give_back', tokens: 6000});
 });
+
+test('a host that is no allocator draws nothing ahead, and returns what it drew and does not need', t => {
+	t.is(planRights({...base, isAllocator: false, account: holding(3000)}).type, 'keep');
+	t.deepEqual(planRights({...base, isAllocator: false, account: holding(40_000)}), {type: 'give_back', tokens: 30_000});
+});
--- a/packages/entry/src/test/rights-after-crashes.test.ts
+++ b/packages/entry/src/test/rights-after-crashes.test.ts
@@ -25,7 +25,7 @@
 		accountOf: () => account,
 		isEntryNeeded: () => true,
 		drawAmountOf: () => (view, budgetRights) => planDrawAmount({
-			account, available: account.granted - account.settled, missing: 0, view, rights: budgetRights, holder, holdingPolicy, isDrawPaused: isRetiring,
+			account, available: account.granted - account.settled, missing: 0, view, rights: budgetRights, holder, holdingPolicy, isAllocator: true, isDrawPaused: isRetiring,
 		}),
 	});
 	if (plan.type !== 'write') {
