Count each host's own open requests by endpoint

Placing is to read the load of an endpoint from a LoadTracker. HostContext has it as `loads`. Ruled out: reading `inFlight` of the endpoint table, which knows no prompts and goes with its table. Nothing calls it yet.

--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -21,6 +21,7 @@
 import {startServers} from './lib/host/start-servers.js';
 import {startPeerTasks} from './lib/host/start-peer-tasks.js';
 import type {ShutdownPlan} from './lib/host/shutdown-plan.js';
+import {createLoadTracker} from './lib/load-sharing/create-load-tracker.js';
 import {createAcceptQueueMonitor} from './lib/own-health/create-accept-queue-monitor.js';
 import {createWaitLog} from './lib/own-health/create-wait-log.js';
 import type {HostContext} from './lib/request/host-context.js';
@@ -106,6 +107,7 @@
 		noteConnect: health.noteConnect,
 		headerNames,
 		chooser,
+		loads: createLoadTracker(),
 		halls,
 		poison: peerTasks.poison,
 		limits: peerTasks.limits,
--- /dev/null
+++ b/packages/entry/src/test/create-load-tracker.test.ts
@@ -0,0 +1,28 @@
+import test from 'ava';
+import {createLoadTracker} from '../lib/load-sharing/create-load-tracker.js';
+
+test('a run counts as open until its end, and its prompt as pending until its first event', t => {
+	const tracker = createLoadTracker();
+	const first = tracker.noteSent('engine', 1000);
+	const second = tracker.noteSent('engine', 500);
+	t.like(tracker.loadOf('engine'), {open: 2, pendingPromptTokens: 1500});
+	first.noteEvent();
+	first.noteEvent();
+	t.like(tracker.loadOf('engine'), {open: 2, pendingPromptTokens: 500});
+	second.end();
+	first.end();
+	t.like(tracker.loadOf('engine'), {
+		open: 0, pendingPromptTokens: 0, pace: 1, ageMs: undefined,
+	});
+});
+
+// Counts that a run takes off twice would make a busy endpoint look idle.
+test('a run that is ended twice, or gets an event after its end, is taken off once', t => {
+	const tracker = createLoadTracker();
+	const run = tracker.noteSent('engine', 100);
+	tracker.noteSent('engine', 200);
+	run.end();
+	run.end();
+	run.noteEvent();
+	t.like(tracker.loadOf('engine'), {open: 1, pendingPromptTokens: 200});
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,7 @@
 export type {EndpointChoice} from './endpoints/endpoint-choice.js';
 export type {EndpointEvent} from './endpoints/endpoint-event.js';
 export type {EndpointInfo} from './endpoints/endpoint-info.js';
+export type {EndpointLoad} from './load/endpoint-load.js';
 export type {EndpointTable} from './endpoints/endpoint-table.js';
 export {enqueueRequest} from './request-queue/enqueue-request.js';
 export {expireQueuedRequests} from './request-queue/expire-queued-requests.js';
