Share the load and pace of endpoints between hosts

In each hall with more than four hosts one host, by rendezvous, now adds up what all report every 300 ms, and replies with the totals of the fleet; leaders of halls ask each other. The same messages carry samples of speed and endpoints that were found ended.

Ruled out: deltas (a lost message spoils them, and most endpoints change within an interval anyway); suspicions of the peer list for a silent leader (they read the directory, so they would cost calls to the store, and they keep peers from lending); pushes between leaders (their age on arrival isn't known; a question bounds it).

A malformed message of a peer is now logged once a minute; it was logged each time. No test guarded that; hand-back.test.ts gets the two new options and no other change.

--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -1,3 +1,4 @@
+import {fail} from '@deckwheel/core';
 import {createEventCounter, probeAddress} from '@deckwheel/host-kit';
 import {
 	createCrashDetector, createPoisonDetector, suspicionsReplySchema, type PoisonDetector,
@@ -10,6 +11,8 @@
 import type {Timeouts} from '../../timeouts.js';
 import type {HostNames} from '../choice/host-names.js';
 import {createLoanClient} from '../lending/create-loan-client.js';
+import {createLoadSharing} from '../load-sharing/create-load-sharing.js';
+import type {LoadSharing} from '../load-sharing/load-sharing.js';
 import {startPeerLinks} from '../peers/start-peer-links.js';
 import {readPeerReply} from '../peers/read-peer-reply.js';
 import {createEndpointLimits} from '../request-limits/create-endpoint-limits.js';
@@ -37,6 +40,8 @@
 	readonly onLinkReplaced: () => void;
 	/** Called when the limit on requests to an endpoint changed. */
 	readonly onLimitChanged: (endpoint: string) => void;
+	/** Called with the id of a listed endpoint that another host found ended. */
+	readonly onEnded: (endpoint: string) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 	/** Elapsed ms, suspensions included. */
@@ -48,6 +53,7 @@
 	readonly rights: RightsManager;
 	readonly poison: PoisonDetector;
 	readonly limits: EndpointLimits;
+	readonly loadSharing: Omit<LoadSharing, 'answerLoad' | 'close'>;
 	readonly storeChanges: StoreChanges;
 	/** As `hostNames` of `PeerLinks`. */
 	readonly hostNames: () => HostNames | undefined;
@@ -57,10 +63,10 @@
 };
 
 /**
-Creates the parts that exchange messages with peers (rights and loans, poison detection, limits of endpoints, change notifications), and the
+Creates the parts that exchange messages with peers (rights and loans, poison detection, limits and load of endpoints, change notifications), and the
 links that they use.
 */
-export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, onLimitChanged, now, elapsed}: Options): PeerTasks => {
+export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, onLimitChanged, onEnded, now, elapsed}: Options): PeerTasks => {
 	const loanClient = createLoanClient({
 		mesh: () => links.mesh(),
 		receivedFrom: (budget, lender) => rights.receivedFrom(budget, lender),
@@ -107,6 +113,15 @@
 		log,
 		now,
 	});
+	const loadSharing = createLoadSharing({
+		links: () => links,
+		request: async (peerAddress, message, timeoutMs) => await links.mesh()?.request(peerAddress, message, timeoutMs) ?? fail('unreachable'),
+		every: repeatByTimer,
+		onEnded,
+		counter: createEventCounter('load_exchanges', log),
+		log,
+		now,
+	});
 	const registry = createChangeRegistry(elapsed);
 	const links = startPeerLinks({
 		self: {holder, address, hall},
@@ -119,6 +134,7 @@
 		answerSuspicions: poison.answer,
 		answerPermit: limits.answerPermit,
 		answerLimits: limits.answerLimits,
+		answerLoad: loadSharing.answerLoad,
 		onListed() {
 			poison.notePeerList();
 			limits.notePeerList();
@@ -131,6 +147,7 @@
 		rights,
 		poison,
 		limits,
+		loadSharing,
 		storeChanges: createStoreChanges({
 			holder, registry, links: () => links, log,
 		}),
@@ -140,6 +157,7 @@
 		},
 		async close() {
 			poison.close();
+			loadSharing.close();
 			rights.close();
 			await links.close();
 		},
--- a/packages/entry/src/lib/load-sharing/create-load-tracker.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-tracker.ts
@@ -1,43 +1,90 @@
-import type {EndpointLoad} from '@deckwheel/routing';
-import type {LoadTracker} from './load-tracker.js';
+import {hash32} from '@deckwheel/core';
+import {createRunTimer} from './create-run-timer.js';
+import type {OthersLoad} from './others-load.js';
+import type {PaceSample} from './pace-sample.js';
+import {promptUnitTokens} from './prompt-unit-tokens.js';
+import type {SharedLoadTracker} from './shared-load-tracker.js';
 
-const idleLoad: EndpointLoad = {
-	open: 0, pendingPromptTokens: 0, pace: 1, ageMs: undefined,
+type Options = {
+	/** Called with what the end of a request told of an endpoint's speed. */
+	readonly onSample: (sample: PaceSample) => void;
+	/** Monotonic ms. */
+	readonly now: () => number;
 };
 
-/** Creates a tracker without open requests, which counts the requests of this host only. */
-export const createLoadTracker = (): LoadTracker => {
-	const loads = new Map<string, EndpointLoad>();
+/** The load of one endpoint by one host, or by all others together. */
+type Load = OthersLoad;
+
+const noLoad: Load = {open: 0, pendingPromptTokens: 0};
+
+/** Creates a tracker without open requests. It counts the requests of this host only until it is given the load of others. */
+export const createLoadTracker = ({onSample, now}: Options): SharedLoadTracker => {
+	const own = new Map<string, Load>();
+	let others: ReadonlyMap<string, OthersLoad> = new Map();
+	let othersAsOf: number | undefined;
+	let paces: ReadonlyMap<string, number> = new Map();
 
 	const add = (endpoint: string, runs: number, promptTokens: number): void => {
-		const {open, pendingPromptTokens, ...rest} = loads.get(endpoint) ?? idleLoad;
-		if (open + runs === 0) {
-			loads.delete(endpoint);
+		const load = own.get(endpoint) ?? noLoad;
+		const open = load.open + runs;
+		if (open === 0) {
+			own.delete(endpoint);
 		} else {
-			loads.set(endpoint, {...rest, open: open + runs, pendingPromptTokens: pendingPromptTokens + promptTokens});
+			own.set(endpoint, {open, pendingPromptTokens: load.pendingPromptTokens + promptTokens});
 		}
 	};
 
 	return {
-		loadOf: endpoint => loads.get(endpoint) ?? idleLoad,
+		loadOf(endpoint) {
+			const ownLoad = own.get(endpoint) ?? noLoad;
+			const othersLoad = others.get(endpoint) ?? noLoad;
+			return {
+				open: ownLoad.open + othersLoad.open,
+				pendingPromptTokens: ownLoad.pendingPromptTokens + othersLoad.pendingPromptTokens,
+				pace: paces.get(endpoint) ?? 1,
+				ageMs: othersAsOf === undefined ? undefined : now() - othersAsOf,
+			};
+		},
 		noteSent(endpoint, promptTokens) {
+			const timer = createRunTimer(now);
 			let pendingTokens = promptTokens;
 			let isOpen = true;
 			add(endpoint, 1, promptTokens);
 			return {
 				noteEvent() {
+					timer.noteEvent();
 					if (isOpen && pendingTokens > 0) {
 						add(endpoint, 0, -pendingTokens);
 						pendingTokens = 0;
 					}
 				},
-				end() {
-					if (isOpen) {
-						isOpen = false;
-						add(endpoint, -1, -pendingTokens);
+				end(how) {
+					if (!isOpen) {
+						return;
+					}
+
+					isOpen = false;
+					add(endpoint, -1, -pendingTokens);
+					const sample = timer.end(how);
+					if (sample) {
+						onSample({endpoint: hash32(endpoint), ...sample});
 					}
 				},
 			};
 		},
+		ownRows: () => [...own].map(([endpoint, {open, pendingPromptTokens}]) => ({
+			endpoint: hash32(endpoint), open, promptUnits: Math.round(pendingPromptTokens / promptUnitTokens),
+		})),
+		setOthers(next, asOf) {
+			others = next;
+			othersAsOf = asOf;
+		},
+		forgetOthers() {
+			others = new Map();
+			othersAsOf = undefined;
+		},
+		setPaces(next) {
+			paces = next;
+		},
 	};
 };
--- a/packages/entry/src/lib/peers/create-peer-request-handler.ts
+++ b/packages/entry/src/lib/peers/create-peer-request-handler.ts
@@ -1,5 +1,6 @@
 import type {Identity} from '@deckwheel/mesh';
 import type {Log} from '../../adapter/log.js';
+import {createSparseLog} from './create-sparse-log.js';
 import type {PeerHandlers} from './peer-handlers.js';
 import {peerMessageSchema} from './peer-message-schema.js';
 
@@ -7,6 +8,8 @@
 	/** The name of this incarnation of the host, as a holder of rights. */
 	readonly holder: string;
 	readonly log: Log;
+	/** Monotonic ms. */
+	readonly now: () => number;
 };
 
 /**
@@ -14,48 +17,55 @@
 with `undefined` for a malformed request, which is logged.
 */
 export const createPeerRequestHandler = ({
-	lend, takeBack, answerChanges, answerSuspicions, answerPermit, answerLimits, holder, log,
-}: Options) => async (from: Identity, body: unknown): Promise<unknown> => {
-	const message = peerMessageSchema.safeParse(body);
-	if (!message.success) {
-		log('peer_message_malformed', {from: from.incarnation});
-		return undefined;
-	}
-
-	const {data} = message;
-	switch (data.type) {
-		case 'hand_back': {
-			// `total` counts all rights that the peer ever gave to one incarnation of a host. Were it meant for an earlier incarnation at this
-			// address, this host would credit itself with all rights that the earlier incarnation got.
-			const isTaken = data.to === holder;
-			if (isTaken) {
-				takeBack(from.incarnation, data.budget, data.total);
-			} else {
-				log('hand_back_refused', {from: from.incarnation, to: data.to, budget: data.budget});
+	lend, takeBack, answerChanges, answerSuspicions, answerPermit, answerLimits, answerLoad, holder, log, now,
+}: Options) => {
+	const sparseLog = createSparseLog(log, now);
+	return async (from: Identity, body: unknown): Promise<unknown> => {
+		const message = peerMessageSchema.safeParse(body);
+		if (!message.success) {
+			sparseLog('peer_message_malformed', {from: from.incarnation});
+			return undefined;
+		}
+
+		const {data} = message;
+		switch (data.type) {
+			case 'hand_back': {
+				// `total` counts all rights that the peer ever gave to one incarnation of a host. Were it meant for an earlier incarnation at this
+				// address, this host would credit itself with all rights that the earlier incarnation got.
+				const isTaken = data.to === holder;
+				if (isTaken) {
+					takeBack(from.incarnation, data.budget, data.total);
+				} else {
+					log('hand_back_refused', {from: from.incarnation, to: data.to, budget: data.budget});
+				}
+
+				return {isTaken};
 			}
 
-			return {isTaken};
-		}
+			// `news` is the name on the wire of a request whether a topic of the store changed.
+			case 'news': {
+				return answerChanges(data.topic, data.after, data.holdMs);
+			}
 
-		// `news` is the name on the wire of a request whether a topic of the store changed.
-		case 'news': {
-			return answerChanges(data.topic, data.after, data.holdMs);
-		}
+			case 'suspicions': {
+				return answerSuspicions(from.hall, data);
+			}
 
-		case 'suspicions': {
-			return answerSuspicions(from.hall, data);
-		}
+			case 'permit': {
+				return answerPermit({holder: from.incarnation, hall: from.hall, address: data.asker}, data);
+			}
 
-		case 'permit': {
-			return answerPermit({holder: from.incarnation, hall: from.hall, address: data.asker}, data);
-		}
+			case 'limits': {
+				return answerLimits({holder: from.incarnation, hall: from.hall, address: data.sender}, data);
+			}
 
-		case 'limits': {
-			return answerLimits({holder: from.incarnation, hall: from.hall, address: data.sender}, data);
-		}
+			case 'load': {
+				return answerLoad(from, data);
+			}
 
-		case 'lend': {
-			return {lender: holder, ...await lend(from.incarnation, data)};
+			case 'lend': {
+				return {lender: holder, ...await lend(from.incarnation, data)};
+			}
 		}
-	}
+	};
 };
--- a/packages/entry/src/lib/peers/peer-handlers.ts
+++ b/packages/entry/src/lib/peers/peer-handlers.ts
@@ -1,6 +1,7 @@
 import type {SuspicionsRequest, SuspicionsReply} from '@deckwheel/poison';
 import type {LoanReply} from '../lending/loan-reply.js';
 import type {LoanRequest} from '../lending/loan-request.js';
+import type {LoadSharing} from '../load-sharing/load-sharing.js';
 import type {EndpointLimits} from '../request-limits/endpoint-limits.js';
 import type {ChangeReply} from '../store-changes/change-reply.js';
 
@@ -18,4 +19,6 @@
 	readonly answerPermit: EndpointLimits['answerPermit'];
 	/** Takes in the limits of endpoints that a peer reports. */
 	readonly answerLimits: EndpointLimits['answerLimits'];
+	/** Replies to a peer that reports its load to this host as a load leader. */
+	readonly answerLoad: LoadSharing['answerLoad'];
 };
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -36,7 +36,9 @@
 */
 export const startPeerLinks = ({self, directory, log, onListed, onLinkReplaced, now, ...handlers}: Options): PeerLinks => {
 	const peers = createPeerList(self, now);
-	const handleRequest = createPeerRequestHandler({...handlers, holder: self.holder, log});
+	const handleRequest = createPeerRequestHandler({
+		...handlers, holder: self.holder, log, now,
+	});
 	let mesh: Mesh | undefined;
 	let nextReadAt = 0;
 
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -21,7 +21,6 @@
 import {startServers} from './lib/host/start-servers.js';
 import {startPeerTasks} from './lib/host/start-peer-tasks.js';
 import type {ShutdownPlan} from './lib/host/shutdown-plan.js';
-import {createLoadTracker} from './lib/load-sharing/create-load-tracker.js';
 import {createAcceptQueueMonitor} from './lib/own-health/create-accept-queue-monitor.js';
 import {createWaitLog} from './lib/own-health/create-wait-log.js';
 import type {HostContext} from './lib/request/host-context.js';
@@ -55,8 +54,11 @@
 		onLimitChanged(endpoint) {
 			chooser.note({type: 'limited', endpoint, until: 0});
 		},
+		onEnded(endpoint) {
+			log('endpoint_ended', {endpoint, by: 'peer'});
+		},
 	});
-	const {rights} = peerTasks;
+	const {rights, loadSharing} = peerTasks;
 	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
 	const health = startHealthMonitor({
 		hall, isEvacuated: name => evacuatedHalls?.has(name) ?? false, bounds, timeouts, open: requestCounter.count, log, now,
@@ -75,6 +77,7 @@
 		config: () => config,
 		onUsed(used, unused) {
 			chooser.list(used);
+			loadSharing.list(used);
 			halls.list(used);
 			pool.keepOnly(new Set(used.map(({id}) => id)));
 			log('endpoints_listed', {count: used.length, leaving: used.filter(({isLeaving}) => isLeaving).length, unused});
@@ -107,7 +110,7 @@
 		noteConnect: health.noteConnect,
 		headerNames,
 		chooser,
-		loads: createLoadTracker(),
+		loads: loadSharing.loads,
 		halls,
 		poison: peerTasks.poison,
 		limits: peerTasks.limits,
--- a/packages/entry/src/test/create-load-tracker.test.ts
+++ b/packages/entry/src/test/create-load-tracker.test.ts
@@ -2,7 +2,7 @@
 import {createLoadTracker} from '../lib/load-sharing/create-load-tracker.js';
 
 test('a run counts as open until its end, and its prompt as pending until its first event', t => {
-	const tracker = createLoadTracker();
+	const tracker = createLoadTracker({onSample: () => undefined, now: () => 0});
 	const first = tracker.noteSent('engine', 1000);
 	const second = tracker.noteSent('engine', 500);
 	t.like(tracker.loadOf('engine'), {open: 2, pendingPromptTokens: 1500});
@@ -18,7 +18,7 @@
 
 // Counts that a run takes off twice would make a busy endpoint look idle.
 test('a run that is ended twice, or gets an event after its end, is taken off once', t => {
-	const tracker = createLoadTracker();
+	const tracker = createLoadTracker({onSample: () => undefined, now: () => 0});
 	const run = tracker.noteSent('engine', 100);
 	tracker.noteSent('engine', 200);
 	run.end();
--- a/packages/entry/src/test/hand-back.test.ts
+++ b/packages/entry/src/test/hand-back.test.ts
@@ -31,6 +31,10 @@
 			throw new Error('not asked');
 		},
 		answerLimits: () => ({limits: []}),
+		answerLoad() {
+			throw new Error('not asked');
+		},
+		now: () => 0,
 		takeBack(_from, _budget, total) {
 			takenTotals.push(total);
 		},
