--- a/packages/entry/src/lib/load-sharing/create-load-sharing.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-sharing.ts
@@ -20,6 +20,12 @@
 /** The time between two messages of a host to its load leader in halls of up to 30 hosts, in ms: short beside the time for which most requests are open. */
 const tickMs = 300;
 
+/**
+The time between two questions of a load leader to that of another hall, in ms. It is shorter than `tickMs` because what other halls have open
+passes two leaders, and costs little because only leaders ask.
+*/
+const hallPullMs = 150;
+
 /** After how many intervals without totals a host counts its own requests only. Before that, a silent leader is replaced. */
 const totalsIntervals = 5;
 
@@ -154,10 +160,6 @@
 	/** Reports to the leader or, if it does not answer, to the next one. */
 	const report = async (): Promise<void> => {
 		const address = updateLeader();
-		if (isSelf(address)) {
-			halls.pull();
-		}
-
 		if (address === undefined || await member.reportTo(address)) {
 			return;
 		}
@@ -181,6 +183,17 @@
 		isReporting = false;
 	};
 
+	const stops = [
+		every(tickMs, () => {
+			void tick();
+		}),
+		every(hallPullMs, () => {
+			if (isSelf(leaderAddress)) {
+				halls.pull();
+			}
+		}),
+	];
+
 	return {
 		loads: tracker,
 		list(endpoints) {
@@ -195,8 +208,10 @@
 			counter.increment('led');
 			return leader.answer(from, message);
 		},
-		close: every(tickMs, () => {
-			void tick();
-		}),
+		close() {
+			for (const stop of stops) {
+				stop();
+			}
+		},
 	};
 };
--- /dev/null
+++ b/packages/entry/src/test/load-messages.test.ts
@@ -0,0 +1,84 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {performance} from 'node:perf_hooks';
+import test from 'ava';
+import type {ListedPeer} from '../adapter/listed-peer.js';
+import {defaultTimeouts} from '../default-timeouts.js';
+import {startPeerTasks} from '../lib/host/start-peer-tasks.js';
+import {createPeerRequestHandler} from '../lib/peers/create-peer-request-handler.js';
+import {createMemoryRightsStore} from './lib/memory-rights-store.js';
+
+const engine = {
+	id: 'engine@1', instance: 'engine', address: '127.0.0.1:1', hall: 'h', serves: ['model'], slots: 16, isLeaving: false,
+};
+
+test('hosts of a hall share their loads over real links', async t => {
+	const directory = new Map<string, ListedPeer>();
+	const hosts = Array.from({length: 5}, (_, index) => startPeerTasks({
+		host: `edge-${index}`,
+		hall: 'h',
+		holder: `edge-${index}#a`,
+		address: '127.0.0.1:0',
+		rightsStore: createMemoryRightsStore(),
+		directory: {
+			shareSecret: async () => 'secret',
+			async register(self) {
+				directory.set(self.holder, self);
+				return true;
+			},
+			list: async () => [...directory.values()],
+		},
+		timeouts: defaultTimeouts,
+		log: () => undefined,
+		onLinkReplaced: () => undefined,
+		onLimitChanged: () => undefined,
+		onEnded: () => undefined,
+		now: () => performance.now(),
+		elapsed: () => performance.now(),
+	}));
+	t.teardown(async () => {
+		await Promise.all(hosts.map(async ({close}) => close()));
+	});
+	for (const {loadSharing} of hosts) {
+		loadSharing.list([engine]);
+		loadSharing.loads.noteSent(engine.id, 1024);
+	}
+
+	const hasTotals = ({loadSharing}: typeof hosts[0]): boolean => loadSharing.loads.loadOf(engine.id).open === hosts.length;
+	while (!hosts.every(host => hasTotals(host))) {
+		await sleep(20);
+	}
+
+	t.true(hosts.every(({loadSharing}) => loadSharing.loads.loadOf(engine.id).pendingPromptTokens === 5 * 1024));
+});
+
+// A peer of another version sends a message that cannot be read three times a second.
+test('a load message that cannot be read gets no reply and is logged once a minute for each peer', async t => {
+	let time = 0;
+	const logged: unknown[] = [];
+	const unasked = (): never => {
+		throw new Error('not asked');
+	};
+
+	const replyTo = createPeerRequestHandler({
+		holder: 'edge-1#a',
+		log(event, fields) {
+			logged.push(event, fields?.from);
+		},
+		now: () => time,
+		lend: unasked,
+		takeBack: unasked,
+		answerChanges: unasked,
+		answerSuspicions: unasked,
+		answerPermit: unasked,
+		answerLimits: unasked,
+		answerLoad: unasked,
+	});
+	for (; time < 60_000; time += 300) {
+		t.is(await replyTo({incarnation: 'edge-2#a', hall: 'h'}, {type: 'load', wants: 'all', counts: ['one']}), undefined);
+	}
+
+	t.deepEqual(logged, ['peer_message_malformed', 'edge-2#a']);
+	await replyTo({incarnation: 'edge-3#a', hall: 'h'}, {type: 'load'});
+	await replyTo({incarnation: 'edge-2#a', hall: 'h'}, {type: 'load'});
+	t.deepEqual(logged.slice(2), ['peer_message_malformed', 'edge-3#a', 'peer_message_malformed', 'edge-2#a']);
+});
