--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -54,8 +54,11 @@
 		onLimitChanged(endpoint) {
 			chooser.note({type: 'limited', endpoint, until: 0});
 		},
+		onEnded(endpoint) {
+			log('endpoint_ended', {endpoint, by: 'peer'});
+		},
 	});
-	const {rights} = peerTasks;
+	const {rights, loadSharing} = peerTasks;
 	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
 	const health = startHealthMonitor({
 		hall, isEvacuated: name => evacuatedHalls?.has(name) ?? false, bounds, timeouts, open: requestCounter.count, log, now,
@@ -74,6 +77,7 @@
 		config: () => config,
 		onUsed(used, unused) {
 			chooser.list(used);
+			loadSharing.list(used);
 			halls.list(used);
 			pool.keepOnly(new Set(used.map(({id}) => id)));
 			log('endpoints_listed', {count: used.length, leaving: used.filter(({isLeaving}) => isLeaving).length, unused});
@@ -106,6 +110,7 @@
 		noteConnect: health.noteConnect,
 		headerNames,
 		chooser,
+		loads: loadSharing.loads,
 		halls,
 		poison: peerTasks.poison,
 		limits: peerTasks.limits,
