Choose endpoints by expected time among a few candidates

Hosts know their own open requests only, so what other hosts have sent decides nothing, ties go to the lowest id, and a shared prefix piles its requests on one endpoint. The score is now the expected time to the first event, by the load and pace in EndpointLoad, plus the penalties of scoreByAffinity (moved to files of their own, not copied). It is taken of a few endpoints: those preferred for the prefix, those that got it from this host, and some drawn at random, so hosts that know the same of an endpoint do not all send there. More are drawn where none has a free slot. chooseEndpoint keeps its rules; its loop is shared. Off until a host passes Placing to the chooser; scoreByAffinity is used as before then.

--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -1,13 +1,15 @@
 import {
-	chooseEndpoint, exclusionOfAll, scoreByAffinity, stepEndpoints, type EndpointTable, type WarmupRules,
+	chooseAmongCandidates, chooseEndpoint, exclusionOfAll, scoreByAffinity, scoreByExpectedTime, stepEndpoints, type EndpointTable, type WarmupRules,
 } from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {PromptPart} from '../admission/prompt-part.js';
 import type {ChoiceRequest} from './choice-request.js';
+import {createHallsOfServices} from './create-halls-of-services.js';
 import {createPrefixCacheEstimate} from './create-prefix-cache-estimate.js';
 import {createPreferredEndpoints} from './create-preferred-endpoints.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
 import type {Evacuations} from './evacuations.js';
+import type {Placing} from './placing.js';
 import {stepEvacuations} from './step-evacuations.js';
 
 type Options = {
@@ -20,18 +22,21 @@
 	`reopenedAt` is as in `WarmupRules`.
 	*/
 	readonly warmupRules?: (service: string, reopenedAt: ReadonlyMap<string, number>) => WarmupRules | undefined;
+	/** How requests are placed by the load that hosts share; `undefined` on a host that never does so. */
+	readonly placing?: Placing;
 	/** The clock, in monotonic ms. */
 	readonly now: () => number;
 };
 
 // The last part of a prompt belongs to its request alone, so the one before is the longest prefix that the prompt shares with others.
-// Prompts with the same shared prefix prefer the same endpoint.
+// Prompts with the same shared prefix prefer the same endpoints.
 const affinityKey = (parts: readonly PromptPart[]): string | undefined => parts.at(-2)?.id;
 
 /** Creates the chooser of a host, which owns the host's table of endpoints. It knows no endpoint until the first `list`. */
-export const createEndpointChooser = ({hall, isUnreachable, warmupRules, now}: Options): EndpointChooser => {
+export const createEndpointChooser = ({hall, isUnreachable, warmupRules, placing, now}: Options): EndpointChooser => {
 	const cacheEstimate = createPrefixCacheEstimate();
 	const preferredEndpoints = createPreferredEndpoints();
+	const hallsOfServices = createHallsOfServices(hall);
 	let listedHalls: readonly string[] = [];
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
@@ -41,10 +46,12 @@
 
 	// An endpoint that leaves or is in an evacuated hall gets no new requests, so it must not be the preferred one of any prompt.
 	const updatePreferred = (): void => {
-		preferredEndpoints.list([...byId.values()].filter(({id}) => {
+		const usable = [...byId.values()].filter(({id}) => {
 			const {info} = table.get(id)!;
 			return !info.isLeaving && !evacuations.halls.has(info.hall);
-		}));
+		});
+		preferredEndpoints.list(usable);
+		hallsOfServices.list(usable);
 	};
 
 	const constraintsOf = ({service, regions}: Pick<ChoiceRequest, 'service' | 'regions'>) => ({
@@ -64,15 +71,27 @@
 		},
 		choose({parts, tried, avoidedHalls, ...request}) {
 			const key = affinityKey(parts);
-			const preferred = key === undefined ? undefined : preferredEndpoints.endpointFor(request.service, key);
-			const choice = chooseEndpoint(table, {
-				...constraintsOf(request),
-				cachedTokens: endpoint => cacheEstimate.cachedTokens(endpoint, parts, preferred),
-				promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0),
-				avoidedHalls,
-				tried,
-			}, now(), scoreByAffinity);
-			return choice && {endpoint: byId.get(choice.endpoint)!, reason: choice.reason};
+			const ranked = key === undefined ? [] : preferredEndpoints.rankedFor(request.service, key);
+			const preferred = ranked.slice(0, 1);
+			const cachedTokens = (endpoint: string): number => cacheEstimate.cachedTokens(endpoint, parts, preferred);
+			const promptTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
+			const affinityRequest = {
+				...constraintsOf(request), cachedTokens, promptTokens, avoidedHalls, tried,
+			};
+			const choice = placing?.isOn()
+				? chooseAmongCandidates(table, {...affinityRequest, loadOf: placing.loadOf}, now(), {
+					candidates: {
+						favoured: [...ranked.slice(0, placing.prefixEndpoints), ...(key === undefined ? [] : cacheEstimate.endpointsWith(key))],
+						...hallsOfServices.endpointsOf(request.service),
+					},
+					scoreEndpoint: scoreByExpectedTime,
+					randomCount: placing.randomEndpoints,
+					random: placing.random,
+				})
+				: chooseEndpoint(table, affinityRequest, now(), scoreByAffinity);
+			return choice && {
+				endpoint: byId.get(choice.endpoint)!, reason: choice.reason, uncachedTokens: Math.max(0, promptTokens - cachedTokens(choice.endpoint)),
+			};
 		},
 		noteStarted(endpoint, parts) {
 			cacheEstimate.noteSent(endpoint, parts);
--- a/packages/entry/src/lib/choice/create-preferred-endpoints.ts
+++ b/packages/entry/src/lib/choice/create-preferred-endpoints.ts
@@ -1,31 +1,34 @@
-import {firstByRendezvous} from '@deckwheel/core';
+import {rankByRendezvous} from '@deckwheel/core';
 import {LRUCache} from 'lru-cache';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 
-/** The maximum number of shared prompt parts, over all services, whose preferred endpoint is remembered: a bound on memory. */
+/** The maximum number of shared prompt parts, over all services, whose preferred endpoints are remembered: a bound on memory. */
 const maxRememberedParts = 5000;
 
+/** The maximum number of endpoints that are preferred for prompts with the same shared part. */
+const maxRanked = 16;
+
 /** The endpoints that all hosts prefer for prompts with the same shared part, without asking each other. */
 type PreferredEndpoints = {
 	/** Replaces the endpoints that can be preferred. */
 	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
 	/**
-	Returns the identifier of the endpoint, in its present incarnation, that is preferred for a service's prompts with a shared part;
-	`undefined` where the service has no endpoint, or only endpoints that leave.
+	Returns the identifiers of the endpoints, in their present incarnations, that are preferred for a service's prompts with a shared
+	part, the most preferred one first. There are none where the service has no endpoint, or only endpoints that leave.
 	*/
-	readonly endpointFor: (service: string, part: string) => string | undefined;
+	readonly rankedFor: (service: string, part: string) => readonly string[];
 };
 
 /**
 Creates the preferred endpoints of a host; there are none before the first `list`.
 
-The preferred endpoint follows from the names of endpoints and not from their identifiers, which change with each incarnation. So a
+The preferred endpoints follow from the names of endpoints and not from their identifiers, which change with each incarnation. So a
 restarted endpoint gets the same prompts as before, and no other endpoint has to prefill these anew.
 */
 export const createPreferredEndpoints = (): PreferredEndpoints => {
 	/** Identifiers of the endpoints that do not leave, by service and endpoint name. Filled for a service when it is first looked up after a list. */
 	const incarnationsByService = new Map<string, ReadonlyMap<string, string>>();
-	const preferred = new LRUCache<string, string>({max: maxRememberedParts});
+	const preferred = new LRUCache<string, readonly string[]>({max: maxRememberedParts});
 	let endpoints: readonly ListedEndpoint[] = [];
 
 	const incarnationsOf = (service: string): ReadonlyMap<string, string> => {
@@ -46,16 +49,15 @@
 			incarnationsByService.clear();
 			preferred.clear();
 		},
-		endpointFor(service, part) {
+		rankedFor(service, part) {
 			const key = `${service}\n${part}`;
 			const cached = preferred.get(key);
-			if (cached !== undefined) {
+			if (cached) {
 				return cached;
 			}
 
 			const incarnations = incarnationsOf(service);
-			const name = firstByRendezvous(part, [...incarnations.keys()]);
-			const found = name === undefined ? undefined : incarnations.get(name);
+			const found = rankByRendezvous(part, [...incarnations.keys()]).slice(0, maxRanked).map(name => incarnations.get(name)!);
 			preferred.set(key, found);
 			return found;
 		},
--- a/packages/entry/src/lib/choice/create-prefix-cache-estimate.ts
+++ b/packages/entry/src/lib/choice/create-prefix-cache-estimate.ts
@@ -8,26 +8,33 @@
 */
 const maxParts = 20_000;
 
+/** The maximum number of endpoints that are remembered for a shared part: enough to choose from, as each of them is scored for each prompt. */
+const maxEndpointsPerPart = 3;
+
 const sharedParts = (parts: readonly PromptPart[]): readonly PromptPart[] => parts.slice(0, -1);
 
 /**
 Creates an estimate. A shared part of a prompt counts as cached at the endpoints to which this host has sent a prompt with that part,
-and at the endpoint that all hosts prefer for the prompt.
+and at the endpoints that all hosts prefer for the prompt.
 */
 export const createPrefixCacheEstimate = (): PrefixCacheEstimate => {
 	const cachedParts = new LRUCache<string, true>({max: maxParts});
+	const endpointsByPart = new LRUCache<string, readonly string[]>({max: maxParts});
 	const keyOf = (endpoint: string, part: PromptPart): string => `${endpoint}\n${part.id}`;
 
 	return {
 		noteSent(endpoint, parts) {
 			for (const part of sharedParts(parts)) {
 				cachedParts.set(keyOf(endpoint, part), true);
+				const others = (endpointsByPart.get(part.id) ?? []).filter(other => other !== endpoint);
+				endpointsByPart.set(part.id, [...others, endpoint].slice(-maxEndpointsPerPart));
 			}
 		},
 		cachedTokens(endpoint, parts, preferred) {
+			const isPreferred = preferred.includes(endpoint);
 			let tokens = 0;
 			for (const part of sharedParts(parts)) {
-				if (endpoint !== preferred && !cachedParts.has(keyOf(endpoint, part))) {
+				if (!isPreferred && !cachedParts.has(keyOf(endpoint, part))) {
 					break;
 				}
 
@@ -36,5 +43,6 @@
 
 			return tokens;
 		},
+		endpointsWith: part => endpointsByPart.get(part) ?? [],
 	};
 };
--- a/packages/entry/src/lib/choice/prefix-cache-estimate.ts
+++ b/packages/entry/src/lib/choice/prefix-cache-estimate.ts
@@ -10,8 +10,10 @@
 	/** Notes that this host sent a prompt with these parts to an endpoint. */
 	readonly noteSent: (endpoint: string, parts: readonly PromptPart[]) => void;
 	/**
-	Returns the tokens of a prompt that an endpoint is estimated to have in its cache. `preferred` is the endpoint that all hosts prefer
-	for the prompt, if there is one.
+	Returns the tokens of a prompt that an endpoint is estimated to have in its cache. `preferred` are the endpoints that all hosts
+	prefer for the prompt, if there are any.
 	*/
-	readonly cachedTokens: (endpoint: string, parts: readonly PromptPart[], preferred: string | undefined) => number;
+	readonly cachedTokens: (endpoint: string, parts: readonly PromptPart[], preferred: readonly string[]) => number;
+	/** Returns the endpoints to which this host lately sent prompts with a shared part: a few, the latest one last. */
+	readonly endpointsWith: (part: string) => readonly string[];
 };
--- a/packages/routing/src/scoring/score-by-affinity.ts
+++ b/packages/routing/src/scoring/score-by-affinity.ts
@@ -1,8 +1,9 @@
-import {warmAt} from '../endpoints/warm-at.js';
-import type {EndpointState} from '../endpoints/endpoint-state.js';
 import {estimateLoad} from '../lib/estimate-load.js';
 import type {ScoreEndpoint} from './score-endpoint.js';
 import type {AffinityRequest} from './affinity-request.js';
+import {avoidedHallPenaltyMs} from './avoided-hall-penalty-ms.js';
+import {hallPenaltyMs} from './hall-penalty-ms.js';
+import {warmupPenaltyMs} from './warmup-penalty-ms.js';
 
 /**
 The cost of one prompt token that the endpoint has to prefill, in ms: the engine's time for the token, and the delay of the
@@ -13,26 +14,6 @@
 /** The wait that each request at an endpoint adds, in ms. Requests of other hosts are assumed to be like those of this host. */
 const waitMsPerRequest = 25;
 
-/** The additional cost of an endpoint in another hall, in ms: the network latency, and the price of traffic between halls. */
-const otherHallPenaltyMs = 8;
-
-/** The additional cost of an endpoint in a hall that seems out of reach, in ms: more than any wait, so such an endpoint is a last resort. */
-const avoidedHallPenaltyMs = 1_000_000;
-
-/** The additional cost of a cold endpoint, in ms: more than any wait, because an endpoint that warms up can take little load and its caches are empty. */
-const coldEndpointPenaltyMs = 1_000_000;
-
-const warmupPenaltyMs = (state: EndpointState, {warmup}: AffinityRequest, now: number): number =>
-	warmup && warmAt(state, warmup) > now ? coldEndpointPenaltyMs : 0;
-
-const hallPenaltyMs = (hall: string, request: AffinityRequest): number => {
-	if (hall === request.hall) {
-		return 0;
-	}
-
-	return request.avoidedHalls?.includes(hall) ? avoidedHallPenaltyMs : otherHallPenaltyMs;
-};
-
 /**
 Scores an endpoint by the prompt tokens that it has to prefill and by its load, plus penalties for another hall and for a warm-up.
 
