Place by expected time where the hall is large, unless the settings say otherwise

Only hosts of halls above smallHall tell each other their load; the others keep scoreByAffinity. The preferred endpoints of a prefix are ranked for it; a host that places by affinity looks up the first only, as before.

--- a/packages/entry/src/entry-host-options.ts
+++ b/packages/entry/src/entry-host-options.ts
@@ -2,6 +2,7 @@
 import type {HeaderNames} from './adapter/header-names.js';
 import type {Log} from './adapter/log.js';
 import type {Timeouts} from './timeouts.js';
+import type {PlacingSettings} from './adapter/placing-settings.js';
 import type {PeerDirectory} from './adapter/peer-directory.js';
 import type {RightsStore} from './adapter/rights-store.js';
 import type {Schedule} from './adapter/schedule.js';
@@ -25,6 +26,8 @@
 	/** The directory in which this host finds its peers. */
 	readonly peers: PeerDirectory;
 	readonly log: Log;
+	/** By default `defaultPlacing`. */
+	readonly placing?: PlacingSettings;
 	/** By default `defaultTimeouts`. */
 	readonly timeouts?: Timeouts;
 	/** Schedules the ends of requests at their deadlines and the steps of a planned shutdown. By default by the timers of the process. */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,5 @@
 export type {EntryHost} from './entry-host.js';
+export {defaultPlacing} from './default-placing.js';
 export {createEventMetrics} from './metrics/create-event-metrics.js';
 export type {ChangeStatus} from './adapter/change-status.js';
 export type {FleetConfig} from './config/fleet-config.js';
--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -71,17 +71,18 @@
 		},
 		choose({parts, tried, avoidedHalls, ...request}) {
 			const key = affinityKey(parts);
-			const ranked = key === undefined ? [] : preferredEndpoints.rankedFor(request.service, key);
+			const isByExpectedTime = placing?.isOn() ?? false;
+			const ranked = key === undefined ? [] : preferredEndpoints.rankedFor(request.service, key, isByExpectedTime ? placing!.prefixEndpoints : 1);
 			const preferred = ranked.slice(0, 1);
 			const cachedTokens = (endpoint: string): number => cacheEstimate.cachedTokens(endpoint, parts, preferred);
 			const promptTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
 			const affinityRequest = {
 				...constraintsOf(request), cachedTokens, promptTokens, avoidedHalls, tried,
 			};
-			const choice = placing?.isOn()
+			const choice = placing && isByExpectedTime
 				? chooseAmongCandidates(table, {...affinityRequest, loadOf: placing.loadOf}, now(), {
 					candidates: {
-						favoured: [...ranked.slice(0, placing.prefixEndpoints), ...(key === undefined ? [] : cacheEstimate.endpointsWith(key))],
+						favoured: [...ranked, ...(key === undefined ? [] : cacheEstimate.endpointsWith(key))],
 						...hallsOfServices.endpointsOf(request.service),
 					},
 					scoreEndpoint: scoreByExpectedTime,
--- a/packages/entry/src/lib/choice/create-preferred-endpoints.ts
+++ b/packages/entry/src/lib/choice/create-preferred-endpoints.ts
@@ -1,22 +1,25 @@
-import {rankByRendezvous} from '@deckwheel/core';
+import {firstByRendezvous, rankByRendezvous} from '@deckwheel/core';
 import {LRUCache} from 'lru-cache';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 
 /** The maximum number of shared prompt parts, over all services, whose preferred endpoints are remembered: a bound on memory. */
 const maxRememberedParts = 5000;
 
-/** The maximum number of endpoints that are preferred for prompts with the same shared part. */
-const maxRanked = 16;
-
 /** The endpoints that all hosts prefer for prompts with the same shared part, without asking each other. */
 type PreferredEndpoints = {
 	/** Replaces the endpoints that can be preferred. */
 	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
 	/**
-	Returns the identifiers of the endpoints, in their present incarnations, that are preferred for a service's prompts with a shared
-	part, the most preferred one first. There are none where the service has no endpoint, or only endpoints that leave.
+	Returns the identifiers of up to `count` endpoints, in their present incarnations, that are preferred for a service's prompts with a
+	shared part, the most preferred one first. There are none where the service has no endpoint, or only endpoints that leave.
 	*/
-	readonly rankedFor: (service: string, part: string) => readonly string[];
+	readonly rankedFor: (service: string, part: string, count: number) => readonly string[];
+};
+
+/** Returns the first `count` names by rendezvous hashing. One is found without sorting the others. */
+const rankNames = (part: string, names: readonly string[], count: number): readonly string[] => {
+	const first = count === 1 ? firstByRendezvous(part, names) : undefined;
+	return first === undefined ? rankByRendezvous(part, names).slice(0, count) : [first];
 };
 
 /**
@@ -49,15 +52,15 @@
 			incarnationsByService.clear();
 			preferred.clear();
 		},
-		rankedFor(service, part) {
-			const key = `${service}\n${part}`;
+		rankedFor(service, part, count) {
+			const key = `${count}\n${service}\n${part}`;
 			const cached = preferred.get(key);
 			if (cached) {
 				return cached;
 			}
 
 			const incarnations = incarnationsOf(service);
-			const found = rankByRendezvous(part, [...incarnations.keys()]).slice(0, maxRanked).map(name => incarnations.get(name)!);
+			const found = rankNames(part, [...incarnations.keys()], count).map(name => incarnations.get(name)!);
 			preferred.set(key, found);
 			return found;
 		},
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -51,6 +51,8 @@
 	readonly storeChanges: StoreChanges;
 	/** As `hostNames` of `PeerLinks`. */
 	readonly hostNames: () => HostNames | undefined;
+	/** As `hallSize` of `PeerLinks`. */
+	readonly hallSize: () => number;
 	/** As `register` of `PeerLinks`. */
 	readonly register: () => void;
 	readonly close: () => Promise<void>;
@@ -135,6 +137,7 @@
 			holder, registry, links: () => links, log,
 		}),
 		hostNames: () => links.hostNames(),
+		hallSize: () => links.hallSize(),
 		register() {
 			links.register();
 		},
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -3,6 +3,7 @@
 import {performance} from 'node:perf_hooks';
 import {isDeepStrictEqual} from 'node:util';
 import type {FleetConfig} from './config/fleet-config.js';
+import {defaultPlacing} from './default-placing.js';
 import {defaultTimeouts} from './default-timeouts.js';
 import type {EntryHostOptions} from './entry-host-options.js';
 import type {EntryHost} from './entry-host.js';
@@ -24,6 +25,7 @@
 import {createLoadTracker} from './lib/load-sharing/create-load-tracker.js';
 import {createAcceptQueueMonitor} from './lib/own-health/create-accept-queue-monitor.js';
 import {createWaitLog} from './lib/own-health/create-wait-log.js';
+import {smallHall} from './lib/peers/small-hall.js';
 import type {HostContext} from './lib/request/host-context.js';
 import {serveRequest} from './lib/request/serve-request.js';
 import {createConnectionPool} from './lib/sending/create-connection-pool.js';
@@ -42,7 +44,7 @@
 */
 export const startEntryHost = async (options: EntryHostOptions): Promise<EntryHost> => {
 	const {host, hall, listen, bounds, hasEvacuations = false, headers: headerNames, rightsStore, peers: directory, log} = options;
-	const {timeouts = defaultTimeouts, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
+	const {timeouts = defaultTimeouts, placing = defaultPlacing, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
 	const holder = newHolderName(host);
 	const requestCounter = createRequestCounter(now);
 	const pool = createConnectionPool(elapsed);
@@ -63,12 +65,20 @@
 	});
 	const {overload, halls} = health;
 	let config: FleetConfig | undefined;
+	const loads = createLoadTracker();
 	const chooser = createEndpointChooser({
 		hall,
 		isUnreachable: halls.isUnreachable,
 		warmupRules: createWarmupRules({
 			bound: bounds.warmup, serviceOf: name => config?.services.get(name), hosts: peerTasks.hostNames,
 		}),
+		placing: {
+			...placing,
+			// Where no hosts share load, each knows too little of it to place by it.
+			isOn: () => placing.byExpectedTime && peerTasks.hallSize() > smallHall,
+			loadOf: loads.loadOf,
+			random: Math.random,
+		},
 		now,
 	});
 	const listing = createEndpointListing({
@@ -107,7 +117,7 @@
 		noteConnect: health.noteConnect,
 		headerNames,
 		chooser,
-		loads: createLoadTracker(),
+		loads,
 		halls,
 		poison: peerTasks.poison,
 		limits: peerTasks.limits,
