--- a/packages/entry/src/lib/relaying/relay-stream.ts
+++ b/packages/entry/src/lib/relaying/relay-stream.ts
@@ -9,8 +9,8 @@
 	readonly lastId: string | undefined;
 	/** Called when bytes arrive from the endpoint. */
 	readonly onChunk: () => void;
-	/** Called each time before events are written to the caller. */
-	readonly beforeWrite: () => void;
+	/** Called each time before events are written to the caller, with their number. */
+	readonly beforeWrite: (events: number) => void;
 };
 
 /**
@@ -33,9 +33,10 @@
 	response.on('data', (chunk: Uint8Array) => {
 		onChunk();
 		const scan = scanEvents(state, chunk);
+		const events = scan.state.count - state.count;
 		state = scan.state;
 		if (scan.completeBytes.length > 0) {
-			beforeWrite();
+			beforeWrite(events);
 			if (!res.write(scan.completeBytes)) {
 				response.pause();
 				res.once('drain', resume);
--- a/packages/entry/src/lib/request/create-request-log.ts
+++ b/packages/entry/src/lib/request/create-request-log.ts
@@ -11,9 +11,13 @@
 	readonly res: ServerResponse;
 };
 
+const roundMs = (ms: number | undefined): number | undefined => ms === undefined ? undefined : Math.round(ms);
+
 /** Creates the log of one request. Each of its functions writes one line; one of them is called when the request ends. */
 export const createRequestLog = ({id, receivedAt, res}: Options, {log, config, headerNames, closesAfter, now}: HostContext): RequestLog => {
 	const elapsedMs = (): number => Math.round(now() - receivedAt);
+	const msAfterReceipt = (at: number | undefined): number | undefined => at === undefined ? undefined : roundMs(at - receivedAt);
+
 	return {
 		refused(refusal, fields = {}) {
 			const {code, status, ran} = refusal;
@@ -26,9 +30,9 @@
 
 			sendRefusal(res, refusal, id === '' ? [] : [headerNames.requestId, id]);
 		},
-		answered(status, fields) {
+		answered({status, timing: {sentAt, firstAt, maxPauseMs}}, fields) {
 			log('request_answered', {
-				id, status, ms: elapsedMs(), ...fields,
+				id, status, ms: elapsedMs(), sent_ms: msAfterReceipt(sentAt), first_ms: msAfterReceipt(firstAt), max_pause_ms: roundMs(maxPauseMs), ...fields,
 			});
 		},
 		left(fields) {
--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -1,3 +1,5 @@
+import type {ResponseTiming} from '../relaying/response-timing.js';
+
 /** How a request ended after it was admitted and its first run was reserved. */
 export type RequestResult = {
 	/**
@@ -19,4 +21,6 @@
 	readonly reason: string;
 	/** The id of the endpoint of the last attempt; empty where no attempt was made. */
 	readonly endpoint: string;
+	/** When the request was sent and answered. */
+	readonly timing: ResponseTiming;
 };
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {httpStatus, isSuccessStatus} from '@deckwheel/core';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import type {TrackedRun} from '../load-sharing/tracked-run.js';
 import type {ResponseWriter} from '../relaying/response-writer.js';
 import {readResponseBody} from '../relaying/read-response-body.js';
 import {relayStream} from '../relaying/relay-stream.js';
@@ -18,7 +19,11 @@
 type Options = {
 	readonly request: RequestInputs;
 	readonly endpoint: ListedEndpoint;
+	/** The tokens of the prompt that the endpoint probably has to prefill. */
+	readonly uncachedTokens: number;
 	readonly writer: ResponseWriter;
+	/** Called each time before events of a stream are relayed to the caller. */
+	readonly onEvents: () => void;
 	/** The id of the last event that the caller got, after which the endpoint is to resume a stream; `undefined` where it got none. */
 	readonly lastEventId: string | undefined;
 	/** Whether the request may run at another endpoint if this endpoint's hall becomes unreachable. */
@@ -27,6 +32,11 @@
 	readonly signal: AbortSignal;
 };
 
+type RunningAttempt = Options & {
+	/** The request as it counts in the load of the endpoint. */
+	readonly run: TrackedRun;
+};
+
 const hasBody = ({req, body}: RequestInputs): boolean =>
 	body.length > 0 || req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
 
@@ -81,13 +91,18 @@
 	}, host.pool, host.headerNames);
 };
 
-const relayToCaller = async (response: IncomingMessage, {request, endpoint, writer, lastEventId}: Options, host: HostContext): Promise<AttemptEnd> => {
+const relayToCaller = async (response: IncomingMessage, {request, endpoint, writer, lastEventId, onEvents, run}: RunningAttempt, host: HostContext): Promise<AttemptEnd> => {
 	const relayed = await relayStream(response, request.res, {
 		lastId: lastEventId,
 		onChunk() {
 			host.halls.noteHeard(endpoint.hall);
 		},
-		beforeWrite() {
+		beforeWrite(events) {
+			onEvents();
+			for (let event = 0; event < events; event++) {
+				run.noteEvent();
+			}
+
 			writer.beginStream(response);
 		},
 	});
@@ -100,7 +115,7 @@
 	return {type: 'streamed', status: response.statusCode!, relayed};
 };
 
-const receiveResponse = async (response: IncomingMessage, options: Options, host: HostContext): Promise<AttemptEnd> => {
+const receiveResponse = async (response: IncomingMessage, options: RunningAttempt, host: HostContext): Promise<AttemptEnd> => {
 	const status = response.statusCode!;
 	const isSuccess = isSuccessStatus(status);
 	// A success without the endpoint's stamp comes from another process, to which the endpoint's address may have been given.
@@ -121,7 +136,7 @@
 	return {type: status >= httpStatus.internalServerError ? 'server_error' : 'whole', response, body};
 };
 
-const toAttemptEnd = async (result: AttemptResult, options: Options, host: HostContext): Promise<AttemptEnd> => {
+const toAttemptEnd = async (result: AttemptResult, options: RunningAttempt, host: HostContext): Promise<AttemptEnd> => {
 	if (result.type === 'unsent') {
 		return {type: 'unsent'};
 	}
@@ -142,10 +157,14 @@
 */
 export const runAttempt = async (options: Options, host: HostContext): Promise<AttemptEnd> => {
 	const sentAt = host.now();
-	const {endpoint, mayMove} = options;
+	const {endpoint, mayMove, uncachedTokens} = options;
 	const tracked = trackAttempt(host.halls, endpoint, {sentAt, mayMove, signal: options.signal});
-	const result = await sendToEndpoint(options, sentAt, tracked.signal, host);
-	const end = await toAttemptEnd(result, options, host);
-	tracked.end();
-	return end;
+	const run = host.loads.noteSent(endpoint.id, uncachedTokens);
+	try {
+		const result = await sendToEndpoint(options, sentAt, tracked.signal, host);
+		return await toAttemptEnd(result, {...options, run}, host);
+	} finally {
+		run.end();
+		tracked.end();
+	}
 };
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,5 +1,7 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import {pickService} from '../choice/pick-service.js';
+import type {ChosenEndpoint} from '../choice/chosen-endpoint.js';
+import {createResponseTimer} from '../relaying/create-response-timer.js';
 import {createResponseWriter} from '../relaying/create-response-writer.js';
 import {isRetryableRoute} from '../admission/is-retryable-route.js';
 import {regionsOf} from '../choice/regions-of.js';
@@ -84,6 +86,7 @@
 	const parts = prompt?.parts ?? [];
 	const tokensPerEvent = host.config()?.services.get(service)?.tokensPerEvent ?? 0;
 	const writer = createResponseWriter(res, req.method === 'HEAD', () => host.closesAfter(res));
+	const timer = createResponseTimer(now);
 	const requestEnd = createRequestEnd({
 		res, deadline, shutdownSignal, schedule, now,
 	});
@@ -93,7 +96,7 @@
 		requestEnd.close();
 		const {arrivals, lostRuns, tried, relayedEvents} = progress;
 		return {
-			outcome, arrivals, lostRuns, status, retryAt, reason, endpoint: tried.at(-1) ?? '', outputTokens: relayedEvents * tokensPerEvent,
+			outcome, arrivals, lostRuns, status, retryAt, reason, endpoint: tried.at(-1) ?? '', outputTokens: relayedEvents * tokensPerEvent, timing: timer.timing(),
 		};
 	};
 
@@ -117,6 +120,7 @@
 			return finish('broken', 'endpoint_error', {status});
 		}
 
+		timer.noteBegun();
 		writer.writeWhole(response, body);
 		return finish('answered', reason, {status});
 	};
@@ -131,12 +135,20 @@
 		return isAcquired && mayForward() ? next.type : next.otherwise;
 	};
 
-	const attemptAt = async (endpoint: ListedEndpoint): Promise<AttemptEnd> => {
+	const attemptAt = async ({endpoint, uncachedTokens}: ChosenEndpoint): Promise<AttemptEnd> => {
 		progress = stepProgress(progress, {type: 'sent', endpoint});
 		chooser.noteStarted(endpoint.id, parts);
 		const startedAt = now();
+		timer.noteSent();
 		const end = await runAttempt({
-			request, endpoint, writer, lastEventId: progress.lastEventId, mayMove: isRetryable && progress.arrivals + 1 < route.maxAttempts, signal: requestEnd.signal,
+			request,
+			endpoint,
+			uncachedTokens,
+			writer,
+			onEvents: timer.noteEvents,
+			lastEventId: progress.lastEventId,
+			mayMove: isRetryable && progress.arrivals + 1 < route.maxAttempts,
+			signal: requestEnd.signal,
 		}, host);
 		const isOver = requestEnd.isOver();
 		progress = stepProgress(progress, {
@@ -190,7 +202,7 @@
 			}
 		}
 
-		const end = await attemptAt(choice.endpoint);
+		const end = await attemptAt(choice);
 		const next = decideNextStep({
 			end: end.type, progress, maxAttempts: route.maxAttempts, isRetryable, isOver: requestEnd.isOver(),
 		});
@@ -200,6 +212,7 @@
 		}
 
 		if (end.type === 'streamed') {
+			timer.noteBegun();
 			writer.endStream();
 			return finish('answered', choice.reason, {status: end.status});
 		}
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -52,7 +52,7 @@
 		route: admitted.route.name, budget, endpoint: result.endpoint, arrivals: result.arrivals, lost_runs: result.lostRuns, reserved, used, reason: result.reason,
 	};
 	if (result.outcome === 'answered') {
-		requestLog.answered(result.status, fields);
+		requestLog.answered(result, fields);
 	} else if (result.outcome === 'caller_left') {
 		requestLog.left(fields);
 	} else {
