--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,5 @@
 export {chooseEndpoint} from './endpoints/choose-endpoint.js';
+export {chooseAmongCandidates} from './endpoints/choose-among-candidates.js';
 export {exclusionOfAll} from './endpoints/exclusion-of-all.js';
 export {isColdSender} from './endpoints/is-cold-sender.js';
 export type {EndpointExclusion} from './endpoints/endpoint-exclusion.js';
@@ -22,6 +23,7 @@
 export {queueRetryAfterSeconds} from './request-queue/queue-retry-after-seconds.js';
 export {scoreByAffinity} from './scoring/score-by-affinity.js';
 export {scoreByCost} from './scoring/score-by-cost.js';
+export {scoreByExpectedTime} from './scoring/score-by-expected-time.js';
 export {scoreByInFlight} from './scoring/score-by-in-flight.js';
 export {scoreByRoundRobin} from './scoring/score-by-round-robin.js';
 export type {ScoreEndpoint} from './scoring/score-endpoint.js';
