Tell endpoints how urgent each prompt is

Cause: nothing waits by rank.

Ruled out: a queue at each host. Endpoints have free slots nearly always (3 to 5 of 32 are taken), so a host would hold back requests that its endpoint could begin; the wait is in the endpoint's own order, which the protocol lets hosts set.

Change: where hosts share load, a request with a prompt carries its urgency: the organisation's priority first, then the route's. It is off in small halls and by the setting placing.sendUrgency. What callers say of it is still dropped.

--- a/packages/entry/src/adapter/placing-settings.ts
+++ b/packages/entry/src/adapter/placing-settings.ts
@@ -6,4 +6,6 @@
 	readonly randomEndpoints: number;
 	/** How many of the endpoints that all hosts prefer for a prompt's shared part are looked at. At least 1. */
 	readonly prefixEndpoints: number;
+	/** Whether the host tells endpoints how urgent each prompt is (`urgencyOf`), so that urgent ones do not wait there behind long ones. */
+	readonly sendUrgency: boolean;
 };
--- a/packages/entry/src/config/organisation.ts
+++ b/packages/entry/src/config/organisation.ts
@@ -9,8 +9,8 @@
 	*/
 	readonly allowedRegions?: readonly string[];
 	/**
-	The priority of the organisation's requests, 0 being the most urgent. It is meant to override the route's priority, but no code
-	uses it yet (docs/open-points.md).
+	The priority of the organisation's requests, 0 being the most urgent. It comes before the route's priority where endpoints are told how
+	urgent a request is (`urgencyOf`); budgets are kept by the route's priority alone. `undefined` where the organisation has none.
 	*/
 	readonly priority: number | undefined;
 };
--- a/packages/entry/src/lib/choice/placing.ts
+++ b/packages/entry/src/lib/choice/placing.ts
@@ -2,7 +2,7 @@
 import type {PlacingSettings} from '../../adapter/placing-settings.js';
 
 /** How a host that shares load with others places requests. */
-export type Placing = Omit<PlacingSettings, 'byExpectedTime'> & {
+export type Placing = Omit<PlacingSettings, 'byExpectedTime' | 'sendUrgency'> & {
 	/** Whether this host places requests so now; it uses `scoreByAffinity` otherwise. Asked at each choice. */
 	readonly isOn: () => boolean;
 	/** Returns the load of an endpoint, over all hosts as far as this host knows it. */
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -39,6 +39,8 @@
 	readonly headerNames: HeaderNames;
 	readonly chooser: EndpointChooser;
 	readonly loads: LoadTracker;
+	/** Whether endpoints are told how urgent a prompt is. Asked at each attempt. */
+	readonly isUrgencySent: () => boolean;
 	readonly limits: Pick<EndpointLimits, 'noteResponse' | 'isLimited' | 'acquire'>;
 	readonly halls: HallMonitor;
 	readonly poison: PoisonDetector;
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -12,6 +12,7 @@
 import {readRequestLimit} from '../sending/read-request-limit.js';
 import {sendAttempt} from '../sending/send-attempt.js';
 import {trackAttempt} from '../sending/track-attempt.js';
+import {urgencyOf} from '../sending/urgency-of.js';
 import type {AttemptEnd} from './attempt-end.js';
 import type {HostContext} from './host-context.js';
 import type {RequestInputs} from './request-inputs.js';
@@ -87,6 +88,7 @@
 			bodyBytes: body.length,
 			lastEventId,
 			hasBody: hasBody(request),
+			urgency: admitted.prompt && host.isUrgencySent() ? urgencyOf(admitted) : undefined,
 		}),
 	}, host.pool, host.headerNames);
 };
--- a/packages/entry/src/lib/sending/forwarded-headers.ts
+++ b/packages/entry/src/lib/sending/forwarded-headers.ts
@@ -15,19 +15,22 @@
 	/** The id of the event after which a stream is to be resumed; `undefined` keeps the header that the caller sent. */
 	readonly lastEventId: string | undefined;
 	readonly hasBody: boolean;
+	/** How urgent the request is, 0 to 9; `undefined` where the endpoint is not told. */
+	readonly urgency: number | undefined;
 };
 
 /**
 Builds the headers of a request to an endpoint, as names and values in turn: those of the caller, without the headers that concern the
 connection to this host, that callers may not set or that this host sets itself.
 */
-export const forwardedHeaders = ({raw, headerNames, endpoint, organisation, timeLeftMs, bodyBytes, lastEventId, hasBody}: Inputs): readonly string[] => {
+export const forwardedHeaders = ({raw, headerNames, endpoint, organisation, timeLeftMs, bodyBytes, lastEventId, hasBody, urgency}: Inputs): readonly string[] => {
 	const droppedNames = new Set([
 		...headerNames.reserved,
 		headerNames.apiKey,
 		headerNames.organisation,
 		headerNames.deadline,
 		headerNames.expectedEndpoint,
+		headerNames.urgency,
 		'content-length',
 		'expect',
 		...(lastEventId === undefined ? [] : [headerNames.lastEventId]),
@@ -38,6 +41,10 @@
 		headers.push(headerNames.organisation, organisation);
 	}
 
+	if (urgency !== undefined) {
+		headers.push(headerNames.urgency, String(urgency));
+	}
+
 	if (lastEventId !== undefined) {
 		headers.push(headerNames.lastEventId, lastEventId);
 	}
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -67,6 +67,7 @@
 	});
 	const {overload, halls} = health;
 	let config: FleetConfig | undefined;
+	const isLoadShared = (): boolean => peerTasks.hallSize() > smallHall;
 	const chooser = createEndpointChooser({
 		hall,
 		isUnreachable: halls.isUnreachable,
@@ -76,7 +77,7 @@
 		placing: {
 			...placing,
 			// Where no hosts share load, each knows too little of it to place by it.
-			isOn: () => placing.byExpectedTime && peerTasks.hallSize() > smallHall,
+			isOn: () => placing.byExpectedTime && isLoadShared(),
 			loadOf: loadSharing.loads.loadOf,
 			random: Math.random,
 		},
@@ -120,6 +121,7 @@
 		headerNames,
 		chooser,
 		loads: loadSharing.loads,
+		isUrgencySent: () => placing.sendUrgency && isLoadShared(),
 		halls,
 		poison: peerTasks.poison,
 		limits: peerTasks.limits,
--- a/packages/entry/src/test/lib/header-names.ts
+++ b/packages/entry/src/test/lib/header-names.ts
@@ -11,6 +11,7 @@
 	leaving: 'x-leaving',
 	requestLimit: 'x-limit',
 	expectedEndpoint: 'x-endpoint',
+	urgency: 'x-urgency',
 	tokenCount: 'x-tokens',
 	prefix: 'x-prefix',
 	lastEventId: 'last-event-id',
