Draw from an empty store no more often than callers return

Cause: a record that shows nothing left is trusted for 300 ms, so each allocator of each hall draws three times a second while requests are refused, and each draw makes the draws of the others conflict.

Ruled out: asking by a stale read first (its answer may be seconds old, so it would not tell that there is nothing); final refusals instead (a matter of what callers are told, not of calls).

Change: a draw that brings too little from a store that then has nothing left pauses draws on that budget as loans are paused, from 250 ms up to 2 s, the least time after which refused callers return. A record that shows something left ends it, and so does a top-up.

Conclusion: what other hosts give back may be found up to 2 s later, as with loans, in place of 0.3 s.

--- a/packages/entry/src/lib/lending/create-loan-pauses.ts
+++ b/packages/entry/src/lib/lending/create-loan-pauses.ts
@@ -1,13 +1,14 @@
-import type {LoanNeed} from './loan-need.js';
+import type {RightsSource} from '../rights/rights-source.js';
 import type {LoanPause} from './loan-pause.js';
 import type {LoanPauses} from './loan-pauses.js';
 import {stepLoanPause} from './step-loan-pause.js';
 
-const sources: ReadonlyArray<LoanNeed['source']> = ['allocators', 'holders'];
-const keyOf = (source: LoanNeed['source'], budget: string): string => `${source}\n${budget}`;
+const sources: readonly RightsSource[] = ['allocators', 'store', 'holders'];
+const keyOf = (source: RightsSource, budget: string): string => `${source}\n${budget}`;
 
 /**
-Creates the record of loan pauses. Without it, each refused request on a budget that is used up asks all peers again.
+Creates the record of loan pauses. Without it, each refused request on a budget that is used up asks all peers again and
+writes to the store.
 
 @param now Monotonic ms.
 */
--- a/packages/entry/src/lib/lending/loan-pause.ts
+++ b/packages/entry/src/lib/lending/loan-pause.ts
@@ -1,6 +1,6 @@
-/** Peers had too little to lend of a budget, and are not asked again for some time. */
+/** A source had too little of a budget, and is not tried again for some time. */
 export type LoanPause = {
-	/** Loans in a row that did not suffice for any request. */
+	/** Loans or draws in a row that did not suffice for any request. */
 	readonly failures: number;
 	/** Monotonic ms. */
 	readonly until: number;
--- a/packages/entry/src/lib/rights/create-rights-acquirer.ts
+++ b/packages/entry/src/lib/rights/create-rights-acquirer.ts
@@ -1,7 +1,9 @@
+import {unallocated} from '@deckwheel/ledger';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {Timeouts} from '../../timeouts.js';
 import type {Allocators} from '../lending/allocators.js';
 import type {Borrower} from '../lending/borrower.js';
+import type {LoanPauses} from '../lending/loan-pauses.js';
 import {rankHolders} from '../lending/rank-holders.js';
 import type {DrawQueue} from '../rights-store/draw-queue.js';
 import type {SlotWriter} from '../rights-store/slot-writer.js';
@@ -18,6 +20,7 @@
 	readonly accounts: Accounts;
 	readonly allocators: Allocators;
 	readonly borrower: Borrower;
+	readonly loanPauses: LoanPauses;
 	readonly writer: SlotWriter;
 	readonly queue: DrawQueue;
 	readonly balancer: Pick<RightsBalancer, 'mayDraw'>;
@@ -33,7 +36,7 @@
 /**
 Creates the acquirer of a host's rights. It tries the sources of rights in the order of `decideRightsSource`.
 */
-export const createRightsAcquirer = ({holder, accounts, allocators, borrower, writer, queue, balancer, peerOf, timeouts, isRetiring, now}: Options): RightsAcquirer => {
+export const createRightsAcquirer = ({holder, accounts, allocators, borrower, loanPauses, writer, queue, balancer, peerOf, timeouts, isRetiring, now}: Options): RightsAcquirer => {
 	const holderPeersOf = (budget: string): readonly ListedPeer[] => {
 		const rights = writer.rightsOf(budget);
 		const names = rights ? rankHolders(rights, holder) : [];
@@ -46,8 +49,19 @@
 		});
 	};
 
-	const draw = async (budget: string, tokens: number, deadline: number): Promise<boolean> =>
-		await queue.draw(budget, tokens, deadline) === 'reserved';
+	// All requests that waited for a write learn the same from it, so only the first one that was not served begins or lengthens a pause.
+	const noteDraw = (budget: string, isEnough: boolean): void => {
+		if (isEnough || !loanPauses.current('store', budget)) {
+			const rights = writer.rightsOf(budget);
+			loanPauses.note('store', budget, {isEnough, isConclusive: rights !== undefined && unallocated(rights) < 1, hasReachedStore: true});
+		}
+	};
+
+	const draw = async (budget: string, tokens: number, deadline: number): Promise<boolean> => {
+		const isEnough = await queue.draw(budget, tokens, deadline) === 'reserved';
+		noteDraw(budget, isEnough);
+		return isEnough;
+	};
 
 	const isExhausted: RightsAcquirer['isExhausted'] = (budget, tokens) => isBudgetExhausted({
 		rights: writer.rightsOf(budget), ageMs: writer.rightsAgeMs(budget), holder, tokens,
--- a/packages/entry/src/lib/rights/create-rights-manager.ts
+++ b/packages/entry/src/lib/rights/create-rights-manager.ts
@@ -86,14 +86,14 @@
 	});
 	const queue = createDrawQueue({accounts, writer: () => writer, now});
 	const balancer = startRightsBalancer({
-		holder, accounts, allocators, borrower, writer, state, holdingPolicy, log, now,
+		holder, accounts, allocators, borrower, loanPauses, writer, state, holdingPolicy, log, now,
 		budgets: () => limits.byBudget.keys(),
 		isPeerListKnown: () => links().isPeerListKnown(),
 		isRetiring: () => isRetiring,
 		isDrawPaused: recovery.isDrawPaused,
 	});
 	const acquirer = createRightsAcquirer({
-		holder, accounts, allocators, borrower, writer, queue, balancer, timeouts, now,
+		holder, accounts, allocators, borrower, loanPauses, writer, queue, balancer, timeouts, now,
 		peerOf: name => links().peerOf(name),
 		isRetiring: () => isRetiring,
 	});
--- a/packages/entry/src/lib/rights/start-rights-balancer.ts
+++ b/packages/entry/src/lib/rights/start-rights-balancer.ts
@@ -2,6 +2,7 @@
 import type {Log} from '../../adapter/log.js';
 import type {Allocators} from '../lending/allocators.js';
 import type {Borrower} from '../lending/borrower.js';
+import type {LoanPauses} from '../lending/loan-pauses.js';
 import {countHolders} from '../rights-store/count-holders.js';
 import type {SlotWriter} from '../rights-store/slot-writer.js';
 import type {StoreState} from '../rights-store/store-state.js';
@@ -26,6 +27,7 @@
 	readonly accounts: Accounts;
 	readonly allocators: Allocators;
 	readonly borrower: Borrower;
+	readonly loanPauses: LoanPauses;
 	readonly writer: SlotWriter;
 	readonly state: StoreState;
 	readonly holdingPolicy: HoldingPolicy;
@@ -46,7 +48,9 @@
 Starts the task that keeps this host's rights near what its demand calls for. At a fixed interval it checks each budget and does what
 `planRights` and `planBorrowing` decide. It owns the times at which it last wrote each slot and last read it again.
 */
-export const startRightsBalancer = ({holder, accounts, allocators, borrower, writer, state, holdingPolicy, budgets, isPeerListKnown, isRetiring, isDrawPaused, log, now}: Options): RightsBalancer => {
+export const startRightsBalancer = ({
+	holder, accounts, allocators, borrower, loanPauses, writer, state, holdingPolicy, budgets, isPeerListKnown, isRetiring, isDrawPaused, log, now,
+}: Options): RightsBalancer => {
 	const writtenAt = new Map<number, number>();
 	const refreshedAt = new Map<number, number>();
 
@@ -138,7 +142,8 @@
 	}, Math.random() * checkIntervalMs);
 	return {
 		mayDraw: budget => !isDrawPaused() && mayDraw({
-			rights: writer.rightsOf(budget), ageMs: writer.rightsAgeMs(budget), mayCall: state.mayCall(), isRetiring: isRetiring(),
+			rights: writer.rightsOf(budget), ageMs: writer.rightsAgeMs(budget), isPaused: loanPauses.current('store', budget) !== undefined,
+			mayCall: state.mayCall(), isRetiring: isRetiring(),
 		}),
 		close() {
 			clearInterval(timer);
--- a/packages/entry/src/test/loan-pauses.test.ts
+++ b/packages/entry/src/test/loan-pauses.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type {RightsStore} from '../adapter/rights-store.js';
 import {createLoanPauses} from '../lib/lending/create-loan-pauses.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {makeConfig} from './lib/start-host.js';
@@ -89,7 +90,16 @@
 /** Starts a large hall whose budget is reserved whole. */
 const startEmptyHall = async () => {
 	let time = 0;
-	const hosts = startRightsManagers(hostCount, createMemoryRightsStore(), limit, () => time);
+	const store = createMemoryRightsStore();
+	let writes = 0;
+	const countingStore: RightsStore = {
+		...store,
+		async write(slot, rights, revision) {
+			writes++;
+			return store.write(slot, rights, revision);
+		},
+	};
+	const hosts = startRightsManagers(hostCount, countingStore, limit, () => time);
 	kills.push(...hosts.map(({kill}) => kill));
 
 	/** Lets each host reserve one request, and returns the hosts that could. */
@@ -116,6 +126,7 @@
 		holders,
 		reserveAtAll,
 		lentCount: () => hosts.reduce((sum, {events}) => sum + events.filter(event => event === 'rights_lent').length, 0),
+		writeCount: () => writes,
 		advance(ms: number) {
 			time += ms;
 		},
@@ -139,6 +150,22 @@
 	t.true(lent <= refused / 2);
 });
 
+// Guards against writes that change nothing: after a crash of all hosts had used up most budgets, seven of ten calls about rights were
+// draws from an empty store and their conflicts.
+test('refused requests on a budget that is used up cause a write in 2 s at each allocator', async t => {
+	const {reserveAtAll, writeCount} = await startEmptyHall();
+	const writesBefore = writeCount();
+	const seconds = 20;
+	for (let round = 0; round < seconds * 10; round++) {
+		await reserveAtAll();
+	}
+
+	const writes = writeCount() - writesBefore;
+	t.log(`${writes} writes in ${seconds} s`);
+	// Pauses of 250, 500 and 1000 ms come before those of 2 s.
+	t.true(writes <= 2 * (3 + (seconds / 2)));
+});
+
 // Guards against refusals that go on after rights have come back.
 test('rights that another host releases are found within 2 s, and those of a top-up at once', async t => {
 	const {hosts, holders, reserveAtAll, advance} = await startEmptyHall();
