--- a/packages/entry/src/lib/load-sharing/create-load-sharing.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-sharing.ts
@@ -21,8 +21,8 @@
 const tickMs = 300;
 
 /**
-The time between two questions of a load leader to that of another hall, in ms. It is shorter than `tickMs` because what other halls have open
-passes two leaders, and costs little because only leaders ask.
+The time between two questions of a load leader to that of another hall, in ms, in halls of up to 30 hosts. It is shorter than `tickMs` because
+what other halls have open passes two leaders, and costs little because only leaders ask.
 */
 const hallPullMs = 150;
 
@@ -54,6 +54,7 @@
 	let index = indexEndpoints([]);
 	let leaderAddress: string | undefined;
 	let ticks = 0;
+	let pullTicks = 0;
 	let isReporting = false;
 
 	const isSelf = (address: string | undefined): boolean => address === links().self().address;
@@ -188,7 +189,8 @@
 			void tick();
 		}),
 		every(hallPullMs, () => {
-			if (isSelf(leaderAddress)) {
+			pullTicks++;
+			if (isSelf(leaderAddress) && pullTicks % intervalTicks() === 0) {
 				halls.pull();
 			}
 		}),
--- a/packages/entry/src/test/create-load-tracker.test.ts
+++ b/packages/entry/src/test/create-load-tracker.test.ts
@@ -26,3 +26,27 @@
 	run.noteEvent();
 	t.like(tracker.loadOf('engine'), {open: 1, pendingPromptTokens: 200});
 });
+
+// A refusal comes at once: taken for a fast response, it would draw requests to an endpoint that serves none.
+test('the duration of a response tells the speed of an endpoint only where it answered, and events go before it', t => {
+	let time = 0;
+	const samples: unknown[] = [];
+	const tracker = createLoadTracker({
+		onSample({kind, ms}) {
+			samples.push(kind, ms);
+		},
+		now: () => time,
+	});
+	const refused = tracker.noteSent('app', 0);
+	const served = tracker.noteSent('app', 0);
+	const stream = tracker.noteSent('app', 0);
+	time = 5;
+	refused.end();
+	for (time = 50; time <= 80; time += 10) {
+		stream.noteEvent();
+	}
+
+	served.end('answered');
+	stream.end('answered');
+	t.deepEqual(samples, ['response', 90, 'event', 10]);
+});
