Refuse nothing for good by a configuration that may be outdated

Ruled out: asking the store before each refusal (a call for every unknown path, in outages above all); going by a version number that a peer tells (peers of a cut hall know no more, and it proves only that something is outdated); not being ready (sends away what can be served).

Beyond configApplyMs, refuseByConfig replaces 401, 404 and 413 by 503 config_unconfirmed.

--- a/packages/entry/src/adapter/bounds.ts
+++ b/packages/entry/src/adapter/bounds.ts
@@ -21,6 +21,8 @@
 		/** A share of the time that the caller waits for the response, 0 to 1. */
 		readonly share: number;
 	};
+	/** Within what time a change of the configuration must take effect, in ms; `undefined` where no bound is set. */
+	readonly configApplyMs?: number;
 	/** The longest delay with which a host may relay an event of a stream, in ms. */
 	readonly relayMs: number;
 	/** The time from the signal to stop a host until its process is killed, in ms. */
--- a/packages/entry/src/adapter/store-changes.ts
+++ b/packages/entry/src/adapter/store-changes.ts
@@ -12,11 +12,12 @@
 	readonly isFollower: (topic: string) => boolean;
 	/**
 	Publishes to peers what this host has seen of a topic: it knows all changes up to the store's revision `at`, and the last one was
-	at the revision `changedAt` or before. This holds until the instant `validUntil`, in elapsed ms, or until the next call.
+	at the revision `changedAt` or before. The store made the response that shows it at the instant `confirmedAt` or later. This holds until
+	the instant `validUntil` or until the next call. Both instants are elapsed ms.
 
 	@param seen `undefined` while this host cannot follow the topic.
 	*/
-	readonly publish: (topic: string, seen: {readonly at: number; readonly changedAt: number; readonly validUntil?: number} | undefined) => void;
+	readonly publish: (topic: string, seen: {readonly at: number; readonly changedAt: number; readonly confirmedAt?: number; readonly validUntil?: number} | undefined) => void;
 	/** Notes that this host reached the store at the instant `at`, in elapsed ms. */
 	readonly noteStoreAnswer: (at: number) => void;
 	/** Whether peers have recently asked this host for changes. */
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -13,6 +13,11 @@
 	readonly storeChanges: StoreChanges;
 	/** Puts a configuration into force, unless the one in force has the same or a later version. */
 	readonly configure: (config: FleetConfig) => void;
+	/**
+	Notes that the configuration in force was the newest one at the instant `at`, in elapsed ms. Where the bounds state `configApplyMs` and
+	this was longer ago, the host refuses nothing as that configuration says, since a newer one may allow it.
+	*/
+	readonly configConfirmed: (at: number) => void;
 	/** Replaces the list of endpoints that the platform lists. */
 	readonly listEndpoints: (endpoints: readonly ListedEndpoint[]) => void;
 	/** Replaces the set of evacuated halls. Their endpoints get no new requests; requests that already run there may finish. */
--- a/packages/entry/src/lib/admission/admit-request.ts
+++ b/packages/entry/src/lib/admission/admit-request.ts
@@ -5,10 +5,12 @@
 import type {Organisation} from '../../config/organisation.js';
 import type {Route} from '../../config/route.js';
 import type {AdmittedRequest} from './admitted-request.js';
+import type {ConfigProof} from './config-proof.js';
 import {findRoute} from './find-route.js';
 import type {HostRefusal} from './host-refusal.js';
 import {hostRefusals} from './host-refusals.js';
 import {readPrompt} from './read-prompt.js';
+import {refuseByConfig} from './refuse-by-config.js';
 
 /** The parts of a request's head that decide whether the request is admitted. */
 type RequestHead = {
@@ -40,23 +42,24 @@
 Decides whether the configuration in force admits a request. Pure.
 
 Refused are: any request while the host has no configuration (503), a request that no route serves (404), a request without a known
-API key on a route that needs one (401), and a request whose token count is not two whole numbers (400).
+API key on a route that needs one (401), and a request whose token count is not two whole numbers (400). Where the configuration may be
+outdated, 404 and 401 are replaced (`refuseByConfig`).
 
 @param config The configuration in force; `undefined` while the host has none.
 */
-export const admitRequest = (config: FleetConfig | undefined, {url, headers, receivedAt}: RequestHead, headerNames: HeaderNames): Result<AdmittedRequest, HostRefusal> => {
+export const admitRequest = (config: FleetConfig | undefined, proof: ConfigProof, {url, headers, receivedAt}: RequestHead, headerNames: HeaderNames): Result<AdmittedRequest, HostRefusal> => {
 	if (!config) {
 		return fail(hostRefusals.notReady);
 	}
 
 	const route = findRoute(config, headers.host ?? '', url);
 	if (!route) {
-		return fail(hostRefusals.noRoute);
+		return fail(refuseByConfig(hostRefusals.noRoute, proof));
 	}
 
 	const organisation = findOrganisation(config, route, firstValueOf(headers[headerNames.apiKey]));
 	if (organisation === 'unknown') {
-		return fail(hostRefusals.unauthorized);
+		return fail(refuseByConfig(hostRefusals.unauthorized, proof));
 	}
 
 	const tokenCount = firstValueOf(headers[headerNames.tokenCount]);
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -6,6 +6,7 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
+import type {ConfigProof} from '../admission/config-proof.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
@@ -17,6 +18,8 @@
 export type HostContext = {
 	/** The configuration in force; `undefined` until the host has one and knows which halls are evacuated. */
 	readonly config: () => FleetConfig | undefined;
+	/** How well this host knows that no newer configuration is due. */
+	readonly configProof: () => ConfigProof;
 	/** Whether the host closes the caller's connection after this response. */
 	readonly closesAfter: (res: ServerResponse) => boolean;
 	/** Whether the shutdown of this host has begun. */
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -4,6 +4,7 @@
 import {isAbandonedByCaller} from '../admission/is-abandoned-by-caller.js';
 import {readBody} from '../admission/read-body.js';
 import {secondsUntil} from '../admission/seconds-until.js';
+import {refuseByConfig} from '../admission/refuse-by-config.js';
 import {isRetryableRoute} from '../admission/is-retryable-route.js';
 import {chargeOfResult} from './charge-of-result.js';
 import {costOfRequest} from './cost-of-request.js';
@@ -71,10 +72,11 @@
 	const receivedAt = host.now() - waitedMs;
 	const id = String(req.headers[host.headerNames.requestId] ?? '');
 	const requestLog = createRequestLog({id, receivedAt, res}, host);
-	const admitted = admitRequest(host.config(), {url: req.url!, headers: req.headers, receivedAt}, host.headerNames);
+	const proof = host.configProof();
+	const admitted = admitRequest(host.config(), proof, {url: req.url!, headers: req.headers, receivedAt}, host.headerNames);
 	if (!admitted.ok) {
 		req.resume();
-		requestLog.refused(admitted.error, {host: req.headers.host, path: req.url});
+		requestLog.refused(admitted.error, {host: req.headers.host, path: req.url, config_age_ms: Math.round(proof.ageMs)});
 		return;
 	}
 
@@ -95,7 +97,7 @@
 
 	if (body === 'too_large') {
 		res.shouldKeepAlive = false;
-		requestLog.refused(hostRefusals.tooLarge);
+		requestLog.refused(refuseByConfig(hostRefusals.tooLarge, proof), {config_age_ms: Math.round(proof.ageMs)});
 		return;
 	}
 
--- a/packages/entry/src/lib/store-changes/create-change-registry.ts
+++ b/packages/entry/src/lib/store-changes/create-change-registry.ts
@@ -4,7 +4,7 @@
 const subscriberTimeoutMs = 5000;
 
 /** What this host knows of a topic; the fields are those of `StoreChanges.publish`. */
-type TopicState = {readonly at: number; readonly changedAt: number; readonly validUntil?: number};
+type TopicState = {readonly at: number; readonly changedAt: number; readonly confirmedAt?: number; readonly validUntil?: number};
 /** A held request: `resolve` ends the hold, and `after` is the revision up to which the peer knows the topic. */
 type Waiter = {readonly topic: string; readonly after: number; readonly resolve: () => void};
 
@@ -58,7 +58,8 @@
 		},
 		hasSubscribers: () => elapsed() - lastRequestAt < subscriberTimeoutMs,
 		async answer(topic, after, holdMs) {
-			lastRequestAt = elapsed();
+			const requestedAt = elapsed();
+			lastRequestAt = requestedAt;
 			const initial = topics.get(topic);
 			if (initial && initial.changedAt <= after) {
 				await untilChange(topic, after, holdMs);
@@ -69,8 +70,11 @@
 				return {at: 0, changedAt: 0, ageMs: Number.MAX_SAFE_INTEGER};
 			}
 
-			const {at, changedAt} = current;
-			return {at, changedAt, ageMs: Math.min(Number.MAX_SAFE_INTEGER, elapsed() - storeAnsweredAt)};
+			const {at, changedAt, confirmedAt} = current;
+			const confirmed = confirmedAt === undefined ? {} : {confirmedBeforeMs: requestedAt - confirmedAt};
+			return {
+				at, changedAt, ageMs: Math.min(Number.MAX_SAFE_INTEGER, elapsed() - storeAnsweredAt), ...confirmed,
+			};
 		},
 	};
 };
--- a/packages/entry/src/lib/store-changes/interpret-change-reply.ts
+++ b/packages/entry/src/lib/store-changes/interpret-change-reply.ts
@@ -8,10 +8,10 @@
 @param after The store's revision up to which the requesting host knows every change of the topic.
 @param freshMs The longest time since the store answered the peer, in ms.
 */
-export const interpretChangeReply = ({at, changedAt, ageMs}: ChangeReply, after: number, freshMs: number): ChangeStatus => {
+export const interpretChangeReply = ({at, changedAt, ageMs, ...confirmed}: ChangeReply, after: number, freshMs: number): ChangeStatus => {
 	if (changedAt > after) {
 		return {type: 'changed'};
 	}
 
-	return ageMs <= freshMs ? {type: 'unchanged', at} : {type: 'unknown'};
+	return ageMs <= freshMs ? {type: 'unchanged', at, ...confirmed} : {type: 'unknown'};
 };
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -62,6 +62,8 @@
 	});
 	const {overload, halls} = health;
 	let config: FleetConfig | undefined;
+	/** When the configuration in force was last known to be the newest one, in elapsed ms. */
+	let configConfirmedAt = Number.NEGATIVE_INFINITY;
 	const chooser = createEndpointChooser({
 		hall,
 		isUnreachable: halls.isUnreachable,
@@ -95,6 +97,7 @@
 	// No request is forwarded before this host knows which halls are evacuated: until then, it serves requests as if it had no configuration.
 	const hostContext: HostContext = {
 		config: () => evacuatedHalls === undefined ? undefined : config,
+		configProof: () => ({ageMs: elapsed() - configConfirmedAt, applyMs: bounds.configApplyMs}),
 		closesAfter,
 		isStopping: () => shutdownPlan !== undefined,
 		shutdownSignal: shutdownController.signal,
@@ -176,6 +179,9 @@
 			log('configured', {version: next.version, routes: next.routes.length, budgets: countBudgets(next)});
 			listing.review();
 		},
+		configConfirmed(at) {
+			configConfirmedAt = Math.max(configConfirmedAt, at);
+		},
 		listEndpoints: listing.list,
 		evacuateHalls(next) {
 			if (evacuatedHalls !== undefined && isDeepStrictEqual(next, evacuatedHalls)) {
--- a/packages/entry/src/test/create-change-registry.test.ts
+++ b/packages/entry/src/test/create-change-registry.test.ts
@@ -35,6 +35,25 @@
 	t.deepEqual(interpretChangeReply(reply, 10, 600), {type: 'unknown'});
 });
 
+// Without it, a host that relies on a peer could not tell how outdated it may be.
+test('a reply does not tell how long before the question, or after it, the store confirmed that nothing changed', async t => {
+	const {registry, clock} = createRegistry();
+	registry.publish('config', {at: 10, changedAt: 8, confirmedAt: 400});
+	registry.noteStoreAnswer(1000);
+	const reply = await registry.answer('config', 10, 0);
+	t.deepEqual(reply, {
+		at: 10, changedAt: 8, ageMs: 0, confirmedBeforeMs: 600,
+	});
+	t.deepEqual(interpretChangeReply(reply, 10, 1000), {type: 'unchanged', at: 10, confirmedBeforeMs: 600});
+
+	const held = registry.answer('config', 10, 20);
+	clock.now += 500;
+	registry.publish('config', {at: 11, changedAt: 8, confirmedAt: 1300});
+	registry.noteStoreAnswer(1300);
+	const {confirmedBeforeMs} = await held;
+	t.is(confirmedBeforeMs, -300);
+});
+
 test('only a change after the revision that the requesting host knows counts as new, however old the contact to the store', t => {
 	t.deepEqual(interpretChangeReply({at: 9, changedAt: 8, ageMs: 0}, 12, 100), {type: 'unchanged', at: 9});
 	t.deepEqual(interpretChangeReply({at: 20, changedAt: 13, ageMs: 9999}, 12, 100), {type: 'changed'});
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -58,10 +58,13 @@
 	readonly now?: () => number;
 	readonly warmup?: Bounds['warmup'];
 	readonly hasEvacuations?: boolean;
+	readonly configApplyMs?: number;
 };
 
 /** Starts an entry host with the event log that tests look at. */
-export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations}: Options = {}) => {
+export const startHost = async (rightsStore: RightsStore, {
+	host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, configApplyMs,
+}: Options = {}) => {
 	const events: Array<{event: string; fields: Fields}> = [];
 	const eventWaiters: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntryHost({
@@ -69,7 +72,7 @@
 		hall,
 		listen: {callers: anyPort, ready: anyPort, peers: anyPort},
 		bounds: {
-			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000, warmup,
+			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000, warmup, configApplyMs,
 		},
 		hasEvacuations,
 		headers: headerNames,
--- a/packages/entry/src/test/unread-request.test.ts
+++ b/packages/entry/src/test/unread-request.test.ts
@@ -22,6 +22,7 @@
 	const forwardDeadlines: number[] = [];
 	const host = {
 		config: () => config,
+		configProof: () => ({ageMs: 0, applyMs: undefined}),
 		headerNames,
 		now: () => 10_000,
 		log: () => undefined,
