--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -60,11 +60,14 @@
 	readonly warmup?: Bounds['warmup'];
 	readonly hasEvacuations?: boolean;
 	readonly capacity?: Capacity;
+	readonly configApplyMs?: number;
 };
 
 /** Starts an entry host with the event log that tests look at. */
 export const startHost = async (rightsStore: RightsStore, options: Options = {}) => {
-	const {host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, capacity} = options;
+	const {
+		host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, capacity, configApplyMs,
+	} = options;
 	const events: Array<{event: string; fields: Fields}> = [];
 	const eventWaiters: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntryHost({
@@ -72,7 +75,7 @@
 		hall,
 		listen: {callers: anyPort, ready: anyPort, peers: anyPort},
 		bounds: {
-			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000, warmup,
+			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000, warmup, configApplyMs,
 		},
 		hasEvacuations,
 		capacity,
