Refuse by rank what the link of a host cannot carry, before queues build up

Cause: a host learned that its link was full from connections that took long, and then refused whatever came, urgent requests as much as others.

Change: settings may state `capacity.linkMbps`. Each request is expected to bring its body and its response in and out; sizes of responses are learned by route. Above a first backlog only the most urgent rank is admitted, and of each other rank its guaranteed share. Refusals are sent at the head with cause=link, and send callers to another host at once; the host stays ready and keeps its connections. Lines link_full_began and link_full_ended.

Where bodies of refused requests alone fill the link, refusing cannot help; the overload monitor is left to that case.

--- a/packages/entry/src/entry-host-options.ts
+++ b/packages/entry/src/entry-host-options.ts
@@ -1,4 +1,5 @@
 import type {Bounds} from './adapter/bounds.js';
+import type {Capacity} from './adapter/capacity.js';
 import type {HeaderNames} from './adapter/header-names.js';
 import type {Log} from './adapter/log.js';
 import type {Timeouts} from './timeouts.js';
@@ -18,6 +19,10 @@
 	*/
 	readonly listen: {readonly callers: string; readonly ready: string; readonly peers: string};
 	readonly bounds: Bounds;
+	/**
+	What this host can carry, as its operators know it. Without it, the host admits requests until it notices that it is late.
+	*/
+	readonly capacity?: Capacity;
 	/** Whether operators may order the evacuation of halls. The host is then not ready until `evacuateHalls` was called. By default `false`. */
 	readonly hasEvacuations?: boolean;
 	readonly headers: HeaderNames;
--- /dev/null
+++ b/packages/entry/src/lib/link-admission/add-link-bytes.ts
@@ -0,0 +1,22 @@
+import type {DirectionLoad} from './direction-load.js';
+import type {LinkBytes} from './link-bytes.js';
+import type {LinkLoad} from './link-load.js';
+import {rateTimeConstantMs} from './rate-time-constant-ms.js';
+
+/**
+The longest backlog that is counted, in ms. Bodies of refused requests arrive whether or not the link has room; without a bound, a burst of them
+would have requests refused long after the link has carried them.
+*/
+const maxBacklogMs = 1000;
+
+const addToDirection = ({backlogMs, bytesPerMs}: DirectionLoad, bytes: number, plannedBytesPerMs: number): DirectionLoad => ({
+	backlogMs: Math.min(Math.max(0, backlogMs + (bytes / plannedBytesPerMs)), maxBacklogMs),
+	bytesPerMs: Math.max(0, bytesPerMs + (bytes / rateTimeConstantMs)),
+});
+
+/** Adds bytes to the load of a link; negative ones correct what was expected before. Pure. */
+export const addLinkBytes = (load: LinkLoad, {inBytes, outBytes}: LinkBytes, plannedBytesPerMs: number): LinkLoad => ({
+	...load,
+	in: addToDirection(load.in, inBytes, plannedBytesPerMs),
+	out: addToDirection(load.out, outBytes, plannedBytesPerMs),
+});
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -6,6 +6,7 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
+import type {LinkAdmission} from '../link-admission/link-admission.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
@@ -27,8 +28,11 @@
 	readonly shutdownSignal: AbortSignal;
 	/** Whether this host is so late with its own work that it cannot judge endpoints by the time that they take. */
 	readonly isOverloaded: () => boolean;
+	/** The rank of a route's priority in the configuration in force: 0 for the most urgent routes, and for all where the host's capacity is not known. */
+	readonly rankOf: (priority: number) => number;
 	/** Whether this host refuses further requests to reduce its load; other hosts serve them better. */
 	readonly isShedding: () => boolean;
+	readonly link: LinkAdmission;
 	/** How long a request waited before this process accepted its connection, in ms. */
 	readonly waitedMs: (res: ServerResponse) => number;
 	/** Records how long this host waited for an endpoint to accept a connection, in ms. */
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -1,4 +1,5 @@
 import type {FleetConfig} from '../../config/fleet-config.js';
+import type {Capacity} from '../../adapter/capacity.js';
 import type {Bounds} from '../../adapter/bounds.js';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {RightsStore} from '../../adapter/rights-store.js';
@@ -58,10 +59,12 @@
 	readonly now?: () => number;
 	readonly warmup?: Bounds['warmup'];
 	readonly hasEvacuations?: boolean;
+	readonly capacity?: Capacity;
 };
 
 /** Starts an entry host with the event log that tests look at. */
-export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations}: Options = {}) => {
+export const startHost = async (rightsStore: RightsStore, options: Options = {}) => {
+	const {host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, capacity} = options;
 	const events: Array<{event: string; fields: Fields}> = [];
 	const eventWaiters: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntryHost({
@@ -72,6 +75,7 @@
 			retryRatio: 1, retryWindowMs: 10_000, relayMs: 60_000, stopGraceMs: 20_000, warmup,
 		},
 		hasEvacuations,
+		capacity,
 		headers: headerNames,
 		rightsStore,
 		peers: {
