A late host keeps a part of its open requests for the most urgent ones

Cause: a host that could not keep up refused each request above its limit of open requests, whatever its rank, so that urgent callers paid as much as others.

Ruled out: a limit for each rank (a rank without requests would hold places that others need).

Change: a quarter of the limit is kept for the most urgent rank; others keep an eighth even where urgent requests fill the rest. Only where the settings state the capacity of the host: without it all ranks count as the most urgent one, and the limit is as before. Refusals name their cause (core, link, queue) and rank.

Conclusion: requests that are open when an overload begins are left alone, as before; only new ones are weighed.

--- a/packages/entry/src/lib/host/start-health-monitor.ts
+++ b/packages/entry/src/lib/host/start-health-monitor.ts
@@ -16,6 +16,8 @@
 	readonly timeouts: Timeouts;
 	/** The number of requests that are open now. */
 	readonly open: () => number;
+	/** The number of open requests that are not of the most urgent rank. */
+	readonly openLessUrgent: () => number;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -31,9 +33,9 @@
 };
 
 /** Starts the monitors of this host's own overload and of other halls. An overloaded host judges no hall. */
-export const startHealthMonitor = ({hall, isEvacuated, bounds, timeouts, open, log, now}: Options): HealthMonitor => {
+export const startHealthMonitor = ({hall, isEvacuated, bounds, timeouts, open, openLessUrgent, log, now}: Options): HealthMonitor => {
 	const overload = startOverloadMonitor({
-		boundMs: bounds.relayMs, open, log, now,
+		boundMs: bounds.relayMs, open, openLessUrgent, log, now,
 	});
 	const halls = startHallMonitor({
 		hall, isEvacuated, probe: async address => await probeAddress(address, timeouts.probeMs) === 'reached', isOverloaded: overload.isOverloaded, log, now,
--- a/packages/entry/src/lib/own-health/overload-monitor.ts
+++ b/packages/entry/src/lib/own-health/overload-monitor.ts
@@ -4,7 +4,13 @@
 	readonly noteConnect: (tookMs: number) => void;
 	/** Whether this host is late with its own work, or has not recovered from that yet. */
 	readonly isOverloaded: () => boolean;
-	/** Whether more requests are open than an overloaded or recovering host keeps open, so that another host serves a new one better. */
-	readonly isShedding: () => boolean;
+	/**
+	Whether more requests are open than an overloaded or recovering host keeps open, so that another host serves a new one better.
+
+	@param rank The rank of the new request, 0 for the most urgent ones.
+	*/
+	readonly isShedding: (rank: number) => boolean;
+	/** Which of the two is later at present: the core of this host, or its link. */
+	readonly cause: () => 'core' | 'link';
 	readonly close: () => void;
 };
--- a/packages/entry/src/lib/own-health/start-overload-monitor.ts
+++ b/packages/entry/src/lib/own-health/start-overload-monitor.ts
@@ -1,4 +1,5 @@
 import type {Log} from '../../adapter/log.js';
+import {isAboveOpenLimit} from './is-above-open-limit.js';
 import type {LatenessEvent} from './lateness-event.js';
 import type {OverloadMonitor} from './overload-monitor.js';
 import type {Lateness} from './lateness.js';
@@ -22,6 +23,8 @@
 	readonly boundMs: number;
 	/** The number of requests that are open now. */
 	readonly open: () => number;
+	/** The number of open requests that are not of the most urgent rank. */
+	readonly openLessUrgent: () => number;
 	readonly log: Log;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -32,7 +35,7 @@
 its hall take. A host whose processor core or network link cannot keep up sends callers to other hosts, and holds no delay of its own
 against an endpoint.
 */
-export const startOverloadMonitor = ({boundMs, open, log, now}: Options): OverloadMonitor => {
+export const startOverloadMonitor = ({boundMs, open, openLessUrgent, log, now}: Options): OverloadMonitor => {
 	let lateness: Lateness = {
 		timerMs: 0, connectMs: 0, isLate: false, isOverloaded: false,
 	};
@@ -70,7 +73,10 @@
 			step({type: 'connected', tookMs});
 		},
 		isOverloaded: () => lateness.isOverloaded,
-		isShedding: () => openLimit !== undefined && open() > openLimit,
+		isShedding: rank => isAboveOpenLimit({
+			openLimit, open: open(), openLessUrgent: openLessUrgent(), rank,
+		}),
+		cause: () => lateness.connectMs > lateness.timerMs ? 'link' : 'core',
 		close() {
 			clearInterval(timer);
 		},
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -7,6 +7,7 @@
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
 import type {LinkAdmission} from '../link-admission/link-admission.js';
+import type {OverloadMonitor} from '../own-health/overload-monitor.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
@@ -30,8 +31,12 @@
 	readonly isOverloaded: () => boolean;
 	/** The rank of a route's priority in the configuration in force: 0 for the most urgent routes, and for all where the host's capacity is not known. */
 	readonly rankOf: (priority: number) => number;
-	/** Whether this host refuses further requests to reduce its load; other hosts serve them better. */
-	readonly isShedding: () => boolean;
+	/** Whether this host refuses further requests of a rank to reduce its load; other hosts serve them better. */
+	readonly isShedding: OverloadMonitor['isShedding'];
+	/** What makes an overloaded host late, for the log. */
+	readonly overloadCause: OverloadMonitor['cause'];
+	/** Counts a request that is not of the most urgent rank, until its response has ended. */
+	readonly noteLessUrgent: (res: ServerResponse) => void;
 	readonly link: LinkAdmission;
 	/** How long a request waited before this process accepted its connection, in ms. */
 	readonly waitedMs: (res: ServerResponse) => number;
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -83,13 +83,13 @@
 	const isAbandoned = isAbandonedByCaller({
 		waitedMs, callerMs: deadline - receivedAt, isRetryable: isRetryableRoute(route), unreadTimeout: host.unreadTimeout,
 	});
-	if (isAbandoned || host.isShedding()) {
+	const rank = host.rankOf(route.priority);
+	if (isAbandoned || host.isShedding(rank)) {
 		req.resume();
-		requestLog.refused(hostRefusals.hostOverloaded, {waited_ms: Math.round(waitedMs)});
+		requestLog.refused(hostRefusals.hostOverloaded, {cause: isAbandoned ? 'queue' : host.overloadCause(), rank, waited_ms: Math.round(waitedMs)});
 		return;
 	}
 
-	const rank = host.rankOf(route.priority);
 	const transfer = openTransfer(req, res, {route, rank}, host);
 	if (!transfer) {
 		req.resume();
@@ -97,6 +97,10 @@
 		return;
 	}
 
+	if (rank > 0) {
+		host.noteLessUrgent(res);
+	}
+
 	const body = await readBody(req, host.config()!.limits.maxBodyBytes);
 	if (body === 'caller_left') {
 		return;
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -47,6 +47,7 @@
 	const {timeouts = defaultTimeouts, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
 	const holder = newHolderName(host);
 	const requestCounter = createRequestCounter(now);
+	const lessUrgentCounter = createRequestCounter(now);
 	const pool = createConnectionPool(elapsed);
 	const peerTasks = startPeerTasks({
 		host, hall, holder, address: listen.peers, rightsStore, directory, timeouts, log, now, elapsed,
@@ -61,7 +62,7 @@
 	const {rights} = peerTasks;
 	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
 	const health = startHealthMonitor({
-		hall, isEvacuated: name => evacuatedHalls?.has(name) ?? false, bounds, timeouts, open: requestCounter.count, log, now,
+		hall, isEvacuated: name => evacuatedHalls?.has(name) ?? false, bounds, timeouts, open: requestCounter.count, openLessUrgent: lessUrgentCounter.count, log, now,
 	});
 	const {overload, halls} = health;
 	const link = capacity
@@ -110,6 +111,8 @@
 		isOverloaded: overload.isOverloaded,
 		rankOf: priority => capacity && config ? rankOfPriority(config, priority) : 0,
 		isShedding: overload.isShedding,
+		overloadCause: overload.cause,
+		noteLessUrgent: lessUrgentCounter.add,
 		link,
 		waitedMs: connections.waitedMs,
 		unreadTimeout: bounds.unreadTimeout,
