Admit the most urgent requests up to a higher share of the link

Cause: with one planned rate for all ranks, a burst of long prompts took the room of urgent requests: bodies of refused requests arrive all the same.

--- a/packages/entry/src/lib/link-admission/add-link-bytes.ts
+++ b/packages/entry/src/lib/link-admission/add-link-bytes.ts
@@ -9,14 +9,17 @@
 */
 const maxBacklogMs = 1000;
 
-const addToDirection = ({backlogMs, bytesPerMs}: DirectionLoad, bytes: number, plannedBytesPerMs: number): DirectionLoad => ({
-	backlogMs: Math.min(Math.max(0, backlogMs + (bytes / plannedBytesPerMs)), maxBacklogMs),
+const limitBacklog = (backlogMs: number): number => Math.min(Math.max(0, backlogMs), maxBacklogMs);
+
+const addToDirection = ({backlogMs, urgentBacklogMs, bytesPerMs}: DirectionLoad, bytes: number, linkBytesPerMs: number): DirectionLoad => ({
+	backlogMs: limitBacklog(backlogMs + (bytes / linkBytesPerMs)),
+	urgentBacklogMs: limitBacklog(urgentBacklogMs + (bytes / linkBytesPerMs)),
 	bytesPerMs: Math.max(0, bytesPerMs + (bytes / rateTimeConstantMs)),
 });
 
 /** Adds bytes to the load of a link; negative ones correct what was expected before. Pure. */
-export const addLinkBytes = (load: LinkLoad, {inBytes, outBytes}: LinkBytes, plannedBytesPerMs: number): LinkLoad => ({
+export const addLinkBytes = (load: LinkLoad, {inBytes, outBytes}: LinkBytes, linkBytesPerMs: number): LinkLoad => ({
 	...load,
-	in: addToDirection(load.in, inBytes, plannedBytesPerMs),
-	out: addToDirection(load.out, outBytes, plannedBytesPerMs),
+	in: addToDirection(load.in, inBytes, linkBytesPerMs),
+	out: addToDirection(load.out, outBytes, linkBytesPerMs),
 });
--- a/packages/entry/src/lib/link-admission/backlog-limit-ms.ts
+++ b/packages/entry/src/lib/link-admission/backlog-limit-ms.ts
@@ -5,7 +5,7 @@
 const urgentLimitMs = 300;
 
 /** The backlog above which all other requests are refused, in ms. The difference is room for a burst of urgent requests. */
-const otherLimitMs = 200;
+const otherLimitMs = 150;
 
 /**
 Returns the backlog of a link, in ms, up to which a request of a rank is admitted. Pure.
--- a/packages/entry/src/lib/link-admission/create-link-admission.ts
+++ b/packages/entry/src/lib/link-admission/create-link-admission.ts
@@ -6,13 +6,13 @@
 import {drainLinkLoad} from './drain-link-load.js';
 import {initialLinkLoad} from './initial-link-load.js';
 import type {LinkAdmission} from './link-admission.js';
-import {plannedBytesPerMs} from './planned-bytes-per-ms.js';
+import {linkBytesPerMs} from './link-bytes-per-ms.js';
 
 /** The size of the head of a request, in bytes: what callers send besides the body, such as the parts of the prompt. */
 const headBytes = 600;
 
 /**
-The most that one request counts, in ms of the planned rate. Connections share a link, so that a larger body takes longer and leaves room for other
+The most that one request counts, in ms of the link's full rate. Connections share a link, so that a larger body takes longer and leaves room for other
 requests.
 */
 const maxTransferMs = 500;
@@ -47,7 +47,7 @@
 that a wrong expectation lasts no longer than its request.
 */
 export const createLinkAdmission = ({linkMbps, open, schedule, log, now}: Options): LinkAdmission => {
-	const bytesPerMs = plannedBytesPerMs(linkMbps);
+	const bytesPerMs = linkBytesPerMs(linkMbps);
 	const maxTransferBytes = bytesPerMs * maxTransferMs;
 	const sizes = createSizeEstimates();
 	let load = initialLinkLoad(now());
--- a/packages/entry/src/lib/link-admission/decide-transfer.ts
+++ b/packages/entry/src/lib/link-admission/decide-transfer.ts
@@ -12,14 +12,18 @@
 const guaranteeLimitMs = 400;
 
 /**
-How much of a guarantee may be used ahead, in ms of the planned rate. Without this, the guarantee would be lost while a rank waits for its next request.
+How much of a guarantee may be used ahead, in ms. Without this, the guarantee would be lost while a rank waits for its next request.
 */
 const guaranteeAheadMs = 20;
 
 type TransferDecision = {readonly load: LinkLoad; readonly isAdmitted: boolean};
 
-const isWithinGuarantee = (load: LinkLoad, rank: number, backlogMs: number): boolean =>
-	rank > 0 && backlogMs <= guaranteeLimitMs && load.guaranteeUsedMs[rank]! <= guaranteeAheadMs;
+const backlogOf = ({in: inLoad, out}: LinkLoad, rank: number): number => rank === 0
+	? Math.max(inLoad.urgentBacklogMs, out.urgentBacklogMs)
+	: Math.max(inLoad.backlogMs, out.backlogMs);
+
+const isWithinGuarantee = (load: LinkLoad, rank: number): boolean =>
+	rank > 0 && backlogOf(load, 0) <= guaranteeLimitMs && load.guaranteeUsedMs[rank]! <= guaranteeAheadMs;
 
 /**
 Decides whether the link of this host has room for a request, and adds the request's expected bytes to the load. Pure.
@@ -30,22 +34,21 @@
 
 Only the backlog before a request counts, so an idle link admits a request of any size.
 
-@param plannedBytesPerMs What the link is planned to carry for requests in each direction.
+@param linkBytesPerMs What the link carries in each direction.
 @param now Monotonic ms.
 */
-export const decideTransfer = (before: LinkLoad, transfer: Transfer, plannedBytesPerMs: number, now: number): TransferDecision => {
+export const decideTransfer = (before: LinkLoad, transfer: Transfer, linkBytesPerMs: number, now: number): TransferDecision => {
 	const load = drainLinkLoad(before, now);
 	const rank = Math.min(transfer.rank, leastUrgentRank);
-	const backlogMs = Math.max(load.in.backlogMs, load.out.backlogMs);
-	const isBelowLimit = backlogMs <= backlogLimitMs(rank);
-	if (!isBelowLimit && !isWithinGuarantee(load, rank, backlogMs)) {
-		return {load: addLinkBytes(load, {inBytes: transfer.requestBytes, outBytes: 0}, plannedBytesPerMs), isAdmitted: false};
+	const isBelowLimit = backlogOf(load, rank) <= backlogLimitMs(rank);
+	if (!isBelowLimit && !isWithinGuarantee(load, rank)) {
+		return {load: addLinkBytes(load, {inBytes: transfer.requestBytes, outBytes: 0}, linkBytesPerMs), isAdmitted: false};
 	}
 
 	const bytes = transfer.requestBytes + transfer.responseBytes;
-	const loaded = addLinkBytes(load, {inBytes: bytes, outBytes: bytes}, plannedBytesPerMs);
+	const loaded = addLinkBytes(load, {inBytes: bytes, outBytes: bytes}, linkBytesPerMs);
 	return {
-		load: isBelowLimit ? loaded : {...loaded, guaranteeUsedMs: load.guaranteeUsedMs.with(rank, load.guaranteeUsedMs[rank]! + (bytes / plannedBytesPerMs))},
+		load: isBelowLimit ? loaded : {...loaded, guaranteeUsedMs: load.guaranteeUsedMs.with(rank, load.guaranteeUsedMs[rank]! + (bytes / linkBytesPerMs))},
 		isAdmitted: true,
 	};
 };
--- a/packages/entry/src/test/link-admission.test.ts
+++ b/packages/entry/src/test/link-admission.test.ts
@@ -8,7 +8,8 @@
 import {createLinkAdmission} from '../lib/link-admission/create-link-admission.js';
 import {guaranteedShare} from '../lib/link-admission/guaranteed-share.js';
 import type {LinkAdmission} from '../lib/link-admission/link-admission.js';
-import {plannedBytesPerMs} from '../lib/link-admission/planned-bytes-per-ms.js';
+import {linkBytesPerMs} from '../lib/link-admission/link-bytes-per-ms.js';
+import {plannedShare} from '../lib/link-admission/planned-share.js';
 import {rankOfPriority} from '../lib/link-admission/rank-of-priority.js';
 import {createManualClock} from './lib/create-manual-clock.js';
 import {playLinkLoad, type LinkCallers} from './lib/play-link-load.js';
@@ -48,7 +49,7 @@
 test('more urgent requests than the link carries leave nothing to less urgent ones', t => {
 	const seconds = 20;
 	const {routes, queueMs} = playLinkLoad({linkMbps: smallLinkMbps, callers: [urgent(120), long(20)], seconds});
-	t.true(routes.long!.admittedBytes >= plannedBytesPerMs(smallLinkMbps) * 1000 * seconds * guaranteedShare(1));
+	t.true(routes.long!.admittedBytes >= linkBytesPerMs(smallLinkMbps) * 1000 * seconds * plannedShare * guaranteedShare(1));
 	// The size of responses is a guess until the first ones have ended.
 	t.true(Math.max(...queueMs.slice(3)) < maxQueueMs);
 });
