--- a/packages/entry/src/metrics/create-event-metrics.ts
+++ b/packages/entry/src/metrics/create-event-metrics.ts
@@ -22,6 +22,9 @@
 	const transferredTokenCounter = new Counter({
 		name: 'deckwheel_rights_tokens_total', help: 'Tokens of rights moved, by event.', labelNames: ['event'], registers,
 	});
+	const turnedAwayCounter = new Counter({
+		name: 'deckwheel_turned_away_total', help: 'Requests that this host turned away for its own load, by cause and by rank (0 the most urgent).', labelNames: ['cause', 'rank'], registers,
+	});
 	const usedTokenCounter = new Counter({
 		name: 'deckwheel_tokens_used_total', help: 'Tokens charged to budgets.', registers,
 	});
@@ -33,6 +36,10 @@
 				latencyHistogram.observe({event, route: String(fields.route ?? '')}, fields.ms);
 			}
 
+			if (event === 'request_refused' && fields.cause !== undefined) {
+				turnedAwayCounter.inc({cause: String(fields.cause), rank: String(fields.rank ?? '')});
+			}
+
 			arrivalCounter.inc(Number(fields.arrivals ?? 0));
 			usedTokenCounter.inc(Math.max(0, Number(fields.used ?? 0)));
 			if (rightsTransferEvents.has(event)) {
