Guard the queue of a link that refused bodies fill

Cause: no test said what a host may add to a queue that it cannot prevent.

Change: the queue may exceed what arrives in any case, and the responses of requests that were open, by the 50 ms that hold elsewhere.

--- a/packages/entry/src/test/link-admission.test.ts
+++ b/packages/entry/src/test/link-admission.test.ts
@@ -46,6 +46,17 @@
 	t.true(admittedShare(routes.urgent!) > admittedShare(routes.long!));
 });
 
+test('requests that are admitted while bodies of refused ones fill the link make its queue longer', t => {
+	const callers = [urgent(40), long(40, {perSecond: burst(40)})];
+	const {queueMs} = playLinkLoad({linkMbps: smallLinkMbps, callers, seconds: 14});
+	const headBytes = 600;
+	const bodiesPerSecond = (40 * (800 + headBytes)) + (40 * 2.2 * (9200 + headBytes));
+	const linkBytesPerSecond = linkBytesPerMs(smallLinkMbps) * 1000;
+	/** What arrives in the 7 s of the burst whether or not it is admitted, and the responses of requests that were open before. */
+	const unavoidableBytes = ((bodiesPerSecond - linkBytesPerSecond) * 7) + (40 * (6000 + 2000) * 1.2);
+	t.true(Math.max(...queueMs) < (unavoidableBytes / linkBytesPerMs(smallLinkMbps)) + maxQueueMs);
+});
+
 test('more urgent requests than the link carries leave nothing to less urgent ones', t => {
 	const seconds = 20;
 	const {routes, queueMs} = playLinkLoad({linkMbps: smallLinkMbps, callers: [urgent(120), long(20)], seconds});
