--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -3,6 +3,7 @@
 import {performance} from 'node:perf_hooks';
 import {isDeepStrictEqual} from 'node:util';
 import type {FleetConfig} from './config/fleet-config.js';
+import {defaultPlacing} from './default-placing.js';
 import {defaultTimeouts} from './default-timeouts.js';
 import type {EntryHostOptions} from './entry-host-options.js';
 import type {EntryHost} from './entry-host.js';
@@ -26,6 +27,7 @@
 import {unlimitedLink} from './lib/link-admission/unlimited-link.js';
 import {createAcceptQueueMonitor} from './lib/own-health/create-accept-queue-monitor.js';
 import {createWaitLog} from './lib/own-health/create-wait-log.js';
+import {smallHall} from './lib/peers/small-hall.js';
 import type {HostContext} from './lib/request/host-context.js';
 import {serveRequest} from './lib/request/serve-request.js';
 import {createConnectionPool} from './lib/sending/create-connection-pool.js';
@@ -44,7 +46,7 @@
 */
 export const startEntryHost = async (options: EntryHostOptions): Promise<EntryHost> => {
 	const {host, hall, listen, bounds, capacity, hasEvacuations = false, headers: headerNames, rightsStore, peers: directory, log} = options;
-	const {timeouts = defaultTimeouts, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
+	const {timeouts = defaultTimeouts, placing = defaultPlacing, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
 	const holder = newHolderName(host);
 	const requestCounter = createRequestCounter(now);
 	const lessUrgentCounter = createRequestCounter(now);
@@ -58,8 +60,11 @@
 		onLimitChanged(endpoint) {
 			chooser.note({type: 'limited', endpoint, until: 0});
 		},
+		onEnded(endpoint) {
+			log('endpoint_ended', {endpoint, by: 'peer'});
+		},
 	});
-	const {rights} = peerTasks;
+	const {rights, loadSharing} = peerTasks;
 	let evacuatedHalls: ReadonlySet<string> | undefined = hasEvacuations ? undefined : new Set();
 	const health = startHealthMonitor({
 		hall, isEvacuated: name => evacuatedHalls?.has(name) ?? false, bounds, timeouts, open: requestCounter.count, openLessUrgent: lessUrgentCounter.count, log, now,
@@ -77,12 +82,20 @@
 		warmupRules: createWarmupRules({
 			bound: bounds.warmup, serviceOf: name => config?.services.get(name), hosts: peerTasks.hostNames,
 		}),
+		placing: {
+			...placing,
+			// Where no hosts share load, each knows too little of it to place by it.
+			isOn: () => placing.byExpectedTime && peerTasks.hallSize() > smallHall,
+			loadOf: loadSharing.loads.loadOf,
+			random: Math.random,
+		},
 		now,
 	});
 	const listing = createEndpointListing({
 		config: () => config,
 		onUsed(used, unused) {
 			chooser.list(used);
+			loadSharing.list(used);
 			halls.list(used);
 			pool.keepOnly(new Set(used.map(({id}) => id)));
 			log('endpoints_listed', {count: used.length, leaving: used.filter(({isLeaving}) => isLeaving).length, unused});
@@ -119,6 +132,7 @@
 		noteConnect: health.noteConnect,
 		headerNames,
 		chooser,
+		loads: loadSharing.loads,
 		halls,
 		poison: peerTasks.poison,
 		limits: peerTasks.limits,
