Leave a request its attempt where the endpoint has ended

Cause: a 421 was counted as an attempt of the route.

Ruled out: retrying without the retry budget (arrivals that a server rejected count for it); no bound of its own (an old list of many ended endpoints).

Change: a misdirected attempt is no arrival. The next try needs a retry of the service's budget; misdirected and unsent attempts share the bound of four. New field misdirected= of the lines of requests.

Tests: three fail with the old count (a mutation of step-progress).

Conclusion: a request meets at most four ended endpoints, as far as the retry budget goes.

--- a/packages/entry/src/lib/request/decide-next-step.ts
+++ b/packages/entry/src/lib/request/decide-next-step.ts
@@ -3,17 +3,18 @@
 import type {RequestProgress} from './request-progress.js';
 
 /**
-The most attempts of one request that may fail before a connection to the endpoint is open. Such attempts cost the endpoints
-nothing, so the retry limiter does not count them; this bound keeps a request from calling every endpoint of an unreachable hall.
+The most attempts of one request that may reach no endpoint: they fail before a connection is open, or another process has the
+address. The route's limit does not count them, so this bound keeps a request from calling every endpoint of an unreachable hall, or of an
+old list.
 */
-const maxUnsentAttempts = 4;
+const maxFutileAttempts = 4;
 
 type Inputs = {
 	/** How the attempt ended. */
 	readonly end: AttemptEnd['type'];
 	/** The progress of the request, with this attempt counted. */
 	readonly progress: RequestProgress;
-	/** The most endpoints that the request may reach, as its route sets. */
+	/** The most endpoints that the request may reach, as its route sets. An endpoint whose life has ended is not reached. */
 	readonly maxAttempts: number;
 	/** Whether the request may run more than once: its route is repeatable, or its stream can be resumed. */
 	readonly isRetryable: boolean;
@@ -29,26 +30,31 @@
 
 | how the attempt ended | request may run once | request may run more than once |
 | --- | --- | --- |
-| `unsent` | send elsewhere; give up once `maxUnsentAttempts` is reached | the same |
-| `not_run`, `misdirected` | send elsewhere | the same |
+| `unsent`, `misdirected` | send elsewhere; give up once `maxFutileAttempts` is reached | the same |
+| `not_run` | send elsewhere | the same |
 | `lost` | give up | send elsewhere, with rights for one more run |
 | `server_error` | pass the response on | send elsewhere with rights for one more run; otherwise pass the response on |
 | `whole` | pass the response on | the same |
 | `streamed` | finish: the caller has the stream | the same |
 
 Except after `unsent`, sending elsewhere needs that the request is not over, that it has reached fewer endpoints than its route
-allows, and that the retry limiter allows one more retry.
+allows, and that the retry limiter allows one more retry. A misdirected attempt has reached none, so it leaves a route with a single attempt
+that attempt; it was an arrival at some process all the same, so the next one needs a retry.
 */
 export const decideNextStep = ({end, progress, maxAttempts, isRetryable, isOver}: Inputs): NextStep => {
 	const hasAttemptsLeft = !isOver && progress.arrivals < maxAttempts;
+	const mayFailAgain = progress.unsentAttempts + progress.misdirectedAttempts < maxFutileAttempts;
 	const canRunAgain = hasAttemptsLeft && isRetryable;
 	switch (end) {
 		case 'unsent': {
-			return progress.unsentAttempts < maxUnsentAttempts ? {type: 'send_elsewhere', needs: 'nothing', otherwise: 'give_up'} : {type: 'give_up'};
+			return mayFailAgain ? {type: 'send_elsewhere', needs: 'nothing', otherwise: 'give_up'} : {type: 'give_up'};
 		}
 
-		case 'not_run':
 		case 'misdirected': {
+			return hasAttemptsLeft && mayFailAgain ? sendElsewhere('retry', 'give_up') : {type: 'give_up'};
+		}
+
+		case 'not_run': {
 			return hasAttemptsLeft ? sendElsewhere('retry', 'give_up') : {type: 'give_up'};
 		}
 
--- a/packages/entry/src/lib/request/request-progress.ts
+++ b/packages/entry/src/lib/request/request-progress.ts
@@ -4,6 +4,8 @@
 	readonly arrivals: number;
 	/** How many attempts reached no endpoint. */
 	readonly unsentAttempts: number;
+	/** How many attempts reached another process than the endpoint, whose life has ended. They are no arrivals. */
+	readonly misdirectedAttempts: number;
 	/** Runs whose result is not known, or whose error response was dropped. Each may have cost its worst case. */
 	readonly lostRuns: number;
 	/** The ids of the endpoints that the request was sent to, in order. */
--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -7,6 +7,8 @@
 	readonly outcome: 'answered' | 'not_run' | 'unknown' | 'timed_out' | 'broken' | 'caller_left';
 	/** How many attempts reached an endpoint. */
 	readonly arrivals: number;
+	/** How many attempts reached another process than the endpoint. */
+	readonly misdirected: number;
 	/** Runs whose result is not known, or whose error response was dropped. Each may have cost its worst case. */
 	readonly lostRuns: number;
 	/** The most tokens that the events of a stream that the caller got may hold, over all runs; 0 for any other response. */
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -91,9 +91,9 @@
 
 	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt}: Pick<RequestResult, 'status' | 'retryAt'> = {}): RequestResult => {
 		requestEnd.close();
-		const {arrivals, lostRuns, tried, relayedEvents} = progress;
+		const {arrivals, misdirectedAttempts: misdirected, lostRuns, tried, relayedEvents} = progress;
 		return {
-			outcome, arrivals, lostRuns, status, retryAt, reason, endpoint: tried.at(-1) ?? '', outputTokens: relayedEvents * tokensPerEvent,
+			outcome, arrivals, misdirected, lostRuns, status, retryAt, reason, endpoint: tried.at(-1) ?? '', outputTokens: relayedEvents * tokensPerEvent,
 		};
 	};
 
--- a/packages/entry/src/lib/request/step-progress.ts
+++ b/packages/entry/src/lib/request/step-progress.ts
@@ -22,6 +22,10 @@
 			return {...progress, unsentAttempts: progress.unsentAttempts + 1, avoidedHalls: isOver ? progress.avoidedHalls : [...progress.avoidedHalls, endpoint.hall]};
 		}
 
+		case 'misdirected': {
+			return {...progress, misdirectedAttempts: progress.misdirectedAttempts + 1};
+		}
+
 		case 'lost': {
 			return addRelayedEvents({...progress, arrivals: progress.arrivals + 1, lostRuns: progress.lostRuns + 1}, end.relayed);
 		}
--- a/packages/entry/src/test/decide-next-step.test.ts
+++ b/packages/entry/src/test/decide-next-step.test.ts
@@ -9,9 +9,11 @@
 const sendElsewhere = (needs: 'nothing' | 'retry' | 'retry_and_rights', otherwise: 'give_up' | 'pass_on' = 'give_up'): NextStep =>
 	({type: 'send_elsewhere', needs, otherwise});
 
-const decide = (end: AttemptEnd['type'], {isRetryable = true, isOver = false, arrivals = 1, unsentAttempts = 1} = {}): NextStep =>
+const decide = (end: AttemptEnd['type'], {isRetryable = true, isOver = false, arrivals = 1, unsentAttempts = 1, misdirectedAttempts = 0, maxAttempts = 2} = {}): NextStep =>
 	decideNextStep({
-		end, progress: {...initialProgress, arrivals, unsentAttempts}, maxAttempts: 2, isRetryable, isOver,
+		end, progress: {
+			...initialProgress, arrivals, unsentAttempts, misdirectedAttempts,
+		}, maxAttempts, isRetryable, isOver,
 	});
 
 test('a request that may run once is sent to another endpoint only if it did not run', t => {
@@ -40,6 +42,26 @@
 	t.deepEqual(decide('unsent', {unsentAttempts: 4}), giveUp);
 });
 
+// A route with a single attempt was refused by each host once for each endpoint that had ended, while others were free.
+test('a request whose endpoint has ended is given up although its route has an attempt left', t => {
+	const first = {
+		arrivals: 0, unsentAttempts: 0, misdirectedAttempts: 1, maxAttempts: 1,
+	};
+	for (const isRetryable of [false, true]) {
+		t.deepEqual(decide('misdirected', {...first, isRetryable}), sendElsewhere('retry'));
+		t.deepEqual(decide('misdirected', {...first, isRetryable, isOver: true}), giveUp);
+	}
+
+	t.deepEqual(decide('misdirected', {...first, maxAttempts: 2, arrivals: 2}), giveUp);
+});
+
+test('a request is sent without end to addresses at which other processes listen', t => {
+	t.deepEqual(decide('misdirected', {arrivals: 0, unsentAttempts: 0, misdirectedAttempts: 3}), sendElsewhere('retry'));
+	t.deepEqual(decide('misdirected', {arrivals: 0, unsentAttempts: 0, misdirectedAttempts: 4}), giveUp);
+	t.deepEqual(decide('misdirected', {arrivals: 0, unsentAttempts: 3, misdirectedAttempts: 1}), giveUp);
+	t.deepEqual(decide('unsent', {arrivals: 0, unsentAttempts: 1, misdirectedAttempts: 3}), giveUp);
+});
+
 test('a whole response is passed on to the caller, and a whole stream ends the request', t => {
 	t.deepEqual(decide('whole'), passOn);
 	t.deepEqual(decide('streamed'), {type: 'finish'});
--- a/packages/entry/src/test/serve-request.test.ts
+++ b/packages/entry/src/test/serve-request.test.ts
@@ -401,3 +401,33 @@
 	t.is(runs(), 1);
 	await stopped;
 });
+
+const answerAsAnother: Answer = (_req, res) => {
+	res.writeHead(421);
+	res.end();
+};
+
+// The list may be some seconds old when endpoints end; a request with a single attempt was refused although another endpoint was free.
+for (const [kind, isOfStream] of [['once', false], ['stream', true]] as const) {
+	test(`a request with a single attempt is refused because the first endpoint has ended: ${kind}`, async t => {
+		const route = makeRoute({kind, maxAttempts: 1});
+		const {callers, endpoints, events} = await serve(makeConfig({routes: [route]}), answerAsAnother, isOfStream ? stream(1, 2) : succeed);
+		const {status, isWhole} = await callHost(callers);
+		t.is(status, 200);
+		t.true(isWhole);
+		t.is(endpoints[1]!.seen.length, 1);
+		const {fields} = events.find(({event}) => event === 'request_answered')!;
+		t.is(endpoints[0]!.seen.length, 1);
+		t.is(fields.misdirected, 1);
+		t.is(fields.arrivals, 1);
+	});
+}
+
+test('a request is sent to each of many endpoints that have ended, or counts as run', async t => {
+	const {callers, runs, events} = await serve(makeConfig({routes: [makeRoute({kind: 'once', maxAttempts: 1})]}), ...Array.from({length: 6}, () => answerAsAnother));
+	const {status, headers} = await callHost(callers);
+	t.is(status, 503);
+	t.true(Number(headers['retry-after']) > 0);
+	t.true(runs() <= 4);
+	t.deepEqual(usedTokensOf(events), [0]);
+});
--- a/packages/entry/src/test/step-progress.test.ts
+++ b/packages/entry/src/test/step-progress.test.ts
@@ -21,6 +21,11 @@
 	t.deepEqual(progressAfter({type: 'not_run'}), {...initialProgress, arrivals: 1});
 });
 
+// The life of the endpoint that was meant has ended, and the process at its address ran nothing.
+test('a misdirected attempt counts as an arrival', t => {
+	t.deepEqual(progressAfter({type: 'misdirected'}), {...initialProgress, misdirectedAttempts: 1});
+});
+
 test('a lost run is counted, and its stream resumes after the last event that the caller got', t => {
 	t.deepEqual(progressAfter({type: 'lost', reason: 'lost'}), {...initialProgress, arrivals: 1, lostRuns: 1});
 	t.deepEqual(progressAfter({type: 'lost', reason: 'broken', relayed: {type: 'broken', lastId: '7', count: 3}}), {
