Keep requests away from endpoints that this host or a peer found ended

Ruled out: ejection by report (a false word would double like failures); a list that ends the exclusion (lists come with each change of any endpoint, and entries outlive processes); asking the port first (another process may have it).

Change: events ended (found here) and reported_ended (told by a peer) exclude an endpoint for 5 s, after everything else; a success takes it back, only the first report since a success counts, and chooseEndpoint uses such endpoints as a last resort. createEndpointEnds takes in 421s and crashes under runs (poison's onCrashed), and reports by noteReported.

Open: nobody carries reports yet. tellPeers in start-entry-host is empty and noteReported has no caller until load sharing is joined.

--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -35,6 +35,8 @@
 	readonly log: Log;
 	/** Called when a link over which nothing arrived any more was replaced by a new one. */
 	readonly onLinkReplaced: () => void;
+	/** Called when an endpoint had crashed under a run. */
+	readonly onEndpointCrashed: (endpoint: string) => void;
 	/** Called when the limit on requests to an endpoint changed. */
 	readonly onLimitChanged: (endpoint: string) => void;
 	/** Monotonic ms. */
@@ -60,7 +62,7 @@
 Creates the parts that exchange messages with peers (rights and loans, poison detection, limits of endpoints, change notifications), and the
 links that they use.
 */
-export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, onLimitChanged, now, elapsed}: Options): PeerTasks => {
+export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, onEndpointCrashed, onLimitChanged, now, elapsed}: Options): PeerTasks => {
 	const loanClient = createLoanClient({
 		mesh: () => links.mesh(),
 		receivedFrom: (budget, lender) => rights.receivedFrom(budget, lender),
@@ -87,6 +89,7 @@
 		peers: () => links.others(),
 		sendRequest: async ({address: peerAddress}, request) => requestFromPeer(peerAddress, {type: 'suspicions', ...request}, suspicionsReplySchema),
 		crashDetector: createCrashDetector(async endpoint => probeAddress(endpoint, timeouts.probeMs)),
+		onCrashed: onEndpointCrashed,
 		every: repeatByTimer,
 		random: Math.random,
 		log,
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -10,6 +10,7 @@
 import type {RetryLimiter} from '../host/retry-limiter.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
+import type {EndpointEnds} from '../choice/endpoint-ends.js';
 import type {HallMonitor} from '../hall-health/hall-monitor.js';
 import type {EndpointLimits} from '../request-limits/endpoint-limits.js';
 import type {RightsManager} from '../rights/rights-manager.js';
@@ -40,6 +41,7 @@
 	readonly unreadTimeout: Bounds['unreadTimeout'];
 	readonly headerNames: HeaderNames;
 	readonly chooser: EndpointChooser;
+	readonly endpointEnds: Pick<EndpointEnds, 'noteEnded'>;
 	readonly limits: Pick<EndpointLimits, 'noteResponse' | 'isLimited' | 'acquire'>;
 	readonly halls: HallMonitor;
 	readonly poison: PoisonDetector;
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -52,6 +52,10 @@
 			type: 'succeeded', endpoint: id, durationMs: host.now() - startedAt, outputTokens,
 		}
 		: {type: verdict, endpoint: id});
+	if (end.type === 'misdirected') {
+		host.endpointEnds.noteEnded(id, 'misdirected');
+	}
+
 	if (end.type === 'unsent' && !isOver) {
 		host.halls.noteConnectFailure(hall);
 	}
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -7,6 +7,7 @@
 import type {EntryHostOptions} from './entry-host-options.js';
 import type {EntryHost} from './entry-host.js';
 import {createEndpointChooser} from './lib/choice/create-endpoint-chooser.js';
+import {createEndpointEnds} from './lib/choice/create-endpoint-ends.js';
 import {createEndpointListing} from './lib/choice/create-endpoint-listing.js';
 import {createWarmupRules} from './lib/choice/create-warmup-rules.js';
 import {createCallerConnections} from './lib/host/create-caller-connections.js';
@@ -51,6 +52,9 @@
 		onLinkReplaced() {
 			pool.keepOnly(new Set());
 		},
+		onEndpointCrashed(endpoint) {
+			endpointEnds.noteEnded(endpoint, 'crashed');
+		},
 		onLimitChanged(endpoint) {
 			chooser.note({type: 'limited', endpoint, until: 0});
 		},
@@ -72,6 +76,9 @@
 		}),
 		now,
 	});
+	const endpointEnds = createEndpointEnds({
+		chooser, tellPeers: () => undefined, log, now,
+	});
 	const listing = createEndpointListing({
 		config: () => config,
 		onUsed(used, unused) {
@@ -109,6 +116,7 @@
 		noteConnect: health.noteConnect,
 		headerNames,
 		chooser,
+		endpointEnds,
 		halls,
 		poison: peerTasks.poison,
 		limits: peerTasks.limits,
--- a/packages/entry/src/test/poison-requests.test.ts
+++ b/packages/entry/src/test/poison-requests.test.ts
@@ -73,6 +73,12 @@
 	t.is(fleet.fatalArrivals.length, before);
 });
 
+test('an endpoint that crashed under a run is not taken for ended before the list lacks it', async t => {
+	const fleet = await startFleet(t);
+	await fleet.send(0, fatalPath);
+	t.true(await eventually(() => fleet.hosts.some(({events}) => events.some(({event, fields}) => event === 'endpoint_ended' && fields.how === 'crashed'))));
+});
+
 const heldRunCount = ({endpoints}: Fleet): number => endpoints.reduce((sum, {held}) => sum + held.length, 0);
 
 /** Sends a popular request `count` times, to one host after the other, and returns its responses once endpoints run all of them. */
--- a/packages/entry/src/test/serve-request.test.ts
+++ b/packages/entry/src/test/serve-request.test.ts
@@ -431,3 +431,12 @@
 	t.true(runs() <= 4);
 	t.deepEqual(usedTokensOf(events), [0]);
 });
+
+test('an endpoint whose address another process has gets a second request', async t => {
+	const {callers, endpoints, events} = await serve(makeConfig({routes: [makeRoute({kind: 'once', maxAttempts: 1})]}), answerAsAnother, succeed);
+	await callHost(callers);
+	await callHost(callers);
+	t.is(endpoints[0]!.seen.length, 1);
+	t.is(endpoints[1]!.seen.length, 2);
+	t.deepEqual(events.filter(({event}) => event === 'endpoint_ended').map(({fields}) => fields), [{endpoint: endpoints[0]!.listed.id, how: 'misdirected'}]);
+});
--- a/packages/poison/src/create-poison-detector.ts
+++ b/packages/poison/src/create-poison-detector.ts
@@ -25,6 +25,8 @@
 	readonly sendRequest: (peer: Peer, message: SuspicionsRequest) => Promise<SuspicionsReply | undefined>;
 	/** Tells whether the endpoint of a lost run crashed. */
 	readonly crashDetector: CrashDetector;
+	/** Called with the id of an endpoint that crashed, after each lost run there. */
+	readonly onCrashed?: (endpoint: string) => void;
 	/** Writes one log line of key=value pairs for an event. */
 	readonly log: (event: string, fields: LogFields) => void;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
@@ -44,7 +46,7 @@
 that to a few random peers, so that a host that was cut off or has just started learns of it too. The store takes no part: it may be
 unavailable, and each lost run would cost it a call.
 */
-export const createPoisonDetector = ({self, peers, sendRequest, crashDetector, log, random, every, now}: Options): PoisonDetector => {
+export const createPoisonDetector = ({self, peers, sendRequest, crashDetector, onCrashed = () => undefined, log, random, every, now}: Options): PoisonDetector => {
 	const table = createSuspicionTable(now);
 	const exchange = createExchange({
 		table, recordSuspicion: createSuspicionRecorder({table, log, now}), self, peers, sendRequest, random, now,
@@ -58,6 +60,7 @@
 			id, request, endpoint: endpoint.id, after_ms: Math.round(endedAt - sentAt), endpoint_ended: hasCrashed,
 		});
 		if (hasCrashed) {
+			onCrashed(endpoint.id);
 			exchange.publish(request, {crashes: new Map([[endpoint.id, {sentAt, endedAt}]]), cleared: new Set()});
 		}
 	};
--- a/packages/routing/src/endpoints/choose-endpoint.ts
+++ b/packages/routing/src/endpoints/choose-endpoint.ts
@@ -13,29 +13,38 @@
 	return a.cost === b.cost ? a.endpoint < b.endpoint : a.cost < b.cost;
 };
 
+const betterOf = (best: ScoredEndpoint | undefined, candidate: ScoredEndpoint | undefined): ScoredEndpoint | undefined =>
+	candidate && (!best || isBetter(candidate, best)) ? candidate : best;
+
 /**
 Chooses the endpoint with the lowest cost, or returns `undefined` when no endpoint can serve the request. Pure.
 
 An endpoint with free capacity is preferred to one without, whatever their costs. Endpoints that the request has already been sent
-to and those that `findExclusion` excludes are left out. `deckwheeld` passes `scoreByCost` by default, the entry host on a
+to and those that `findExclusion` excludes are left out. Only where that leaves none, endpoints are considered that are excluded because
+they have ended, since a report of that may be false. `deckwheeld` passes `scoreByCost` by default, the entry host on a
 platform passes `scoreByAffinity`.
 
 @param now Monotonic ms.
 @param scoreEndpoint The routing policy.
 */
 export const chooseEndpoint = <R extends EndpointRequest>(table: EndpointTable, request: R, now: number, scoreEndpoint: ScoreEndpoint<R>): EndpointChoice | undefined => {
-	let best: ScoredEndpoint | undefined;
+	let bestOpen: ScoredEndpoint | undefined;
+	let bestEnded: ScoredEndpoint | undefined;
 	for (const state of table.values()) {
-		if (request.tried.includes(state.info.id) || findExclusion(state, request, now)) {
+		const exclusion = findExclusion(state, request, now);
+		if (request.tried.includes(state.info.id) || (exclusion && exclusion.reason !== 'ended')) {
 			continue;
 		}
 
 		const scored = scoreEndpoint(state, request, now);
-		if (scored && (!best || isBetter(scored, best))) {
-			best = scored;
+		if (exclusion) {
+			bestEnded = betterOf(bestEnded, scored);
+		} else {
+			bestOpen = betterOf(bestOpen, scored);
 		}
 	}
 
+	const best = bestOpen ?? bestEnded;
 	return best && {
 		endpoint: best.endpoint, reason: best.reason(), hasCapacity: best.hasCapacity,
 	};
--- a/packages/routing/src/endpoints/endpoint-event.ts
+++ b/packages/routing/src/endpoints/endpoint-event.ts
@@ -12,6 +12,10 @@
 	| {readonly type: 'failed'; readonly endpoint: string}
 	/** A different process responded at the endpoint's address, so the endpoint's process has ended. A later list will lack the endpoint. */
 	| {readonly type: 'gone'; readonly endpoint: string}
+	/** This host found that the endpoint's process has ended. The endpoint gets no requests until the instant `until`, in monotonic ms, unless there is no other. */
+	| {readonly type: 'ended'; readonly endpoint: string; readonly until: number}
+	/** Another host reported that the endpoint's process has ended, which may be false: only the first report since a success of this host counts. `until` is as in `ended`. */
+	| {readonly type: 'reported_ended'; readonly endpoint: string; readonly until: number}
 	/** The endpoint itself announced that it will shut down soon, which the list may not show yet. */
 	| {readonly type: 'leaving'; readonly endpoint: string}
 	/** The endpoint refused a request and asked this host to send none until the instant `until`, in monotonic ms. */
--- a/packages/routing/src/endpoints/endpoint-exclusion.ts
+++ b/packages/routing/src/endpoints/endpoint-exclusion.ts
@@ -20,7 +20,9 @@
 		/** The endpoint limits the requests of all hosts together, and the permits for this host are used up. */
 		| 'limited'
 		/** The endpoint warms up, and this host may not send to it at all meanwhile, or not yet again after its last request. */
-		| 'cold';
+		| 'cold'
+		/** The endpoint's process has ended, as this or another host found; the list may still contain it. Nothing else excludes it. */
+		| 'ended';
 	/** The instant at which the exclusion ends, in monotonic ms; `undefined` where more than the passing of time is needed to end it. */
 	readonly until?: number;
 };
--- a/packages/routing/src/endpoints/endpoint-state.ts
+++ b/packages/routing/src/endpoints/endpoint-state.ts
@@ -16,6 +16,8 @@
 	readonly hasAnnouncedLeaving: boolean;
 	/** The end of the backoff that the endpoint asked of this host, in monotonic ms; 0 if it never asked for one. */
 	readonly backoffUntil: number;
+	/** The instant until which the endpoint's process counts as ended, in monotonic ms; 0 if nothing told so since a success of this host there. */
+	readonly endedUntil: number;
 	/** The instant until which this host gets no permit under the endpoint's limit on requests, in monotonic ms; 0 if permits were never used up. */
 	readonly rateLimitedUntil: number;
 	/** This host's own requests in flight at the endpoint: the only load figure that does not lag. */
--- a/packages/routing/src/endpoints/exclusion-of-all.ts
+++ b/packages/routing/src/endpoints/exclusion-of-all.ts
@@ -6,13 +6,13 @@
 const isOfService = (exclusion: EndpointExclusion | undefined): boolean => exclusion?.reason !== 'unlisted' && exclusion?.reason !== 'other_service';
 
 const findFirstToEnd = (exclusions: readonly EndpointExclusion[]): EndpointExclusion | undefined =>
-	exclusions.filter(({until}) => until !== undefined).sort((one, other) => one.until! - other.until!)[0];
+	exclusions.filter(({reason, until}) => until !== undefined && reason !== 'ended').sort((one, other) => one.until! - other.until!)[0];
 
 /**
 Tells why every endpoint of a service is excluded for a request: the exclusion that ends first, else an evacuation. Pure.
 
 Returns `undefined` where an endpoint is open to the request, where the service has no endpoint, and where all exclusions are for
-other reasons and have no known end.
+other reasons and have no known end. An endpoint that has ended does not return, so its exclusion has no end that a caller could wait for.
 
 @param now Monotonic ms.
 */
--- a/packages/routing/src/endpoints/find-exclusion.ts
+++ b/packages/routing/src/endpoints/find-exclusion.ts
@@ -36,7 +36,7 @@
 @param now Monotonic ms.
 */
 export const findExclusion = (state: EndpointState, request: ExclusionRequest, now: number): EndpointExclusion | undefined => {
-	const {info, isListed, ejectedUntil, backoffUntil, rateLimitedUntil} = state;
+	const {info, isListed, ejectedUntil, backoffUntil, rateLimitedUntil, endedUntil} = state;
 	if (!isListed) {
 		return {reason: 'unlisted'};
 	}
@@ -73,5 +73,6 @@
 		return {reason: 'limited', until: rateLimitedUntil};
 	}
 
-	return findColdExclusion(state, request.warmup, now);
+	// Checked last, because `chooseEndpoint` uses endpoints that only this excludes as a last resort.
+	return findColdExclusion(state, request.warmup, now) ?? (endedUntil > now ? {reason: 'ended', until: endedUntil} : undefined);
 };
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -33,6 +33,7 @@
 	hasAnnouncedLeaving: false,
 	backoffUntil: 0,
 	rateLimitedUntil: 0,
+	endedUntil: 0,
 	inFlight: 0,
 	startedCount: 0,
 	lastStartedAt: now,
@@ -58,6 +59,7 @@
 	msPerToken: event.outputTokens > 0 ? smooth(state.msPerToken, event.durationMs / event.outputTokens) : state.msPerToken,
 	failures: 0,
 	ejectedUntil: 0,
+	endedUntil: 0,
 });
 
 const afterFailure = (state: EndpointState, failures: number, now: number): EndpointState => ({
@@ -114,6 +116,15 @@
 			return {...state, backoffUntil: Math.max(state.backoffUntil, event.until)};
 		}
 
+		case 'ended': {
+			return {...state, endedUntil: Math.max(state.endedUntil, event.until)};
+		}
+
+		// Reports that go round among peers, or that a faulty peer repeats, do not keep the endpoint excluded.
+		case 'reported_ended': {
+			return state.endedUntil === 0 ? {...state, endedUntil: event.until} : state;
+		}
+
 		case 'limited': {
 			return {...state, rateLimitedUntil: event.until};
 		}
