--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -38,6 +38,8 @@
 	readonly log: Log;
 	/** Called when a link over which nothing arrived any more was replaced by a new one. */
 	readonly onLinkReplaced: () => void;
+	/** Called when an endpoint had crashed under a run. */
+	readonly onEndpointCrashed: (endpoint: string) => void;
 	/** Called when the limit on requests to an endpoint changed. */
 	readonly onLimitChanged: (endpoint: string) => void;
 	/** Called with the id of a listed endpoint that another host found ended. */
@@ -68,7 +70,7 @@
 Creates the parts that exchange messages with peers (rights and loans, poison detection, limits and load of endpoints, change notifications), and the
 links that they use.
 */
-export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, onLimitChanged, onEnded, now, elapsed}: Options): PeerTasks => {
+export const startPeerTasks = ({host, hall, holder, address, rightsStore, directory, timeouts, log, onLinkReplaced, onEndpointCrashed, onLimitChanged, onEnded, now, elapsed}: Options): PeerTasks => {
 	const loanClient = createLoanClient({
 		mesh: () => links.mesh(),
 		receivedFrom: (budget, lender) => rights.receivedFrom(budget, lender),
@@ -95,6 +97,7 @@
 		peers: () => links.others(),
 		sendRequest: async ({address: peerAddress}, request) => requestFromPeer(peerAddress, {type: 'suspicions', ...request}, suspicionsReplySchema),
 		crashDetector: createCrashDetector(async endpoint => probeAddress(endpoint, timeouts.probeMs)),
+		onCrashed: onEndpointCrashed,
 		every: repeatByTimer,
 		random: Math.random,
 		log,
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -12,6 +12,7 @@
 import type {RetryLimiter} from '../host/retry-limiter.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
+import type {EndpointEnds} from '../choice/endpoint-ends.js';
 import type {HallMonitor} from '../hall-health/hall-monitor.js';
 import type {LoadTracker} from '../load-sharing/load-tracker.js';
 import type {EndpointLimits} from '../request-limits/endpoint-limits.js';
@@ -50,6 +51,7 @@
 	readonly unreadTimeout: Bounds['unreadTimeout'];
 	readonly headerNames: HeaderNames;
 	readonly chooser: EndpointChooser;
+	readonly endpointEnds: Pick<EndpointEnds, 'noteEnded'>;
 	readonly loads: LoadTracker;
 	/** Whether endpoints are told how urgent a prompt is. Asked at each attempt. */
 	readonly isUrgencySent: () => boolean;
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -54,6 +54,10 @@
 			type: 'succeeded', endpoint: id, durationMs: host.now() - startedAt, outputTokens,
 		}
 		: {type: verdict, endpoint: id});
+	if (end.type === 'misdirected') {
+		host.endpointEnds.noteEnded(id, 'misdirected');
+	}
+
 	if (end.type === 'unsent' && !isOver) {
 		host.halls.noteConnectFailure(hall);
 	}
@@ -94,9 +98,9 @@
 
 	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt}: Pick<RequestResult, 'status' | 'retryAt'> = {}): RequestResult => {
 		requestEnd.close();
-		const {arrivals, lostRuns, tried, relayedEvents} = progress;
+		const {arrivals, misdirectedAttempts: misdirected, lostRuns, tried, relayedEvents} = progress;
 		return {
-			outcome, arrivals, lostRuns, status, retryAt, reason, endpoint: tried.at(-1) ?? '', outputTokens: relayedEvents * tokensPerEvent, timing: timer.timing(),
+			outcome, arrivals, misdirected, lostRuns, status, retryAt, reason, endpoint: tried.at(-1) ?? '', outputTokens: relayedEvents * tokensPerEvent, timing: timer.timing(),
 		};
 	};
 
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -8,6 +8,7 @@
 import type {EntryHostOptions} from './entry-host-options.js';
 import type {EntryHost} from './entry-host.js';
 import {createEndpointChooser} from './lib/choice/create-endpoint-chooser.js';
+import {createEndpointEnds} from './lib/choice/create-endpoint-ends.js';
 import {createEndpointListing} from './lib/choice/create-endpoint-listing.js';
 import {createWarmupRules} from './lib/choice/create-warmup-rules.js';
 import {createCallerConnections} from './lib/host/create-caller-connections.js';
@@ -57,11 +58,14 @@
 		onLinkReplaced() {
 			pool.keepOnly(new Set());
 		},
+		onEndpointCrashed(endpoint) {
+			endpointEnds.noteEnded(endpoint, 'crashed');
+		},
 		onLimitChanged(endpoint) {
 			chooser.note({type: 'limited', endpoint, until: 0});
 		},
 		onEnded(endpoint) {
-			log('endpoint_ended', {endpoint, by: 'peer'});
+			endpointEnds.noteReported(endpoint);
 		},
 	});
 	const {rights, loadSharing} = peerTasks;
@@ -94,6 +98,9 @@
 		},
 		now,
 	});
+	const endpointEnds = createEndpointEnds({
+		chooser, tellPeers: loadSharing.noteEnded, log, now,
+	});
 	const listing = createEndpointListing({
 		config: () => config,
 		onUsed(used, unused) {
@@ -136,6 +143,7 @@
 		noteConnect: health.noteConnect,
 		headerNames,
 		chooser,
+		endpointEnds,
 		loads: loadSharing.loads,
 		isUrgencySent: () => placing.sendUrgency && isLoadShared(),
 		halls,
--- a/packages/entry/src/test/load-messages.test.ts
+++ b/packages/entry/src/test/load-messages.test.ts
@@ -30,6 +30,7 @@
 		timeouts: defaultTimeouts,
 		log: () => undefined,
 		onLinkReplaced: () => undefined,
+		onEndpointCrashed: () => undefined,
 		onLimitChanged: () => undefined,
 		onEnded: () => undefined,
 		now: () => performance.now(),
--- a/packages/routing/src/endpoints/choose-among-candidates.ts
+++ b/packages/routing/src/endpoints/choose-among-candidates.ts
@@ -6,6 +6,7 @@
 import type {EndpointRequest} from './endpoint-request.js';
 import type {EndpointTable} from './endpoint-table.js';
 import {findBest} from './find-best.js';
+import {scoreEndedEndpoints} from './score-ended-endpoints.js';
 import {scoreOpenEndpoints} from './score-open-endpoints.js';
 import {toEndpointChoice} from './to-endpoint-choice.js';
 
@@ -28,7 +29,7 @@
 
 /**
 Chooses the endpoint with the lowest cost among a few: the favoured ones, and some drawn at random. Where none of them is open to the
-request with free capacity, more are drawn, and then all endpoints are scored. Returns `undefined` when no endpoint can serve the
+request with free capacity, more are drawn, and then all endpoints are scored; as a last resort, those that have ended. Returns `undefined` when no endpoint can serve the
 request. Pure, but for `random`.
 
 Hosts that share their load know the same of each endpoint, and it is old by the time that a report takes. If each chose the best of
@@ -59,6 +60,6 @@
 
 	const open = scoreAll([...near, ...far]);
 	const withCapacity = open.filter(({hasCapacity}) => hasCapacity);
-	const best = bestOf(sampleOf(withCapacity.length > 0 ? withCapacity : open, randomCount, random));
+	const best = bestOf(sampleOf(withCapacity.length > 0 ? withCapacity : open, randomCount, random)) ?? bestOf(scoreEndedEndpoints(table.values(), request, now, scoreEndpoint));
 	return best && toEndpointChoice(best);
 };
