Correct the test of rights that are handed on

Ruled out: the story itself. In the log the two hosts that drew in place of the first allocator were out of reach of the store, both of them; the test had cut off one.

--- a/packages/entry/src/test/lib/start-rights-managers.ts
+++ b/packages/entry/src/test/lib/start-rights-managers.ts
@@ -20,12 +20,12 @@
 	readonly setFaults: (faults: Faults) => void;
 };
 
-/** Whether a host is unreachable for its peers, and whether the store is down for it. */
-type Faults = {readonly isUnreachable: boolean; readonly isStoreDown: boolean};
+/** Whether a host and its peers are out of each other's reach, whether its replies are lost, and whether the store is down for it. */
+type Faults = {readonly isUnreachable: boolean; readonly losesReplies: boolean; readonly isStoreDown: boolean};
 
 type HandBack = {readonly type: 'hand_back'; readonly budget: string; readonly total: number};
 
-const noFaults: Faults = {isUnreachable: false, isStoreDown: false};
+const noFaults: Faults = {isUnreachable: false, losesReplies: false, isStoreDown: false};
 
 /**
 Starts the rights managers of the hosts of one data hall, linked without sockets. Peers reply at once; after they were killed, and by a fault,
@@ -41,11 +41,16 @@
 	const suspected = new Set<string>();
 	const faults = new Map<string, Faults>();
 	const faultsOf = ({holder}: ListedPeer): Faults => faults.get(holder) ?? noFaults;
-	let reachablePeers = peers;
+	// A new list each time something changes, as the managers compare lists.
+	let reachablePeers = new Map<ListedPeer, readonly ListedPeer[]>();
 	const findReachablePeers = (): void => {
-		reachablePeers = peers.filter(entry => !suspected.has(entry.address) && !faultsOf(entry).isUnreachable);
+		const isReachable = (entry: ListedPeer, from: ListedPeer): boolean =>
+			!suspected.has(entry.address) && (entry === from || (!faultsOf(entry).isUnreachable && !faultsOf(from).isUnreachable));
+		reachablePeers = new Map(peers.map(from => [from, peers.filter(entry => isReachable(entry, from))]));
 	};
 
+	findReachablePeers();
+
 	const startRightsManager = (peer: ListedPeer): HostWithRights => {
 		const events: string[] = [];
 		const storeOfHost: RightsStore = {
@@ -69,7 +74,8 @@
 						return succeed({isTaken: true});
 					}
 
-					return succeed({lender: lender.holder, ...await rightsManager.lend(peer.holder, message)});
+					const reply = {lender: lender.holder, ...await rightsManager.lend(peer.holder, message)};
+					return faultsOf(lender).losesReplies ? fail('unknown') : succeed(reply);
 				},
 				send: () => undefined,
 				quietMs: () => undefined,
@@ -80,7 +86,7 @@
 				rights.receive(budget, from, total);
 			},
 			onSilence(address) {
-				if (!faultsOf(peers.find(entry => entry.address === address)!).isUnreachable) {
+				if (![peer, peers.find(entry => entry.address === address)!].some(entry => faultsOf(entry).isUnreachable)) {
 					suspected.add(address);
 				}
 
@@ -96,7 +102,7 @@
 			store: storeOfHost,
 			loanClient,
 			links: () => ({
-				hallPeers: () => reachablePeers, hallSize: () => count, isPeerListKnown: () => true, peerOf: holder => peers.find(entry => entry.holder === holder),
+				hallPeers: () => reachablePeers.get(peer)!, hallSize: () => count, isPeerListKnown: () => true, peerOf: holder => peers.find(entry => entry.holder === holder),
 			}),
 			timeouts: defaultTimeouts,
 			log(event) {
