Take out the admission of requests by the link of a host

A refused caller comes back to the same host as long as that is ready, and bodies of refused requests, counted towards the backlog, kept the link full by the account.

Change: the module, its setting and its tests go; the ranks of a late host's limit of open requests stay, in large halls.

Conclusion: a host that gets too much is open: only fewer connections help.

--- a/packages/entry/src/entry-host-options.ts
+++ b/packages/entry/src/entry-host-options.ts
@@ -1,5 +1,4 @@
 import type {Bounds} from './adapter/bounds.js';
-import type {Capacity} from './adapter/capacity.js';
 import type {HeaderNames} from './adapter/header-names.js';
 import type {Log} from './adapter/log.js';
 import type {Timeouts} from './timeouts.js';
@@ -20,10 +19,6 @@
 	*/
 	readonly listen: {readonly callers: string; readonly ready: string; readonly peers: string};
 	readonly bounds: Bounds;
-	/**
-	What this host can carry, as its operators know it. Without it, the host admits requests until it notices that it is late.
-	*/
-	readonly capacity?: Capacity;
 	/** Whether operators may order the evacuation of halls. The host is then not ready until `evacuateHalls` was called. By default `false`. */
 	readonly hasEvacuations?: boolean;
 	readonly headers: HeaderNames;
--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -7,12 +7,6 @@
 /** When to retry, in seconds: another host may take the request at once, and the caller needs this time for a new connection. */
 const otherHostRetrySeconds = 0.1;
 
-/**
-When to retry, in seconds, where only this host is full: at once, since other hosts have room. It is above 0 because some clients take 0 for no
-value and wait for a time of their own.
-*/
-const atOnceRetrySeconds = 0.01;
-
 /** When to retry, in seconds: within some hundred ms a full endpoint ends a request, and a restarting endpoint is listed again. */
 const endpointRetrySeconds = 0.3;
 
@@ -46,7 +40,6 @@
 	rightsUnavailable: notRun(httpStatus.tooManyRequests, 'rights_unavailable', 'This host cannot reach enough of the budget now. Come back shortly.', rightsRetrySeconds),
 	budgetKept: notRun(httpStatus.tooManyRequests, 'budget_kept', 'What remains of the budget is kept for more urgent or for later requests. Top the budget up.', budgetKeptRetrySeconds),
 	hostOverloaded: notRun(httpStatus.serviceUnavailable, 'host_overloaded', 'This host has too much to do. Come back at once; another host will take it.', otherHostRetrySeconds),
-	linkFull: notRun(httpStatus.serviceUnavailable, 'host_overloaded', 'The network link of this host is full. Come back at once; another host will take it.', atOnceRetrySeconds),
 	hostStopping: notRun(httpStatus.serviceUnavailable, 'host_stopping', 'This host stops before the request might end. Come back at once; another host will take it.', otherHostRetrySeconds),
 	requestBlocked: notRun(httpStatus.tooManyRequests, 'request_blocked', 'Endpoints ended one after the other while they ran this request. Coming back earlier is of no use.', blockedRetrySeconds),
 	noEndpoint: notRun(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -7,7 +7,6 @@
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
 import type {ConfigProof} from '../admission/config-proof.js';
-import type {LinkAdmission} from '../link-admission/link-admission.js';
 import type {OverloadMonitor} from '../own-health/overload-monitor.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
@@ -34,7 +33,7 @@
 	readonly shutdownSignal: AbortSignal;
 	/** Whether this host is so late with its own work that it cannot judge endpoints by the time that they take. */
 	readonly isOverloaded: () => boolean;
-	/** The rank of a route's priority in the configuration in force: 0 for the most urgent routes, and for all where the host's capacity is not known. */
+	/** The rank of a route's priority in the configuration in force: 0 for the most urgent routes, and for all in small halls. */
 	readonly rankOf: (priority: number) => number;
 	/** Whether this host refuses further requests of a rank to reduce its load; other hosts serve them better. */
 	readonly isShedding: OverloadMonitor['isShedding'];
@@ -42,7 +41,6 @@
 	readonly overloadCause: OverloadMonitor['cause'];
 	/** Counts a request that is not of the most urgent rank, until its response has ended. */
 	readonly noteLessUrgent: (res: ServerResponse) => void;
-	readonly link: LinkAdmission;
 	/** How long a request waited before this process accepted its connection, in ms. */
 	readonly waitedMs: (res: ServerResponse) => number;
 	/** Records how long this host waited for an endpoint to accept a connection, in ms. */
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -12,7 +12,6 @@
 import {createRequestLog} from './create-request-log.js';
 import {createReservation} from './create-reservation.js';
 import type {HostContext} from './host-context.js';
-import {openTransfer} from './open-transfer.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestLog} from './request-log.js';
 import {refusalOfResult} from './refusal-of-result.js';
@@ -63,8 +62,8 @@
 };
 
 /**
-Serves one request of a caller, from its head to its final response. In order: admission, the load of this host, the load of its link, the body,
-rights, and the runs at endpoints. The first of these that refuses the request ends it at once.
+Serves one request of a caller, from its head to its final response. In order: admission, the load of this host, the body, rights, and
+the runs at endpoints. The first of these that refuses the request ends it at once.
 
 A request whose caller leaves before the whole body was read gets neither a response nor a line in the log.
 */
@@ -92,13 +91,6 @@
 		return;
 	}
 
-	const transfer = openTransfer(req, res, {route, rank}, host);
-	if (!transfer) {
-		req.resume();
-		requestLog.refused(hostRefusals.linkFull, {cause: 'link', rank, ...host.link.logFields()});
-		return;
-	}
-
 	if (rank > 0) {
 		host.noteLessUrgent(res);
 	}
@@ -114,7 +106,6 @@
 		return;
 	}
 
-	transfer.noteBody(body.length);
 	for (const {service} of route.services) {
 		host.retries.noteRequest(service);
 	}
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -23,11 +23,9 @@
 import {startServers} from './lib/host/start-servers.js';
 import {startPeerTasks} from './lib/host/start-peer-tasks.js';
 import type {ShutdownPlan} from './lib/host/shutdown-plan.js';
-import {createLinkAdmission} from './lib/link-admission/create-link-admission.js';
-import {rankOfPriority} from './lib/link-admission/rank-of-priority.js';
-import {unlimitedLink} from './lib/link-admission/unlimited-link.js';
 import {createAcceptQueueMonitor} from './lib/own-health/create-accept-queue-monitor.js';
 import {createWaitLog} from './lib/own-health/create-wait-log.js';
+import {rankOfPriority} from './lib/own-health/rank-of-priority.js';
 import {smallHall} from './lib/peers/small-hall.js';
 import type {HostContext} from './lib/request/host-context.js';
 import {serveRequest} from './lib/request/serve-request.js';
@@ -46,7 +44,7 @@
 components that it connects.
 */
 export const startEntryHost = async (options: EntryHostOptions): Promise<EntryHost> => {
-	const {host, hall, listen, bounds, capacity, hasEvacuations = false, headers: headerNames, rightsStore, peers: directory, log} = options;
+	const {host, hall, listen, bounds, hasEvacuations = false, headers: headerNames, rightsStore, peers: directory, log} = options;
 	const {timeouts = defaultTimeouts, placing = defaultPlacing, schedule = scheduleByTimer, now = monotonicMs, elapsed = now} = options;
 	const holder = newHolderName(host);
 	const requestCounter = createRequestCounter(now);
@@ -74,11 +72,6 @@
 		hall, isEvacuated: name => evacuatedHalls?.has(name) ?? false, bounds, timeouts, open: requestCounter.count, openLessUrgent: lessUrgentCounter.count, log, now,
 	});
 	const {overload, halls} = health;
-	const link = capacity
-		? createLinkAdmission({
-			linkMbps: capacity.linkMbps, open: requestCounter.count, schedule, log, now,
-		})
-		: unlimitedLink;
 	let config: FleetConfig | undefined;
 	const isLoadShared = (): boolean => peerTasks.hallSize() > smallHall;
 	/** When the configuration in force was last known to be the newest one, in elapsed ms. */
@@ -133,11 +126,10 @@
 		shutdownSignal: shutdownController.signal,
 		mayForward: deadline => mayForward({shutdownPlan, deadline, now: now()}),
 		isOverloaded: overload.isOverloaded,
-		rankOf: priority => capacity && config ? rankOfPriority(config, priority) : 0,
+		rankOf: priority => config && isLoadShared() ? rankOfPriority(config, priority) : 0,
 		isShedding: overload.isShedding,
 		overloadCause: overload.cause,
 		noteLessUrgent: lessUrgentCounter.add,
-		link,
 		waitedMs: connections.waitedMs,
 		unreadTimeout: bounds.unreadTimeout,
 		noteConnect: health.noteConnect,
@@ -199,7 +191,6 @@
 		cancelAbort();
 		acceptQueueMonitor.close();
 		health.close();
-		link.close();
 		await peerTasks.close();
 	};
 
@@ -237,7 +228,6 @@
 		async kill() {
 			acceptQueueMonitor.close();
 			health.close();
-			link.close();
 			servers.kill();
 			pool.keepOnly(new Set());
 			await peerTasks.close();
