Spread the returns of callers who are refused together

Cause: Retry-After is one constant a refusal. Callers come back once, at the time that they are told, so those of one moment came back together to the room of that moment.

Ruled out: spreading around the time (some would come before the room is expected); other times for callers who cannot come back in time (false).

Change: spreadRetryAfter tells each caller a time of its own, up to half as long again, for overloaded, no_endpoint, rights_unavailable and budget_kept. Stated times (rest, permits, warm-up, block, evacuation) and those of hosts that send callers elsewhere stay. request_refused has retry_after_s.

Conclusion: what it gains is not measured.

--- a/packages/entry/src/lib/admission/host-refusal.ts
+++ b/packages/entry/src/lib/admission/host-refusal.ts
@@ -15,4 +15,6 @@
 export type HostRefusal = Refusal<HostRefusalCode> & {
 	/** The HTTP status. */
 	readonly status: number;
+	/** Whether the room for which callers come back is expected little by little, so that they must not come back all at once (`spreadRetryAfter`). */
+	readonly isRoomGradual?: boolean;
 };
--- a/packages/entry/src/lib/admission/host-refusals.ts
+++ b/packages/entry/src/lib/admission/host-refusals.ts
@@ -25,6 +25,10 @@
 		status, code, message, ran: 'not_run', retryAfterSeconds,
 	});
 
+/** Creates a refusal of a request that did not run, for lack of room that is expected little by little. */
+const lacksRoom = (status: number, code: HostRefusal['code'], message: string, retryAfterSeconds: number): HostRefusal =>
+	({...notRun(status, code, message, retryAfterSeconds), isRoomGradual: true});
+
 /** When to retry a blocked request, in seconds, where the end of the block is not known (`blockedUntil`). */
 const blockedRetrySeconds = 120;
 
@@ -37,17 +41,17 @@
 	tooLarge: notRun(httpStatus.contentTooLarge, 'too_large', 'The body is larger than the configuration allows.'),
 	badTokenCount: notRun(httpStatus.badRequest, 'bad_request', 'The token count must be two whole numbers, of the prompt and the most of the answer.'),
 	budgetExhausted: notRun(httpStatus.paymentRequired, 'budget_exhausted', 'What remains of the budget cannot hold this request. Top the budget up.'),
-	rightsUnavailable: notRun(httpStatus.tooManyRequests, 'rights_unavailable', 'This host cannot reach enough of the budget now. Come back shortly.', rightsRetrySeconds),
-	budgetKept: notRun(httpStatus.tooManyRequests, 'budget_kept', 'What remains of the budget is kept for more urgent or for later requests. Top the budget up.', budgetKeptRetrySeconds),
+	rightsUnavailable: lacksRoom(httpStatus.tooManyRequests, 'rights_unavailable', 'This host cannot reach enough of the budget now. Come back shortly.', rightsRetrySeconds),
+	budgetKept: lacksRoom(httpStatus.tooManyRequests, 'budget_kept', 'What remains of the budget is kept for more urgent or for later requests. Top the budget up.', budgetKeptRetrySeconds),
 	hostOverloaded: notRun(httpStatus.serviceUnavailable, 'host_overloaded', 'This host has too much to do. Come back at once; another host will take it.', otherHostRetrySeconds),
 	hostStopping: notRun(httpStatus.serviceUnavailable, 'host_stopping', 'This host stops before the request might end. Come back at once; another host will take it.', otherHostRetrySeconds),
 	requestBlocked: notRun(httpStatus.tooManyRequests, 'request_blocked', 'Endpoints ended one after the other while they ran this request. Coming back earlier is of no use.', blockedRetrySeconds),
-	noEndpoint: notRun(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
+	noEndpoint: lacksRoom(httpStatus.serviceUnavailable, 'no_endpoint', 'No endpoint can take this request now. Come back shortly.', endpointRetrySeconds),
 	endpointsResting: notRun(httpStatus.serviceUnavailable, 'endpoints_resting', 'All endpoints want no request for a while.', endpointRetrySeconds),
 	endpointsLimited: notRun(httpStatus.serviceUnavailable, 'endpoints_limited', 'All endpoints limit their requests, and have as many as they want.', endpointRetrySeconds),
 	endpointsCold: notRun(httpStatus.serviceUnavailable, 'endpoints_cold', 'All endpoints warm up, and get what they bear from other requests.', endpointRetrySeconds),
 	endpointsEvacuated: notRun(httpStatus.serviceUnavailable, 'endpoints_evacuated', 'The operators had all halls with endpoints for this request evacuated.', evacuatedRetrySeconds),
-	overloaded: notRun(httpStatus.serviceUnavailable, 'overloaded', 'All endpoints are full. Come back shortly.', endpointRetrySeconds),
+	overloaded: lacksRoom(httpStatus.serviceUnavailable, 'overloaded', 'All endpoints are full. Come back shortly.', endpointRetrySeconds),
 	deadlinePassed: notRun(httpStatus.serviceUnavailable, 'deadline_exceeded', 'The time for this request ran out before it was sent.', endpointRetrySeconds),
 	timedOut: {
 		status: httpStatus.gatewayTimeout, code: 'deadline_exceeded', message: 'The request was sent, and no answer came in time.', ran: 'unknown',
--- a/packages/entry/src/lib/request/create-request-log.ts
+++ b/packages/entry/src/lib/request/create-request-log.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {sendRefusal} from '../admission/send-refusal.js';
+import {spreadRetryAfter} from '../admission/spread-retry-after.js';
 import type {HostContext} from './host-context.js';
 import type {RequestLog} from './request-log.js';
 
@@ -12,19 +13,20 @@
 };
 
 /** Creates the log of one request. Each of its functions writes one line; one of them is called when the request ends. */
-export const createRequestLog = ({id, receivedAt, res}: Options, {log, config, headerNames, closesAfter, now}: HostContext): RequestLog => {
+export const createRequestLog = ({id, receivedAt, res}: Options, {log, config, headerNames, closesAfter, random, now}: HostContext): RequestLog => {
 	const elapsedMs = (): number => Math.round(now() - receivedAt);
 	return {
 		refused(refusal, fields = {}) {
-			const {code, status, ran} = refusal;
+			const spread = spreadRetryAfter(refusal, random());
+			const {code, status, ran, retryAfterSeconds} = spread;
 			log('request_refused', {
-				id, code, status, ran, version: config()?.version, ms: elapsedMs(), ...fields,
+				id, code, status, ran, retry_after_s: retryAfterSeconds, version: config()?.version, ms: elapsedMs(), ...fields,
 			});
 			if (closesAfter(res)) {
 				res.shouldKeepAlive = false;
 			}
 
-			sendRefusal(res, refusal, id === '' ? [] : [headerNames.requestId, id]);
+			sendRefusal(res, spread, id === '' ? [] : [headerNames.requestId, id]);
 		},
 		answered(status, fields) {
 			log('request_answered', {
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -51,6 +51,8 @@
 	/** How long an endpoint may take to accept a connection, in ms. */
 	readonly connectMs: number;
 	readonly schedule: Schedule;
+	/** A random number from 0 up to 1. */
+	readonly random: () => number;
 	readonly log: Log;
 	/** The current time in monotonic ms. */
 	readonly now: () => number;
--- a/packages/entry/src/lib/request/refusal-of-result.ts
+++ b/packages/entry/src/lib/request/refusal-of-result.ts
@@ -35,7 +35,7 @@
 export const refusalOfResult = ({outcome, reason, retryAt}: Pick<RequestResult, 'outcome' | 'reason' | 'retryAt'>, now: number): HostRefusal => {
 	if (outcome === 'not_run') {
 		const refusal = refusalsOfNotRun.get(reason) ?? hostRefusals.noEndpoint;
-		return retryAt === undefined ? refusal : {...refusal, retryAfterSeconds: secondsUntil(retryAt, now)};
+		return retryAt === undefined ? refusal : {...refusal, retryAfterSeconds: secondsUntil(retryAt, now), isRoomGradual: false};
 	}
 
 	return outcome === 'timed_out' ? hostRefusals.timedOut : hostRefusals.lost;
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -125,6 +125,7 @@
 		retries: createRetryLimiter(bounds, now),
 		connectMs: timeouts.connectMs,
 		schedule,
+		random: Math.random,
 		log,
 		now,
 	};
--- a/packages/entry/src/test/refuse-by-config.test.ts
+++ b/packages/entry/src/test/refuse-by-config.test.ts
@@ -55,6 +55,7 @@
 	const line = host.events.find(({fields}) => fields.code === 'config_unconfirmed');
 	t.is(line?.fields.config_age_ms, configApplyMs + 1);
 	t.is(line?.fields.version, 22);
+	t.is(line?.fields.retry_after_s, Number(refused.headers['retry-after']));
 
 	host.entry.configure(makeConfig({version: 33, routes: [oldRoute, newRoute]}));
 	host.entry.configConfirmed(clock.now() - 900);
--- a/packages/entry/src/test/unread-request.test.ts
+++ b/packages/entry/src/test/unread-request.test.ts
@@ -24,6 +24,7 @@
 		config: () => config,
 		configProof: () => ({ageMs: 0, applyMs: undefined}),
 		headerNames,
+		random: () => 0,
 		now: () => 10_000,
 		log: () => undefined,
 		closesAfter: () => false,
