Collect loans whose replies did not arrive

Cause: a lender that replies too late has given the rights away, and the host that asked learns of them only when it asks that lender again about that budget.

Change: a host remembers the questions that were not answered, a hundred at most, and asks four of them each half second for the total, until there is a reply or 30 s have passed.

Messages are added, four in half a second at most; a question asks for one token, which may cause a draw at a lender with less than two.

--- a/packages/entry/src/lib/lending/borrower.ts
+++ b/packages/entry/src/lib/lending/borrower.ts
@@ -15,6 +15,8 @@
 	@param version The version of the configuration that this host serves by.
 	*/
 	readonly isExhausted: (budget: string, missing: number, version: number) => boolean;
+	/** Takes in rights that peers lent although their replies did not arrive. */
+	readonly collect: () => Promise<void>;
 	/** Hands idle rights back to the allocator that this host borrows from first. Resolves when the allocator replied or the request timed out. */
 	readonly handBackIdle: (budget: string) => Promise<void>;
 };
--- a/packages/entry/src/lib/lending/create-borrower.ts
+++ b/packages/entry/src/lib/lending/create-borrower.ts
@@ -136,6 +136,7 @@
 				left: report?.left, askedMsAgo: now() - (report?.askedAt ?? 0), version, missing,
 			});
 		},
+		collect: async () => loanClient.collect(),
 		async handBackIdle(budget) {
 			const [allocator] = allocatorsOf(budget);
 			const {surplus} = planOf(budget, lastTokens.get(budget) ?? 0);
--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -1,6 +1,8 @@
 import type {LinkError, Mesh} from '@deckwheel/mesh';
+import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {Log} from '../../adapter/log.js';
 import {readPeerReply} from '../peers/read-peer-reply.js';
+import {createMissingReplies} from './create-missing-replies.js';
 import {handBackReplySchema} from './hand-back-reply-schema.js';
 import type {LoanClient} from './loan-client.js';
 import type {LoanOutcome} from './loan-outcome.js';
@@ -12,6 +14,12 @@
 /** The most peers that are asked in one call of `borrow`, which bounds its number of messages. */
 const maxPeersAsked = 6;
 
+/** The most missing replies that one call of `collect` asks for, which bounds its number of messages. */
+const maxCollected = 4;
+
+/** What is asked for where only the total of earlier loans is wanted, in tokens. A loan request must ask for something. */
+const leastTokens = 1;
+
 type LoanMessage = LoanRequest & {readonly type: 'lend'};
 
 type Options = {
@@ -32,9 +40,11 @@
 const mostLeft = (loans: readonly LoanReply[]): ReportedLeft | undefined =>
 	loans.map(({left}) => left).filter(left => left !== undefined).sort((a, b) => b.tokens - a.tokens)[0];
 
-/** Creates the client that requests loans from peers. Rights in a lost reply are not lost: each reply carries the total, so the next one makes up for it. */
+/** Creates the client that requests loans from peers. Rights in a lost reply are not lost: each reply carries the total, so the next one makes up for it. A host
+that lacks no rights any more asks nobody, so what it was lent would stay on its way: `collect` asks for missing replies. */
 export const createLoanClient = ({mesh, receivedFrom, onLoan, onSilence, replyTimeoutMs, log, now}: Options): LoanClient => {
 	const silentPeers = new Set<string>();
+	const missingReplies = createMissingReplies(now);
 
 	// After a first missing reply the peer is not yet reported: its link may still be opening, or it may be waiting for the store.
 	const noteSilence = (address: string, error: LinkError): void => {
@@ -47,14 +57,17 @@
 		silentPeers.add(address);
 	};
 
-	const requestLoan = async (link: Mesh, address: string, message: LoanMessage, timeoutMs: number): Promise<LoanReply | undefined> => {
+	const requestLoan = async (link: Mesh, peer: ListedPeer, message: LoanMessage, timeoutMs: number): Promise<LoanReply | undefined> => {
+		const {address} = peer;
 		const reply = await link.request(address, message, timeoutMs);
 		if (!reply.ok) {
+			missingReplies.note(peer, message.budget);
 			noteSilence(address, reply.error);
 			return undefined;
 		}
 
 		silentPeers.delete(address);
+		missingReplies.end(peer, message.budget);
 		const loan = readPeerReply(loanReplySchema, reply.value, {address, type: message.type}, log);
 		if (loan) {
 			onLoan(message.budget, loan.lender, loan.total);
@@ -65,10 +78,10 @@
 
 	return {
 		async borrow({budget, tokens, demanded, rank, peers, deadline = Number.POSITIVE_INFINITY, isEnough}) {
-			const byAddress = new Map(peers.map(peer => [peer.address, peer.holder]));
+			const byAddress = new Map(peers.map(peer => [peer.address, peer]));
 			const loans: LoanReply[] = [];
 			let isCutShort = false;
-			for (const [address, holder] of [...byAddress].slice(0, maxPeersAsked)) {
+			for (const peer of [...byAddress.values()].slice(0, maxPeersAsked)) {
 				const link = mesh();
 				const timeoutMs = Math.min(replyTimeoutMs, deadline - now());
 				if (!link || timeoutMs <= 0) {
@@ -76,8 +89,8 @@
 					break;
 				}
 
-				const loan = await requestLoan(link, address, {
-					type: 'lend', budget, tokens, demanded, received: receivedFrom(budget, holder), ...(rank && {rank}),
+				const loan = await requestLoan(link, peer, {
+					type: 'lend', budget, tokens, demanded, received: receivedFrom(budget, peer.holder), ...(rank && {rank}),
 				}, timeoutMs);
 				if (loan) {
 					loans.push(loan);
@@ -95,6 +108,20 @@
 				...(left && {left}),
 			};
 		},
+		async collect() {
+			const link = mesh();
+			await Promise.all(missingReplies.next(maxCollected).map(async ({peer, budget}) => {
+				const message = {
+					type: 'lend', budget, tokens: leastTokens, demanded: 0, received: receivedFrom(budget, peer.holder),
+				} as const;
+				const reply = await link?.request(peer.address, message, replyTimeoutMs);
+				const loan = reply?.ok ? readPeerReply(loanReplySchema, reply.value, {address: peer.address, type: message.type}, log) : undefined;
+				if (loan) {
+					missingReplies.end(peer, budget);
+					onLoan(budget, loan.lender, loan.total);
+				}
+			}));
+		},
 		async handBack({address, holder}, budget, total) {
 			const reply = await mesh()?.request(address, {
 				type: 'hand_back', to: holder, budget, total,
--- a/packages/entry/src/lib/lending/loan-client.ts
+++ b/packages/entry/src/lib/lending/loan-client.ts
@@ -9,6 +9,8 @@
 	for later requests, or the deadline has passed.
 	*/
 	readonly borrow: (options: BorrowOptions) => Promise<LoanOutcome>;
+	/** Asks peers that did not reply to a loan request what they lent, a few at a time. */
+	readonly collect: () => Promise<void>;
 	/**
 	Hands rights back to a peer by telling it the total that this host ever gave to it, in tokens.
 
--- a/packages/entry/src/lib/rights/start-rights-balancer.ts
+++ b/packages/entry/src/lib/rights/start-rights-balancer.ts
@@ -122,6 +122,7 @@
 			return;
 		}
 
+		void borrower.collect();
 		// A standby may hold rights that it did not draw: clients hand rights back to it while they do not reach the first allocator.
 		for (const budget of accounts.budgets().filter(name => !allocators.isAllocator(name) || !isStoreHolder(name))) {
 			void borrower.handBackIdle(budget);
--- a/packages/entry/src/test/create-borrower.test.ts
+++ b/packages/entry/src/test/create-borrower.test.ts
@@ -31,6 +31,7 @@
 				accounts.apply(budget, {type: 'received', from: allocator.holder, total: lent});
 				return {hasReachedStore: true, isConclusive};
 			},
+			collect: async () => undefined,
 			handBack: async () => 'taken',
 		},
 		loanPauses: createLoanPauses(() => 0),
--- a/packages/entry/src/test/hand-back.test.ts
+++ b/packages/entry/src/test/hand-back.test.ts
@@ -57,6 +57,7 @@
 		accounts,
 		loanClient: {
 			borrow: async () => ({hasReachedStore: true, isConclusive: true}),
+			collect: async () => undefined,
 			handBack: async () => 'refused',
 		},
 		loanPauses: createLoanPauses(() => 0),
