--- a/packages/entry/src/test/lib/start-rights-managers.ts
+++ b/packages/entry/src/test/lib/start-rights-managers.ts
@@ -25,6 +25,9 @@
 
 type HandBack = {readonly type: 'hand_back'; readonly budget: string; readonly total: number};
 
+/** How long a host that did not reply is left out, in ms. */
+const suspicionMs = 3000;
+
 const noFaults: Faults = {isUnreachable: false, losesReplies: false, isStoreDown: false};
 
 /**
@@ -38,19 +41,33 @@
 export const startRightsManagers = (count: number, store: RightsStore, limit: number, now = () => 0): readonly HostWithRights[] => {
 	const peers: readonly ListedPeer[] = Array.from({length: count}, (_, index) => ({holder: `edge-${index}#a`, address: `10.0.0.${index}:1`, hall: 'h'}));
 	const rightsManagers = new Map<string, RightsManager>();
-	const suspected = new Set<string>();
+	/** Until when hosts are suspected, by address. */
+	const suspected = new Map<string, number>();
 	const faults = new Map<string, Faults>();
 	const faultsOf = ({holder}: ListedPeer): Faults => faults.get(holder) ?? noFaults;
 	// A new list each time something changes, as the managers compare lists.
 	let reachablePeers = new Map<ListedPeer, readonly ListedPeer[]>();
 	const findReachablePeers = (): void => {
 		const isReachable = (entry: ListedPeer, from: ListedPeer): boolean =>
-			!suspected.has(entry.address) && (entry === from || (!faultsOf(entry).isUnreachable && !faultsOf(from).isUnreachable));
+			entry === from || (!suspected.has(entry.address) && !faultsOf(entry).isUnreachable && !faultsOf(from).isUnreachable);
 		reachablePeers = new Map(peers.map(from => [from, peers.filter(entry => isReachable(entry, from))]));
 	};
 
 	findReachablePeers();
 
+	const hallPeersOf = (from: ListedPeer): readonly ListedPeer[] => {
+		const ended = [...suspected].filter(([, until]) => now() >= until);
+		if (ended.length > 0) {
+			for (const [address] of ended) {
+				suspected.delete(address);
+			}
+
+			findReachablePeers();
+		}
+
+		return reachablePeers.get(from)!;
+	};
+
 	const startRightsManager = (peer: ListedPeer): HostWithRights => {
 		const events: string[] = [];
 		const storeOfHost: RightsStore = {
@@ -87,7 +104,7 @@
 			},
 			onSilence(address) {
 				if (![peer, peers.find(entry => entry.address === address)!].some(entry => faultsOf(entry).isUnreachable)) {
-					suspected.add(address);
+					suspected.set(address, now() + suspicionMs);
 				}
 
 				findReachablePeers();
@@ -102,7 +119,7 @@
 			store: storeOfHost,
 			loanClient,
 			links: () => ({
-				hallPeers: () => reachablePeers.get(peer)!, hallSize: () => count, isPeerListKnown: () => true, peerOf: holder => peers.find(entry => entry.holder === holder),
+				hallPeers: () => hallPeersOf(peer), hallSize: () => count, isPeerListKnown: () => true, peerOf: holder => peers.find(entry => entry.holder === holder),
 			}),
 			timeouts: defaultTimeouts,
 			log(event) {
