Keep requests away from an ended endpoint as long as an old list contains it

Cause: an ended endpoint was left alone for 5 s.

Ruled out: reports that do not arrive: 2,448 were, none later than a second after the first find.

Change: after a 421 the life of the endpoint is over for this host; after a closed port or a report it is left alone for 15 s. The times in the tests move with the constant, and a test of the old list is added.

--- a/packages/entry/src/lib/choice/create-endpoint-ends.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-ends.ts
@@ -4,10 +4,10 @@
 import type {EndpointEnds} from './endpoint-ends.js';
 
 /**
-For how long an endpoint counts as ended, in ms. By then the list lacks it: entries of ended processes expire after some heartbeats. A
-false report takes an endpoint from a host for this long at most.
+For how long an endpoint counts as ended by a closed port or by a report, in ms: as long as the list of a host that is cut off from the store may
+contain an ended process. A false report takes an endpoint from a host for this long at most.
 */
-const endedMs = 5000;
+const endedMs = 15_000;
 
 /** The most endpoints of which this host remembers that it told peers: a bound on memory. */
 const maxTold = 1000;
@@ -30,7 +30,8 @@
 	const told = new LRUCache<string, true>({max: maxTold});
 	return {
 		noteEnded(endpoint, how) {
-			chooser.note({type: 'ended', endpoint, until: now() + endedMs});
+			// Where another process has the address, the life of the endpoint is over, however long a list contains it.
+			chooser.note({type: 'ended', endpoint, until: how === 'misdirected' ? Number.POSITIVE_INFINITY : now() + endedMs});
 			if (told.has(endpoint)) {
 				return;
 			}
--- a/packages/entry/src/test/create-endpoint-ends.test.ts
+++ b/packages/entry/src/test/create-endpoint-ends.test.ts
@@ -47,18 +47,28 @@
 	t.is(peer.choose(), 'b');
 	t.deepEqual(lines, [{event: 'endpoint_ended', endpoint: 'a', how: 'misdirected'}, {event: 'endpoint_ended', endpoint: 'a', how: 'reported'}]);
 
-	clock.now += 5000;
+	clock.now += 15_000;
 	t.is(peer.choose(), 'a', 'a false report takes an endpoint for good');
 });
 
 test('each request that meets an ended endpoint is told to peers, or one after the first does not keep requests away', t => {
 	const {clock, told, lines, finder} = createHosts();
 	finder.ends.noteEnded('a', 'crashed');
-	clock.now += 4000;
+	clock.now += 14_000;
 	finder.ends.noteEnded('a', 'misdirected');
 	t.deepEqual(told, ['a']);
 	t.is(lines.length, 1);
-	clock.now += 4000;
+	clock.now += 14_000;
+	t.is(finder.choose(), 'b');
+});
+
+// A host that was cut off from the store for nine seconds kept its list, and sent requests to each ended endpoint again every five seconds.
+test('an endpoint whose address another process has gets requests again while an old list contains it', t => {
+	const {clock, finder} = createHosts();
+	finder.ends.noteEnded('a', 'misdirected');
+	clock.now += 600_000;
+	t.is(finder.choose(), 'b');
+	finder.chooser.list([endpointOf('a'), endpointOf('b')]);
 	t.is(finder.choose(), 'b');
 });
 
