Leave out the age of a proof that there never was

Change: config_age_ms is left out of the line of a refusal where the configuration was never confirmed; it said Infinity.

--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -73,10 +73,11 @@
 	const id = String(req.headers[host.headerNames.requestId] ?? '');
 	const requestLog = createRequestLog({id, receivedAt, res}, host);
 	const proof = host.configProof();
+	const configAgeMs = Number.isFinite(proof.ageMs) ? Math.round(proof.ageMs) : undefined;
 	const admitted = admitRequest(host.config(), proof, {url: req.url!, headers: req.headers, receivedAt}, host.headerNames);
 	if (!admitted.ok) {
 		req.resume();
-		requestLog.refused(admitted.error, {host: req.headers.host, path: req.url, config_age_ms: Math.round(proof.ageMs)});
+		requestLog.refused(admitted.error, {host: req.headers.host, path: req.url, config_age_ms: configAgeMs});
 		return;
 	}
 
@@ -97,7 +98,7 @@
 
 	if (body === 'too_large') {
 		res.shouldKeepAlive = false;
-		requestLog.refused(refuseByConfig(hostRefusals.tooLarge, proof), {config_age_ms: Math.round(proof.ageMs)});
+		requestLog.refused(refuseByConfig(hostRefusals.tooLarge, proof), {config_age_ms: configAgeMs});
 		return;
 	}
 
