Give hot prefixes several homes, and let old reports of load fade

Played with 80 hosts that know each other's load 300 to 400 ms late (placing.test.ts), the first cut sent a prefix of 28 of 100 requests to three endpoints until their load was reported: busiest 6.0 times the median at 300 a second, and 47 requests at endpoints without a free slot at 500. And hosts crowded the endpoints that had been idle in the last report. Change: a prefix has as many homes as its share of this host's requests is worth endpoints; an endpoint that is usually busier than others is no home; the next ranked ones count as half cached, and four are looked at; reported open requests and pending tokens fade by the time that they take to end.

--- a/packages/entry/src/default-placing.ts
+++ b/packages/entry/src/default-placing.ts
@@ -1,4 +1,4 @@
 import type {PlacingSettings} from './adapter/placing-settings.js';
 
 /** The settings of placing that apply where operators state none. */
-export const defaultPlacing: PlacingSettings = {byExpectedTime: true, randomEndpoints: 4, prefixEndpoints: 3};
+export const defaultPlacing: PlacingSettings = {byExpectedTime: true, randomEndpoints: 4, prefixEndpoints: 4};
--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -1,12 +1,13 @@
 import {
-	chooseAmongCandidates, chooseEndpoint, exclusionOfAll, scoreByAffinity, scoreByExpectedTime, stepEndpoints, type EndpointTable, type WarmupRules,
+	chooseAmongCandidates, chooseEndpoint, exclusionOfAll, sampleOf, scoreByAffinity, scoreByExpectedTime, smooth, stepEndpoints,
+	type AffinityRequest, type EndpointCandidates, type EndpointLoad, type EndpointTable, type WarmupRules,
 } from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {PromptPart} from '../admission/prompt-part.js';
 import type {ChoiceRequest} from './choice-request.js';
 import {createHallsOfServices} from './create-halls-of-services.js';
 import {createPrefixCacheEstimate} from './create-prefix-cache-estimate.js';
-import {createPreferredEndpoints} from './create-preferred-endpoints.js';
+import {createPrefixHomes} from './create-prefix-homes.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
 import type {Evacuations} from './evacuations.js';
 import type {Placing} from './placing.js';
@@ -32,11 +33,19 @@
 // Prompts with the same shared prefix prefer the same endpoints.
 const affinityKey = (parts: readonly PromptPart[]): string | undefined => parts.at(-2)?.id;
 
+/**
+The part of a prompt's shared tokens that counts as cached at an endpoint that is the next home of the prompt, 0 to 1. When the homes are
+busy, other hosts have sent prompts there as well, so the part may be cached there already, or is of use to others afterwards.
+*/
+const nextHomeCachedShare = 0.5;
+
 /** Creates the chooser of a host, which owns the host's table of endpoints. It knows no endpoint until the first `list`. */
 export const createEndpointChooser = ({hall, isUnreachable, warmupRules, placing, now}: Options): EndpointChooser => {
 	const cacheEstimate = createPrefixCacheEstimate();
-	const preferredEndpoints = createPreferredEndpoints();
+	const prefixHomes = createPrefixHomes(now);
 	const hallsOfServices = createHallsOfServices(hall);
+	/** The smoothed duration of a successful response, in ms, by service. */
+	const typicalMs = new Map<string, number>();
 	let listedHalls: readonly string[] = [];
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
@@ -50,7 +59,7 @@
 			const {info} = table.get(id)!;
 			return !info.isLeaving && !evacuations.halls.has(info.hall);
 		});
-		preferredEndpoints.list(usable);
+		prefixHomes.list(usable);
 		hallsOfServices.list(usable);
 	};
 
@@ -58,6 +67,32 @@
 		target: service, hall, unreachableHalls: unreachableHalls(), evacuatedHalls: evacuations.halls, regions, warmup: warmupRules?.(service, evacuations.reopenedAt),
 	});
 
+	const noteDuration = (endpoint: string, durationMs: number): void => {
+		for (const service of table.get(endpoint)?.info.serves ?? []) {
+			typicalMs.set(service, smooth(typicalMs.get(service) ?? durationMs, durationMs));
+		}
+	};
+
+	const homesOf = (service: string, part: string | undefined, endpointCount: number) => {
+		if (part === undefined) {
+			return {homes: [], ranked: []};
+		}
+
+		return placing?.isOn() ? prefixHomes.homesOf(service, part, {endpointCount, minRanked: placing.prefixEndpoints}) : prefixHomes.firstOf(service, part);
+	};
+
+	const chooseByExpectedTime = (by: Placing, request: AffinityRequest, candidates: EndpointCandidates) => {
+		const loadOf = (endpoint: string): EndpointLoad => {
+			const load = by.loadOf(endpoint);
+			prefixHomes.noteOpen(request.target, endpoint, load.open);
+			return load;
+		};
+
+		return chooseAmongCandidates(table, {...request, loadOf, typicalMs: typicalMs.get(request.target)}, now(), {
+			candidates, scoreEndpoint: scoreByExpectedTime, randomCount: by.randomEndpoints, random: by.random,
+		});
+	};
+
 	return {
 		list(endpoints) {
 			byId = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]));
@@ -71,25 +106,26 @@
 		},
 		choose({parts, tried, avoidedHalls, ...request}) {
 			const key = affinityKey(parts);
-			const isByExpectedTime = placing?.isOn() ?? false;
-			const ranked = key === undefined ? [] : preferredEndpoints.rankedFor(request.service, key, isByExpectedTime ? placing!.prefixEndpoints : 1);
-			const preferred = ranked.slice(0, 1);
-			const cachedTokens = (endpoint: string): number => cacheEstimate.cachedTokens(endpoint, parts, preferred);
+			const endpoints = hallsOfServices.endpointsOf(request.service);
+			const {homes, ranked} = homesOf(request.service, key, endpoints.near.length + endpoints.far.length);
+			const cachedTokens = (endpoint: string): number => Math.max(
+				cacheEstimate.cachedTokens(endpoint, parts, homes),
+				nextHomeCachedShare * cacheEstimate.cachedTokens(endpoint, parts, ranked),
+			);
 			const promptTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
 			const affinityRequest = {
 				...constraintsOf(request), cachedTokens, promptTokens, avoidedHalls, tried,
 			};
-			const choice = placing && isByExpectedTime
-				? chooseAmongCandidates(table, {...affinityRequest, loadOf: placing.loadOf}, now(), {
-					candidates: {
-						favoured: [...ranked, ...(key === undefined ? [] : cacheEstimate.endpointsWith(key))],
-						...hallsOfServices.endpointsOf(request.service),
-					},
-					scoreEndpoint: scoreByExpectedTime,
-					randomCount: placing.randomEndpoints,
-					random: placing.random,
+			const choice = placing?.isOn()
+				? chooseByExpectedTime(placing, affinityRequest, {
+					...endpoints,
+					favoured: [...sampleOf(ranked, placing.prefixEndpoints, placing.random), ...(key === undefined ? [] : cacheEstimate.endpointsWith(key))],
 				})
 				: chooseEndpoint(table, affinityRequest, now(), scoreByAffinity);
+			if (tried.length === 0) {
+				prefixHomes.noteRequest(request.service, key);
+			}
+
 			return choice && {
 				endpoint: byId.get(choice.endpoint)!, reason: choice.reason, uncachedTokens: Math.max(0, promptTokens - cachedTokens(choice.endpoint)),
 			};
@@ -102,6 +138,10 @@
 		note(event) {
 			const wasLeaving = table.get(event.endpoint)?.hasAnnouncedLeaving;
 			table = stepEndpoints(table, event, now());
+			if (event.type === 'succeeded') {
+				noteDuration(event.endpoint, event.durationMs);
+			}
+
 			if (event.type === 'leaving' && !wasLeaving) {
 				updatePreferred();
 			}
--- a/packages/routing/src/endpoints/choose-among-candidates.ts
+++ b/packages/routing/src/endpoints/choose-among-candidates.ts
@@ -22,9 +22,9 @@
 	readonly random: () => number;
 };
 
-// Of a service with few endpoints, at most half are drawn: hosts that know the same load would else all choose the same one.
+// Of a service with more than a few endpoints, at most half are drawn: hosts that know the same load would else all choose the same one.
 const firstSample = (ids: readonly string[], count: number, random: () => number): readonly string[] =>
-	sampleOf(ids, Math.min(count, Math.ceil(ids.length / 2)), random);
+	sampleOf(ids, Math.min(count, Math.max(2, Math.ceil(ids.length / 2))), random);
 
 /**
 Chooses the endpoint with the lowest cost among a few: the favoured ones, and some drawn at random. Where none of them is open to the
--- a/packages/routing/src/scoring/expected-time-request.ts
+++ b/packages/routing/src/scoring/expected-time-request.ts
@@ -5,4 +5,6 @@
 export type ExpectedTimeRequest = AffinityRequest & {
 	/** Returns the load of an endpoint, over all hosts as far as this host knows it. */
 	readonly loadOf: (endpoint: string) => EndpointLoad;
+	/** The typical duration of a response of the target, in ms; `undefined` where it is unknown. */
+	readonly typicalMs: number | undefined;
 };
