--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -61,6 +61,8 @@
 	readonly hostNames: () => HostNames | undefined;
 	/** As `hallSize` of `PeerLinks`. */
 	readonly hallSize: () => number;
+	/** How many hosts of the hall are reachable, this host included. */
+	readonly reachableHallHosts: () => number;
 	/** As `register` of `PeerLinks`. */
 	readonly register: () => void;
 	readonly close: () => Promise<void>;
@@ -159,6 +161,7 @@
 		}),
 		hostNames: () => links.hostNames(),
 		hallSize: () => links.hallSize(),
+		reachableHallHosts: () => links.hallPeers().length,
 		register() {
 			links.register();
 		},
--- a/packages/entry/src/lib/host/start-servers.ts
+++ b/packages/entry/src/lib/host/start-servers.ts
@@ -1,7 +1,8 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import {httpStatus} from '@deckwheel/core';
+import {httpStatus, splitAddress} from '@deckwheel/core';
 import {listenAt} from '@deckwheel/host-kit';
+import type {Log} from '../../adapter/log.js';
 import type {CallerConnections} from './caller-connections.js';
 import type {RequestCounter} from './request-counter.js';
 import type {Servers} from './servers.js';
@@ -23,12 +24,13 @@
 	readonly serve: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
 	/** Whether the load balancer may send requests to this host. */
 	readonly isReady: () => boolean;
+	readonly log: Log;
 	/** Whether a caller's connection is to be closed after this response. */
 	readonly closesAfter: (res: ServerResponse) => boolean;
 };
 
 /** Starts both servers, and resolves once they listen. */
-export const startServers = async ({listen, requestCounter, connections, onConnection, serve, isReady, closesAfter}: Options): Promise<Servers> => {
+export const startServers = async ({listen, requestCounter, connections, onConnection, serve, isReady, closesAfter, log}: Options): Promise<Servers> => {
 	const callerServer = createServer({maxHeaderSize: maxHeaderBytes, keepAliveTimeout: initialKeepAliveMs, noDelay: true}, (req, res) => {
 		requestCounter.add(res);
 		connections.noteRequest(res);
@@ -52,6 +54,27 @@
 		res.end();
 	});
 	const [callersAddress, readyAddress] = await Promise.all([listenAt(callerServer, listen.callers), listenAt(readinessServer, listen.ready)]);
+	let isListening = true;
+	let hasStopped = false;
+
+	const refuseConnections = (): void => {
+		isListening = false;
+		// `close` of the HTTP server would also destroy the connections that Node.js counts as idle, among them those with responses that
+		// callers are still reading.
+		NetServer.prototype.close.call(callerServer);
+	};
+
+	const listenAgain = (): void => {
+		isListening = true;
+		const {host, port} = splitAddress(callersAddress);
+		callerServer.listen(port, host);
+	};
+
+	callerServer.on('error', error => {
+		// The next call of `setAccepting` tries again.
+		isListening = callerServer.listening;
+		log('listen_failed', {address: callersAddress, error: error.message});
+	});
 	return {
 		addresses: {callers: callersAddress, ready: readyAddress},
 		setLimits(limits) {
@@ -60,12 +83,27 @@
 		},
 		closeIdleConnections: connections.closeIdle,
 		stopListening() {
-			// `close` of the HTTP server would also destroy the connections that Node.js counts as idle, among them those with responses that
-			// callers are still reading.
-			NetServer.prototype.close.call(callerServer);
+			hasStopped = true;
+			if (isListening) {
+				refuseConnections();
+			}
+
 			connections.closeIdle();
 		},
+		setAccepting(isAccepting) {
+			if (hasStopped || isAccepting === isListening) {
+				return;
+			}
+
+			log('accepting', {accepting: isAccepting, open: requestCounter.count()});
+			if (isAccepting) {
+				listenAgain();
+			} else {
+				refuseConnections();
+			}
+		},
 		kill() {
+			hasStopped = true;
 			for (const server of [callerServer, readinessServer]) {
 				server.closeAllConnections();
 				server.close();
--- a/packages/entry/src/lib/load-sharing/create-load-tracker.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-tracker.ts
@@ -34,6 +34,15 @@
 		}
 	};
 
+	const sumOpen = (loads: ReadonlyMap<string, Load>): number => {
+		let sum = 0;
+		for (const {open} of loads.values()) {
+			sum += open;
+		}
+
+		return sum;
+	};
+
 	return {
 		loadOf(endpoint) {
 			const ownLoad = own.get(endpoint) ?? noLoad;
@@ -45,6 +54,10 @@
 				ageMs: othersAsOf === undefined ? undefined : now() - othersAsOf,
 			};
 		},
+		openShare() {
+			const ownOpen = sumOpen(own);
+			return othersAsOf === undefined || ownOpen === 0 ? undefined : ownOpen / (ownOpen + sumOpen(others));
+		},
 		noteSent(endpoint, promptTokens) {
 			const timer = createRunTimer(now);
 			let pendingTokens = promptTokens;
--- a/packages/entry/src/lib/load-sharing/load-tracker.ts
+++ b/packages/entry/src/lib/load-sharing/load-tracker.ts
@@ -5,6 +5,8 @@
 export type LoadTracker = {
 	/** The load of an endpoint now. `endpoint` is the id of one incarnation. */
 	readonly loadOf: (endpoint: string) => EndpointLoad;
+	/** This host's share of the requests that are open at endpoints, over all hosts, 0 to 1; `undefined` while the load of others is not known. */
+	readonly openShare: () => number | undefined;
 	/**
 	Notes that this host sent a request to an endpoint.
 
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -17,6 +17,7 @@
 import {mayForward} from './lib/host/may-forward.js';
 import {newHolderName} from './lib/host/new-holder-name.js';
 import {planShutdown} from './lib/host/plan-shutdown.js';
+import {repeatByTimer} from './lib/host/repeat-by-timer.js';
 import {runShutdown} from './lib/host/run-shutdown.js';
 import {scheduleByTimer} from './lib/host/schedule-by-timer.js';
 import {startHealthMonitor} from './lib/host/start-health-monitor.js';
@@ -25,12 +26,16 @@
 import type {ShutdownPlan} from './lib/host/shutdown-plan.js';
 import {createAcceptQueueMonitor} from './lib/own-health/create-accept-queue-monitor.js';
 import {createWaitLog} from './lib/own-health/create-wait-log.js';
+import {isAccepting} from './lib/own-health/is-accepting.js';
 import {rankOfPriority} from './lib/own-health/rank-of-priority.js';
 import {smallHall} from './lib/peers/small-hall.js';
 import type {HostContext} from './lib/request/host-context.js';
 import {serveRequest} from './lib/request/serve-request.js';
 import {createConnectionPool} from './lib/sending/create-connection-pool.js';
 
+/** How often it is decided whether this host accepts connections of callers, in ms: as often as its lateness is sampled. */
+const acceptCheckMs = 100;
+
 const countBudgets = ({organisationsByKey}: FleetConfig): number =>
 	new Set([...organisationsByKey.values()].map(({name}) => name)).size;
 
@@ -161,6 +166,12 @@
 		serve: async (req, res) => serveRequest(req, res, hostContext),
 		isReady: () => config !== undefined && listing.isKnown() && evacuatedHalls !== undefined && !isClosingConnections() && !acceptQueueMonitor.isQueueLong(),
 		closesAfter,
+		log,
+	});
+	const endAcceptChecks = repeatByTimer(acceptCheckMs, () => {
+		servers.setAccepting(isAccepting({
+			isOverloaded: overload.isOverloaded(), openShare: loadSharing.loads.openShare(), hallHosts: peerTasks.reachableHallHosts(),
+		}));
 	});
 	acceptQueueMonitor.start(servers.addresses.callers);
 	log('started', {holder, hall});
@@ -190,6 +201,7 @@
 			},
 		});
 		cancelAbort();
+		endAcceptChecks();
 		acceptQueueMonitor.close();
 		health.close();
 		await peerTasks.close();
@@ -227,6 +239,7 @@
 			peerTasks.register();
 		},
 		async kill() {
+			endAcceptChecks();
 			acceptQueueMonitor.close();
 			health.close();
 			servers.kill();
--- a/packages/routing/src/scoring/score-by-expected-time.ts
+++ b/packages/routing/src/scoring/score-by-expected-time.ts
@@ -6,12 +6,19 @@
 import {hallPenaltyMs} from './hall-penalty-ms.js';
 import type {ScoreEndpoint} from './score-endpoint.js';
 import {warmupPenaltyMs} from './warmup-penalty-ms.js';
+
 /**
 What each request that is open at an endpoint, this one included, adds to the time of a response, in ms: their output tokens share the
 endpoint's steps.
 */
 const waitMsPerRequest = 5;
 
+/**
+How often the time to read this request's prompt counts: once for the request itself, and once for those that wait behind it or run beside it, whose
+events it delays. Where it counts less, prompts leave the endpoints that have them cached too soon, and all endpoints read more.
+*/
+const prefillWeight = 2;
+
 /**
 Returns the requests probably open at an endpoint now. Of those that other hosts reported, the older the report, the more have ended;
 what came instead is about the same at all endpoints. If hosts went by the count as reported, they would all avoid the endpoints that
@@ -45,7 +52,7 @@
 	const waitMs = ((openNow + 1) * waitMsPerRequest) + (pendingPromptTokens * prefillMsPerToken);
 	const hallMs = hallPenaltyMs(info.hall, request);
 	const coldMs = warmupPenaltyMs(state, request, now);
-	const cost = (pace * (waitMs + prefillMs)) + hallMs + coldMs;
+	const cost = (pace * (waitMs + (prefillWeight * prefillMs))) + hallMs + coldMs;
 	return {
 		endpoint: info.id,
 		cost,
