--- a/packages/routing/src/scoring/score-by-expected-time.ts
+++ b/packages/routing/src/scoring/score-by-expected-time.ts
@@ -11,13 +11,13 @@
 What each request that is open at an endpoint, this one included, adds to the time of a response, in ms: their output tokens share the
 endpoint's steps.
 */
-const waitMsPerRequest = 5;
+const waitMsPerRequest = 8;
 
 /**
 How often the time to read this request's prompt counts: once for the request itself, and once for those that wait behind it or run beside it, whose
 events it delays. Where it counts less, prompts leave the endpoints that have them cached too soon, and all endpoints read more.
 */
-const prefillWeight = 2;
+const prefillWeight = 1.6;
 
 /**
 Returns the requests probably open at an endpoint now. Of those that other hosts reported, the older the report, the more have ended;
