--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -32,7 +32,13 @@
 
 /** Makes one attempt at an endpoint, and returns its end and what counted as open there while the endpoint responded and after the end. */
 const loadDuringAttempt = async (t: ExecutionContext, {answer, call = callAndRead, hasEndpoint = true}: Case) => {
-	const loads = createLoadTracker();
+	let samples = 0;
+	const loads = createLoadTracker({
+		onSample() {
+			samples++;
+		},
+		now,
+	});
 	const during: EndpointLoad[] = [];
 	const endpoint = await startEndpoint('e', (req, res) => {
 		during.push(loads.loadOf('e'));
@@ -99,7 +105,9 @@
 		controller.abort();
 	}, () => loads.loadOf('e'));
 	const end = await ended;
-	return {end, during, after: loads.loadOf('e')};
+	return {
+		end, during, after: loads.loadOf('e'), samples,
+	};
 };
 
 const idle = {open: 0, pendingPromptTokens: 0};
@@ -111,7 +119,7 @@
 
 const never: Answer = () => undefined;
 
-const cases: ReadonlyArray<Case & {readonly name: string; readonly end: AttemptEnd['type']}> = [
+const cases: ReadonlyArray<Case & {readonly name: string; readonly end: AttemptEnd['type']; readonly samples?: number}> = [
 	{
 		name: 'a whole stream',
 		end: 'streamed',
@@ -138,6 +146,15 @@
 			res.end();
 		},
 	},
+	{
+		name: 'a stream without events',
+		end: 'streamed',
+		samples: 1,
+		answer(_req, res) {
+			streamHead(res);
+			res.end();
+		},
+	},
 	{
 		name: 'a response that breaks off',
 		end: 'lost',
@@ -204,9 +221,9 @@
 	},
 ];
 
-for (const {name, end: expected, ...options} of cases) {
+for (const {name, end: expected, samples: expectedSamples = 0, ...options} of cases) {
 	test(`nothing stays open at an endpoint after ${name}`, async t => {
-		const {end, during, after} = await loadDuringAttempt(t, options);
+		const {end, during, after, samples} = await loadDuringAttempt(t, options);
 		t.is(end.type, expected);
 		for (const load of during) {
 			t.like(load, {open: 1, pendingPromptTokens: uncachedTokens});
@@ -214,6 +231,8 @@
 
 		t.is(during.length, options.hasEndpoint === false ? 0 : 1);
 		t.like(after, idle);
+		// An error that comes soon must not make the endpoint look fast.
+		t.is(samples, expectedSamples);
 	});
 }
 
