--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -122,7 +122,7 @@
 					favoured: [...sampleOf(ranked, placing.prefixEndpoints, placing.random), ...(key === undefined ? [] : cacheEstimate.endpointsWith(key))],
 				})
 				: chooseEndpoint(table, affinityRequest, now(), scoreByAffinity);
-			if (tried.length === 0) {
+			if (placing?.isOn() && tried.length === 0) {
 				prefixHomes.noteRequest(request.service, key);
 			}
 
--- a/packages/entry/src/lib/choice/create-prefix-cache-estimate.ts
+++ b/packages/entry/src/lib/choice/create-prefix-cache-estimate.ts
@@ -8,6 +8,9 @@
 */
 const maxParts = 20_000;
 
+/** The maximum number of longest shared parts whose endpoints are remembered: a bound on memory. */
+const maxLongestParts = 5000;
+
 /** The maximum number of endpoints that are remembered for a shared part: enough to choose from, as each of them is scored for each prompt. */
 const maxEndpointsPerPart = 3;
 
@@ -19,15 +22,19 @@
 */
 export const createPrefixCacheEstimate = (): PrefixCacheEstimate => {
 	const cachedParts = new LRUCache<string, true>({max: maxParts});
-	const endpointsByPart = new LRUCache<string, readonly string[]>({max: maxParts});
+	const endpointsByPart = new LRUCache<string, readonly string[]>({max: maxLongestParts});
 	const keyOf = (endpoint: string, part: PromptPart): string => `${endpoint}\n${part.id}`;
 
 	return {
 		noteSent(endpoint, parts) {
 			for (const part of sharedParts(parts)) {
 				cachedParts.set(keyOf(endpoint, part), true);
-				const others = (endpointsByPart.get(part.id) ?? []).filter(other => other !== endpoint);
-				endpointsByPart.set(part.id, [...others, endpoint].slice(-maxEndpointsPerPart));
+			}
+
+			const longest = sharedParts(parts).at(-1)?.id;
+			if (longest !== undefined) {
+				const others = (endpointsByPart.get(longest) ?? []).filter(other => other !== endpoint);
+				endpointsByPart.set(longest, [...others, endpoint].slice(-maxEndpointsPerPart));
 			}
 		},
 		cachedTokens(endpoint, parts, preferred) {
--- a/packages/entry/src/lib/choice/prefix-cache-estimate.ts
+++ b/packages/entry/src/lib/choice/prefix-cache-estimate.ts
@@ -14,6 +14,6 @@
 	prefer for the prompt, if there are any.
 	*/
 	readonly cachedTokens: (endpoint: string, parts: readonly PromptPart[], preferred: readonly string[]) => number;
-	/** Returns the endpoints to which this host lately sent prompts with a shared part: a few, the latest one last. */
+	/** Returns the endpoints to which this host lately sent prompts whose longest shared prefix ends with a part: a few, the latest one last. */
 	readonly endpointsWith: (part: string) => readonly string[];
 };
