--- a/packages/entry/src/metrics/create-event-metrics.ts
+++ b/packages/entry/src/metrics/create-event-metrics.ts
@@ -16,6 +16,9 @@
 	const latencyHistogram = new Histogram({
 		name: 'deckwheel_request_ms', help: 'Time from a request to the end of its answer, in ms.', labelNames: ['event', 'route'], buckets: latencyBucketsMs, registers,
 	});
+	const firstByteHistogram = new Histogram({
+		name: 'deckwheel_first_byte_ms', help: 'Time from a request to the first byte of its answer, in ms.', labelNames: ['route'], buckets: latencyBucketsMs, registers,
+	});
 	const arrivalCounter = new Counter({
 		name: 'deckwheel_arrivals_total', help: 'Requests that reached endpoints, repeats included.', registers,
 	});
@@ -33,6 +36,10 @@
 				latencyHistogram.observe({event, route: String(fields.route ?? '')}, fields.ms);
 			}
 
+			if (typeof fields.first_ms === 'number') {
+				firstByteHistogram.observe({route: String(fields.route ?? '')}, fields.first_ms);
+			}
+
 			arrivalCounter.inc(Number(fields.arrivals ?? 0));
 			usedTokenCounter.inc(Math.max(0, Number(fields.used ?? 0)));
 			if (rightsTransferEvents.has(event)) {
