--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -151,6 +151,10 @@
 	return result.type === 'answered' ? receiveResponse(result.response, options, host) : result;
 };
 
+/** Whether the endpoint did the work of the request, so that its duration tells the endpoint's speed. An error may come sooner. */
+const hasServed = (end: AttemptEnd): boolean =>
+	end.type === 'streamed' || (end.type === 'whole' && isSuccessStatus(end.response.statusCode!));
+
 /**
 Makes one attempt at one endpoint, up to the end of the endpoint's response.
 
@@ -162,11 +166,13 @@
 	const {endpoint, mayMove, uncachedTokens} = options;
 	const tracked = trackAttempt(host.halls, endpoint, {sentAt, mayMove, signal: options.signal});
 	const run = host.loads.noteSent(endpoint.id, uncachedTokens);
+	let end: AttemptEnd | undefined;
 	try {
 		const result = await sendToEndpoint(options, sentAt, tracked.signal, host);
-		return await toAttemptEnd(result, {...options, run}, host);
+		end = await toAttemptEnd(result, {...options, run}, host);
+		return end;
 	} finally {
-		run.end();
+		run.end(end && hasServed(end) ? 'answered' : undefined);
 		tracked.end();
 	}
 };
--- a/packages/routing/src/scoring/score-by-expected-time.ts
+++ b/packages/routing/src/scoring/score-by-expected-time.ts
@@ -14,8 +14,8 @@
 const waitMsPerRequest = 8;
 
 /**
-How often the time to read this request's prompt counts: once for the request itself, and once for those that wait behind it or run beside it, whose
-events it delays. Where it counts less, prompts leave the endpoints that have them cached too soon, and all endpoints read more.
+How much the time to prefill this request's prompt counts: 1 for the request itself, and the rest for those that wait behind it or run beside it, whose
+events it delays. With less, prompts leave the endpoints that have them cached too soon, and all endpoints prefill more.
 */
 const prefillWeight = 1.6;
 
