--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -1,6 +1,7 @@
 import type {FleetConfig} from '../../config/fleet-config.js';
 import type {Bounds} from '../../adapter/bounds.js';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
+import type {PlacingSettings} from '../../adapter/placing-settings.js';
 import type {RightsStore} from '../../adapter/rights-store.js';
 import type {Timeouts} from '../../timeouts.js';
 import type {Route} from '../../config/route.js';
@@ -58,10 +59,12 @@
 	readonly now?: () => number;
 	readonly warmup?: Bounds['warmup'];
 	readonly hasEvacuations?: boolean;
+	readonly placing?: PlacingSettings;
 };
 
 /** Starts an entry host with the event log that tests look at. */
-export const startHost = async (rightsStore: RightsStore, {host = 'edge-1', hall = 'hall-a', peers = new Map(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations}: Options = {}) => {
+export const startHost = async (rightsStore: RightsStore, options: Options = {}) => {
+	const {host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = (peer: ListedPeer) => peer, schedule, now, warmup, hasEvacuations, placing} = options;
 	const events: Array<{event: string; fields: Fields}> = [];
 	const eventWaiters: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
 	const entry = await startEntryHost({
@@ -82,6 +85,7 @@
 			},
 			list: async () => [...peers].map(([name, peer]) => name === host ? peer : seenAs(peer)),
 		},
+		placing,
 		timeouts: longTimeouts,
 		schedule,
 		now,
