--- a/packages/entry/src/lib/load-sharing/create-load-tracker.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-tracker.ts
@@ -1,4 +1,5 @@
 import {hash32} from '@deckwheel/core';
+import {remainingPromptTokens} from '@deckwheel/routing';
 import {createRunTimer} from './create-run-timer.js';
 import type {OthersLoad} from './others-load.js';
 import type {PaceSample} from './pace-sample.js';
@@ -47,11 +48,13 @@
 		loadOf(endpoint) {
 			const ownLoad = own.get(endpoint) ?? noLoad;
 			const othersLoad = others.get(endpoint) ?? noLoad;
+			const pace = paces.get(endpoint) ?? 1;
+			const ageMs = othersAsOf === undefined ? undefined : now() - othersAsOf;
 			return {
 				open: ownLoad.open + othersLoad.open,
-				pendingPromptTokens: ownLoad.pendingPromptTokens + othersLoad.pendingPromptTokens,
-				pace: paces.get(endpoint) ?? 1,
-				ageMs: othersAsOf === undefined ? undefined : now() - othersAsOf,
+				pendingPromptTokens: ownLoad.pendingPromptTokens + remainingPromptTokens({tokens: othersLoad.pendingPromptTokens, ageMs: ageMs ?? 0, pace}),
+				pace,
+				ageMs,
 			};
 		},
 		openShare() {
