Mend what a review of load sharing, placing and accepting found

By reading, each: the totals of another hall expired by the wrong clock where that hall is larger; fast errors counted as typical durations of a service; a host that refuses connections accepted them again as soon as its share fell, or when it lost sight of the others; cold endpoints were chosen before warm ones that had not been drawn; paces never expired without a leader; a report under way at the stop dialled a new link; a listener that cannot listen again logged 20 lines a second; one wrong 421 took an endpoint for good.

Left, listed in the open points: one age for all counts, pace samples of slow callers, pending tokens of prompts without events.

--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -33,18 +33,12 @@
 // Prompts with the same shared prefix prefer the same endpoints.
 const affinityKey = (parts: readonly PromptPart[]): string | undefined => parts.at(-2)?.id;
 
-/**
-The part of a prompt's shared tokens that counts as cached at an endpoint that is the next home of the prompt, 0 to 1. When the homes are
-busy, other hosts have sent prompts there as well, so the part may be cached there already, or is of use to others afterwards.
-*/
-const nextHomeCachedShare = 0.5;
-
 /** Creates the chooser of a host, which owns the host's table of endpoints. It knows no endpoint until the first `list`. */
 export const createEndpointChooser = ({hall, isUnreachable, warmupRules, placing, now}: Options): EndpointChooser => {
 	const cacheEstimate = createPrefixCacheEstimate();
 	const prefixHomes = createPrefixHomes(now);
 	const hallsOfServices = createHallsOfServices(hall);
-	/** The smoothed duration of a successful response, in ms, by service. */
+	/** The smoothed duration of a request that was served, in ms, by service. */
 	const typicalMs = new Map<string, number>();
 	let listedHalls: readonly string[] = [];
 	let table: EndpointTable = new Map();
@@ -67,12 +61,6 @@
 		target: service, hall, unreachableHalls: unreachableHalls(), evacuatedHalls: evacuations.halls, regions, warmup: warmupRules?.(service, evacuations.reopenedAt),
 	});
 
-	const noteDuration = (endpoint: string, durationMs: number): void => {
-		for (const service of table.get(endpoint)?.info.serves ?? []) {
-			typicalMs.set(service, smooth(typicalMs.get(service) ?? durationMs, durationMs));
-		}
-	};
-
 	const homesOf = (service: string, part: string | undefined, endpointCount: number) => {
 		if (part === undefined) {
 			return {homes: [], ranked: []};
@@ -108,10 +96,7 @@
 			const key = affinityKey(parts);
 			const endpoints = hallsOfServices.endpointsOf(request.service);
 			const {homes, ranked} = homesOf(request.service, key, endpoints.near.length + endpoints.far.length);
-			const cachedTokens = (endpoint: string): number => Math.max(
-				cacheEstimate.cachedTokens(endpoint, parts, homes),
-				nextHomeCachedShare * cacheEstimate.cachedTokens(endpoint, parts, ranked),
-			);
+			const cachedTokens = (endpoint: string): number => cacheEstimate.cachedTokens(endpoint, parts, homes);
 			const promptTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
 			const affinityRequest = {
 				...constraintsOf(request), cachedTokens, promptTokens, avoidedHalls, tried,
@@ -134,14 +119,15 @@
 			cacheEstimate.noteSent(endpoint, parts);
 			table = stepEndpoints(table, {type: 'started', endpoint}, now());
 		},
+		noteServed(endpoint, durationMs) {
+			for (const service of table.get(endpoint)?.info.serves ?? []) {
+				typicalMs.set(service, smooth(typicalMs.get(service) ?? durationMs, durationMs));
+			}
+		},
 		exclusionOfAll: request => exclusionOfAll(table, constraintsOf(request), now()),
 		note(event) {
 			const wasLeaving = table.get(event.endpoint)?.hasAnnouncedLeaving;
 			table = stepEndpoints(table, event, now());
-			if (event.type === 'succeeded') {
-				noteDuration(event.endpoint, event.durationMs);
-			}
-
 			if (event.type === 'leaving' && !wasLeaving) {
 				updatePreferred();
 			}
--- a/packages/entry/src/lib/choice/create-endpoint-ends.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-ends.ts
@@ -9,6 +9,12 @@
 */
 const endedMs = 15_000;
 
+/**
+For how long an endpoint counts as ended once another process answered at its address, in ms: longer than any list contains an ended process. After
+this time a request finds out whether that answer was wrong.
+*/
+const replacedMs = 600_000;
+
 /** The most endpoints of which this host remembers that it told peers: a bound on memory. */
 const maxTold = 1000;
 
@@ -30,8 +36,7 @@
 	const told = new LRUCache<string, true>({max: maxTold});
 	return {
 		noteEnded(endpoint, how) {
-			// Where another process has the address, the life of the endpoint is over, however long a list contains it.
-			chooser.note({type: 'ended', endpoint, until: how === 'misdirected' ? Number.POSITIVE_INFINITY : now() + endedMs});
+			chooser.note({type: 'ended', endpoint, until: now() + (how === 'misdirected' ? replacedMs : endedMs)});
 			if (told.has(endpoint)) {
 				return;
 			}
--- a/packages/entry/src/lib/choice/endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/endpoint-chooser.ts
@@ -18,6 +18,8 @@
 	readonly exclusionOfAll: (request: Pick<ChoiceRequest, 'service' | 'regions'>) => EndpointExclusion | undefined;
 	/** Notes that a request is sent to an endpoint, which will have the parts of the request's prompt in its cache. */
 	readonly noteStarted: (endpoint: string, parts: ChoiceRequest['parts']) => void;
+	/** Notes how long an endpoint took to serve a request, in ms. */
+	readonly noteServed: (endpoint: string, durationMs: number) => void;
 	/** Applies an event of one endpoint, such as the outcome of a request there. */
 	readonly note: (event: Exclude<EndpointEvent, {type: 'configured' | 'started'}>) => void;
 };
--- a/packages/entry/src/lib/host/servers.ts
+++ b/packages/entry/src/lib/host/servers.ts
@@ -10,6 +10,8 @@
 	readonly closeIdleConnections: () => void;
 	/** Accepts no more connections of callers, and closes those without a request. The load balancer still gets responses. */
 	readonly stopListening: () => void;
+	/** Whether the host accepts connections of callers. */
+	readonly isAccepting: () => boolean;
 	/** Accepts connections of callers, or refuses them until the next call. The connections that are open stay. Does nothing once the host stopped listening. */
 	readonly setAccepting: (isAccepting: boolean) => void;
 	/** Closes both servers and all their connections at once. */
--- a/packages/entry/src/lib/host/start-servers.ts
+++ b/packages/entry/src/lib/host/start-servers.ts
@@ -70,6 +70,9 @@
 		callerServer.listen(port, host);
 	};
 
+	callerServer.on('listening', () => {
+		log('accepting', {accepting: true, open: requestCounter.count()});
+	});
 	callerServer.on('error', error => {
 		// The next call of `setAccepting` tries again.
 		isListening = callerServer.listening;
@@ -90,16 +93,17 @@
 
 			connections.closeIdle();
 		},
+		isAccepting: () => isListening,
 		setAccepting(isAccepting) {
 			if (hasStopped || isAccepting === isListening) {
 				return;
 			}
 
-			log('accepting', {accepting: isAccepting, open: requestCounter.count()});
 			if (isAccepting) {
 				listenAgain();
 			} else {
 				refuseConnections();
+				log('accepting', {accepting: false, open: requestCounter.count()});
 			}
 		},
 		kill() {
--- a/packages/entry/src/lib/load-sharing/create-load-leader.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-leader.ts
@@ -89,7 +89,8 @@
 			};
 		},
 		setHall(name, rows, at) {
-			halls.report(name, rows, {at, until: countsUntil(at)});
+			// Counted from now: the other hall's reports may be older than this hall's interval where that hall is larger.
+			halls.report(name, rows, {at, until: countsUntil(now())});
 		},
 		list: paces.list,
 		expire() {
--- a/packages/entry/src/lib/load-sharing/create-load-member.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-member.ts
@@ -30,7 +30,7 @@
 	readonly reportTo: (address: string) => Promise<boolean>;
 	/** Keeps a sample for the leader. */
 	readonly addSample: (sample: PaceSample) => void;
-	/** Forgets the totals if they are older than an age, in ms. */
+	/** Forgets the totals and paces if the totals are older than an age, in ms. */
 	readonly expire: (maxAgeMs: number) => void;
 	/** Follows a new list of endpoints. */
 	readonly list: () => void;
@@ -87,6 +87,8 @@
 		expire(maxAgeMs) {
 			if (now() - reportedAt > maxAgeMs) {
 				tracker.forgetOthers();
+				tracker.setPaces(new Map());
+				pacesAt = Number.NEGATIVE_INFINITY;
 			}
 		},
 		list() {
--- a/packages/entry/src/lib/load-sharing/create-load-sharing.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-sharing.ts
@@ -56,6 +56,7 @@
 	let ticks = 0;
 	let pullTicks = 0;
 	let isReporting = false;
+	let isClosed = false;
 
 	const isSelf = (address: string | undefined): boolean => address === links().self().address;
 	const intervalTicks = (): number => ticksBetweenExchanges(links().hallSize(), tickMs);
@@ -161,7 +162,7 @@
 	/** Reports to the leader or, if it does not answer, to the next one. */
 	const report = async (): Promise<void> => {
 		const address = updateLeader();
-		if (address === undefined || await member.reportTo(address)) {
+		if (address === undefined || await member.reportTo(address) || isClosed) {
 			return;
 		}
 
@@ -214,6 +215,7 @@
 			return leader.answer(from, message);
 		},
 		close() {
+			isClosed = true;
 			for (const stop of stops) {
 				stop();
 			}
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -14,6 +14,7 @@
 import {trackAttempt} from '../sending/track-attempt.js';
 import {urgencyOf} from '../sending/urgency-of.js';
 import type {AttemptEnd} from './attempt-end.js';
+import {hasServed} from './has-served.js';
 import type {HostContext} from './host-context.js';
 import type {RequestInputs} from './request-inputs.js';
 
@@ -151,10 +152,6 @@
 	return result.type === 'answered' ? receiveResponse(result.response, options, host) : result;
 };
 
-/** Whether the endpoint did the work of the request, so that its duration tells the endpoint's speed. An error may come sooner. */
-const hasServed = (end: AttemptEnd): boolean =>
-	end.type === 'streamed' || (end.type === 'whole' && isSuccessStatus(end.response.statusCode!));
-
 /**
 Makes one attempt at one endpoint, up to the end of the endpoint's response.
 
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -10,6 +10,7 @@
 import {createRequestEnd} from './create-request-end.js';
 import {decideNextStep} from './decide-next-step.js';
 import {decideOutcome} from './decide-outcome.js';
+import {hasServed} from './has-served.js';
 import type {HostContext} from './host-context.js';
 import {judgeEndpoint} from './judge-endpoint.js';
 import type {NextStep} from './next-step.js';
@@ -54,6 +55,10 @@
 			type: 'succeeded', endpoint: id, durationMs: host.now() - startedAt, outputTokens,
 		}
 		: {type: verdict, endpoint: id});
+	if (hasServed(end)) {
+		host.chooser.noteServed(id, host.now() - startedAt);
+	}
+
 	if (end.type === 'misdirected') {
 		host.endpointEnds.noteEnded(id, 'misdirected');
 	}
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -170,7 +170,7 @@
 	});
 	const endAcceptChecks = repeatByTimer(acceptCheckMs, () => {
 		servers.setAccepting(isAccepting({
-			isOverloaded: overload.isOverloaded(), openShare: loadSharing.loads.openShare(), hallHosts: peerTasks.reachableHallHosts(),
+			wasAccepting: servers.isAccepting(), isOverloaded: overload.isOverloaded(), openShare: loadSharing.loads.openShare(), hallHosts: peerTasks.reachableHallHosts(),
 		}));
 	});
 	acceptQueueMonitor.start(servers.addresses.callers);
--- a/packages/routing/src/scoring/score-by-expected-time.ts
+++ b/packages/routing/src/scoring/score-by-expected-time.ts
@@ -40,7 +40,8 @@
 Scores an endpoint by the time, in ms, after which the request is expected to have its first event there, plus the penalties of
 `scoreByAffinity` for another hall and for a warm-up. Pure.
 
-Hosts that share their load use it. An endpoint at which as many requests are open as it has slots has no capacity.
+Hosts that share their load use it. An endpoint at which as many requests are open as it has slots has no capacity, and a cold one has none to spare for
+requests that warm ones can take.
 */
 export const scoreByExpectedTime: ScoreEndpoint<ExpectedTimeRequest> = (state, request, now) => {
 	const {info} = state;
@@ -56,7 +57,7 @@
 	return {
 		endpoint: info.id,
 		cost,
-		hasCapacity: openNow < info.slots && hallMs < avoidedHallPenaltyMs,
+		hasCapacity: openNow < info.slots && hallMs < avoidedHallPenaltyMs && coldMs === 0,
 		reason() {
 			const age = ageMs === undefined ? 'none' : ageMs.toFixed(0);
 			const known = `open=${open} pending=${pendingPromptTokens.toFixed(0)} pace=${pace.toFixed(2)} age_ms=${age}`;
