Date the proof of the newest configuration by the making of a response, not by the arrival of its head

Cause: a response to a watch counted as proof of the instant at which its head came. Over a full link the head is late: a version made 0.1 s after a response whose head took 1.5 s was claimed as known 1,408 ms too early in the model, so that 404 and 401 could be told for good, and peers got the same date.

Where a link fills between two responses with changes, by more than a watch needs to stand, the proof can be wrong by that delay too, until the response comes.

--- a/packages/entry/src/adapter/store-changes.ts
+++ b/packages/entry/src/adapter/store-changes.ts
@@ -12,8 +12,8 @@
 	readonly isFollower: (topic: string) => boolean;
 	/**
 	Publishes to peers what this host has seen of a topic: it knows all changes up to the store's revision `at`, and the last one was
-	at the revision `changedAt` or before. The store made the response that shows it at the instant `confirmedAt` or later. This holds until
-	the instant `validUntil` or until the next call. Both instants are elapsed ms.
+	at the revision `changedAt` or before. It got all changes that the store made before the instant `confirmedAt`. This holds until the
+	instant `validUntil` or until the next call. Both instants are elapsed ms.
 
 	@param seen `undefined` while this host cannot follow the topic.
 	*/
