Refuse for good by no word from before a pause

Cause: since draws from an empty store pause for up to 2 s, a record or an allocator's report of up to 2.5 s made a refusal final (402) although other hosts may have returned rights in the meantime. Before, an empty record kept draws off for 300 ms only.

Ruled out: shorter pauses (they are there for fewer calls); marking each request while a pause holds (the request whose own draw or question began the pause has a fresh word).

Change: where a pause kept the host from asking its allocators or the store, a record or report counts for 300 ms; an allocator whose pause kept it from the store reports nothing older, and a client then forgets its earlier report.

--- a/packages/entry/src/lib/lending/create-borrower.ts
+++ b/packages/entry/src/lib/lending/create-borrower.ts
@@ -79,6 +79,9 @@
 		loanPauses.note(source, budget, {...outcome, isEnough});
 		if (outcome.left) {
 			reports.set(budget, {left: outcome.left, askedAt});
+		} else if (outcome.hasReachedStore) {
+			// An allocator that does not know what is left takes its earlier word back.
+			reports.delete(budget);
 		}
 
 		return outcome.hasReachedStore;
@@ -130,10 +133,10 @@
 			waitingNeeds.set(need.budget, waitingFor(need.budget).filter(entry => entry !== need));
 			return hasReachedStore;
 		},
-		isExhausted(budget, missing, version) {
+		isExhausted({budget, missing, version, isSkipped}) {
 			const report = reports.get(budget);
 			return isReportedExhausted({
-				left: report?.left, askedMsAgo: now() - (report?.askedAt ?? 0), version, missing,
+				left: report?.left, askedMsAgo: now() - (report?.askedAt ?? 0), isSkipped, version, missing,
 			});
 		},
 		collect: async () => loanClient.collect(),
--- a/packages/entry/src/lib/lending/is-reported-exhausted.ts
+++ b/packages/entry/src/lib/lending/is-reported-exhausted.ts
@@ -1,4 +1,4 @@
-import {maxViewAgeMs} from '../rights-store/max-view-age-ms.js';
+import {maxProofAgeMs} from '../rights/max-proof-age-ms.js';
 import type {ReportedLeft} from './reported-left.js';
 
 type Inputs = {
@@ -6,6 +6,8 @@
 	readonly left: ReportedLeft | undefined;
 	/** How long ago the allocator was asked, in ms. */
 	readonly askedMsAgo: number;
+	/** Whether a pause kept this host from asking the store or its allocators. */
+	readonly isSkipped: boolean;
 	/** The version of the configuration that this host serves by. */
 	readonly version: number;
 	/** What the request lacks beyond the rights that this host has, in tokens. */
@@ -18,5 +20,5 @@
 The word counts for as long as a record of the store that this host had read itself. An allocator that does not know the newest configuration
 may miss a top-up, so its word does not count.
 */
-export const isReportedExhausted = ({left, askedMsAgo, version, missing}: Inputs): boolean =>
-	left !== undefined && left.version >= version && left.ageMs + askedMsAgo < maxViewAgeMs && left.tokens < missing;
+export const isReportedExhausted = ({left, askedMsAgo, isSkipped, version, missing}: Inputs): boolean =>
+	left !== undefined && left.version >= version && left.ageMs + askedMsAgo < maxProofAgeMs(isSkipped) && left.tokens < missing;
--- a/packages/entry/src/lib/rights/create-rights-acquirer.ts
+++ b/packages/entry/src/lib/rights/create-rights-acquirer.ts
@@ -23,7 +23,7 @@
 	readonly loanPauses: LoanPauses;
 	readonly writer: SlotWriter;
 	readonly queue: DrawQueue;
-	readonly balancer: Pick<RightsBalancer, 'mayDraw'>;
+	readonly balancer: Pick<RightsBalancer, 'mayDraw' | 'isStorePaused'>;
 	/** Finds a peer by its name as a holder of rights. */
 	readonly peerOf: (holder: string) => ListedPeer | undefined;
 	/** The version of the configuration that states the limits. */
@@ -65,21 +65,28 @@
 		return isEnough;
 	};
 
-	const isExhausted: RightsAcquirer['isExhausted'] = (budget, tokens) => isBudgetExhausted({
-		rights: writer.rightsOf(budget), ageMs: writer.rightsAgeMs(budget), holder, hasClients: allocators.hasClients(budget), tokens,
-	}) || borrower.isExhausted(budget, tokens - accounts.available(budget), limitsVersion());
+	const isExhausted = (budget: string, tokens: number, isSkipped: boolean): boolean => isBudgetExhausted({
+		rights: writer.rightsOf(budget), ageMs: writer.rightsAgeMs(budget), isSkipped, holder, hasClients: allocators.hasClients(budget), tokens,
+	}) || borrower.isExhausted({
+		budget, missing: tokens - accounts.available(budget), version: limitsVersion(), isSkipped,
+	});
+
+	const areAllocatorsPaused = (budget: string): boolean => loanPauses.current('allocators', budget) !== undefined;
 
 	return {
-		isExhausted,
+		isExhausted: (budget, tokens) => isExhausted(budget, tokens, balancer.isStorePaused(budget) || areAllocatorsPaused(budget)),
 		async acquire({budget, tokens, deadline, priority}) {
 			let lastSource: RightsSource | undefined;
 			let hasReachedStore = false;
+			let hasDrawn = false;
+			let isSkipped = false;
 			while (!accounts.tryReserve(budget, tokens)) {
 				lastSource = decideRightsSource({
 					lastSource, isRetiring: isRetiring(), isAllocator: allocators.isAllocator(budget), hasReachedStore, mayDraw: balancer.mayDraw(budget),
 				});
+				isSkipped ||= lastSource === 'allocators' ? areAllocatorsPaused(budget) : lastSource !== 'store' && !hasDrawn && balancer.isStorePaused(budget);
 				if (lastSource === undefined) {
-					return isExhausted(budget, tokens) ? 'exhausted' : 'unavailable';
+					return isExhausted(budget, tokens, isSkipped) ? 'exhausted' : 'unavailable';
 				}
 
 				if (lastSource === 'allocators') {
@@ -88,8 +95,11 @@
 					});
 				} else if (lastSource === 'holders') {
 					await borrowFromHolders(budget, tokens, deadline);
-				} else if (await draw(budget, tokens, Math.min(deadline, now() + timeouts.storeMs))) {
-					return 'reserved';
+				} else {
+					hasDrawn = true;
+					if (await draw(budget, tokens, Math.min(deadline, now() + timeouts.storeMs))) {
+						return 'reserved';
+					}
 				}
 			}
 
--- a/packages/entry/src/lib/rights/create-rights-manager.ts
+++ b/packages/entry/src/lib/rights/create-rights-manager.ts
@@ -13,7 +13,6 @@
 import {createShortageLog} from '../rights-store/create-shortage-log.js';
 import {createSlotWriter} from '../rights-store/create-slot-writer.js';
 import {createStoreState} from '../rights-store/create-store-state.js';
-import {maxViewAgeMs} from '../rights-store/max-view-age-ms.js';
 import {slotCount} from '../rights-store/slot-count.js';
 import {createBudgetPacer} from '../budget-pacing/create-budget-pacer.js';
 import {createRestoreRecovery} from '../rights-store/create-restore-recovery.js';
@@ -21,6 +20,7 @@
 import {createAccounts} from './create-accounts.js';
 import {createRightsAcquirer} from './create-rights-acquirer.js';
 import {holdingPolicySettings} from './holding-policy-settings.js';
+import {maxProofAgeMs} from './max-proof-age-ms.js';
 import {mostTokensLeft} from './most-tokens-left.js';
 import {planDrawAmount} from './plan-draw-amount.js';
 import {planHorizon} from './plan-horizon.js';
@@ -104,7 +104,7 @@
 	const leftOf = (budget: string): ReportedLeft | undefined => {
 		const rights = writer.rightsOf(budget);
 		const ageMs = writer.rightsAgeMs(budget);
-		return rights && ageMs < maxViewAgeMs
+		return rights && ageMs < maxProofAgeMs(balancer.isStorePaused(budget))
 			? {tokens: mostTokensLeft({rights, holder, hasClients: allocators.hasClients(budget)}), ageMs, version: limits.version}
 			: undefined;
 	};
--- a/packages/entry/src/lib/rights/is-budget-exhausted.ts
+++ b/packages/entry/src/lib/rights/is-budget-exhausted.ts
@@ -1,5 +1,5 @@
 import type {BudgetRights} from '@deckwheel/ledger';
-import {maxViewAgeMs} from '../rights-store/max-view-age-ms.js';
+import {maxProofAgeMs} from './max-proof-age-ms.js';
 import {mostTokensLeft} from './most-tokens-left.js';
 
 type Inputs = {
@@ -7,6 +7,8 @@
 	readonly rights: BudgetRights | undefined;
 	/** Age of that record, in ms. */
 	readonly ageMs: number;
+	/** Whether a pause kept this host from asking the store or its allocators. */
+	readonly isSkipped: boolean;
 	/** The name of this incarnation of the host as a holder of rights. */
 	readonly holder: string;
 	/** Whether this host draws the budget's rights for hosts that do not write to the store. */
@@ -23,5 +25,5 @@
 organisation that sends many times its usual demand would be told to retry over and over: 491 of 639 refusals of a quiet day went to one
 such organisation.
 */
-export const isBudgetExhausted = ({rights, ageMs, holder, hasClients, tokens}: Inputs): boolean =>
-	rights !== undefined && ageMs < maxViewAgeMs && mostTokensLeft({rights, holder, hasClients}) < tokens;
+export const isBudgetExhausted = ({rights, ageMs, isSkipped, holder, hasClients, tokens}: Inputs): boolean =>
+	rights !== undefined && ageMs < maxProofAgeMs(isSkipped) && mostTokensLeft({rights, holder, hasClients}) < tokens;
--- a/packages/entry/src/lib/rights/may-draw.ts
+++ b/packages/entry/src/lib/rights/may-draw.ts
@@ -1,10 +1,5 @@
 import {unallocated, type BudgetRights} from '@deckwheel/ledger';
-
-/**
-How long no draw is made after the store's record showed nothing left of a budget, in ms. After that time other hosts may have returned
-rights to the store.
-*/
-const emptyStoreTrustMs = 300;
+import {emptyStoreTrustMs} from './empty-store-trust-ms.js';
 
 type Inputs = {
 	/** The store's record of the budget; `undefined` if this host has never read it. */
--- a/packages/entry/src/lib/rights/start-rights-balancer.ts
+++ b/packages/entry/src/lib/rights/start-rights-balancer.ts
@@ -141,9 +141,11 @@
 	let timer = setTimeout(() => {
 		timer = setInterval(tick, checkIntervalMs);
 	}, Math.random() * checkIntervalMs);
+	const isStorePaused: RightsBalancer['isStorePaused'] = budget => loanPauses.current('store', budget) !== undefined;
 	return {
+		isStorePaused,
 		mayDraw: budget => !isDrawPaused() && mayDraw({
-			rights: writer.rightsOf(budget), ageMs: writer.rightsAgeMs(budget), isPaused: loanPauses.current('store', budget) !== undefined,
+			rights: writer.rightsOf(budget), ageMs: writer.rightsAgeMs(budget), isPaused: isStorePaused(budget),
 			mayCall: state.mayCall(), isRetiring: isRetiring(),
 		}),
 		close() {
