Pause draws from an empty store only in halls with clients

Cause: the pause of up to 2 s held for every host that drew. In a small hall each host draws for itself and finds by it what others return; there it was to decide as before.

Ruled out: noting no pause in small halls (a hall changes while a pause runs; what counts is whether it holds when it is asked for).

Change: the balancer sees a pause only where this host has clients.

Test: in a hall of four hosts each host draws again once its record is 300 ms old; before, none did.

Conclusion: a client that draws itself, since it reaches no allocator, is not paused either, as before the pauses.

--- a/packages/entry/src/lib/rights/start-rights-balancer.ts
+++ b/packages/entry/src/lib/rights/start-rights-balancer.ts
@@ -141,7 +141,8 @@
 	let timer = setTimeout(() => {
 		timer = setInterval(tick, checkIntervalMs);
 	}, Math.random() * checkIntervalMs);
-	const isStorePaused: RightsBalancer['isStorePaused'] = budget => loanPauses.current('store', budget) !== undefined;
+	// Only allocators of a hall with clients draw so often that pauses are needed.
+	const isStorePaused: RightsBalancer['isStorePaused'] = budget => allocators.hasClients(budget) && loanPauses.current('store', budget) !== undefined;
 	return {
 		isStorePaused,
 		mayDraw: budget => !isDrawPaused() && mayDraw({
--- a/packages/entry/src/test/loan-pauses.test.ts
+++ b/packages/entry/src/test/loan-pauses.test.ts
@@ -84,11 +84,13 @@
 });
 
 const hostCount = 12;
+/** The hosts of a small hall, in which each host draws for itself. */
+const smallHostCount = 4;
 const requestTokens = 500;
 const limit = 20 * requestTokens;
 
-/** Starts a large hall whose budget is reserved whole. */
-const startEmptyHall = async () => {
+/** Starts a hall, a large one by default, whose budget is reserved whole. */
+const startEmptyHall = async (count = hostCount) => {
 	let time = 0;
 	const store = createMemoryRightsStore();
 	let writes = 0;
@@ -99,7 +101,7 @@
 			return store.write(slot, rights, revision);
 		},
 	};
-	const hosts = startRightsManagers(hostCount, countingStore, limit, () => time);
+	const hosts = startRightsManagers(count, countingStore, limit, () => time);
 	kills.push(...hosts.map(({kill}) => kill));
 
 	/** Lets each host reserve one request, and returns the hosts that could. */
@@ -166,6 +168,21 @@
 	t.true(writes <= 2 * (3 + (seconds / 2)));
 });
 
+// Guards against rules of large halls in small ones, whose hosts find rights that others return by drawing.
+test('in a small hall an empty store is drawn from again once its record is 300 ms old', async t => {
+	const {reserveAtAll, writeCount, advance} = await startEmptyHall(smallHostCount);
+	for (let round = 0; round < 20; round++) {
+		await reserveAtAll();
+	}
+
+	for (let round = 0; round < 5; round++) {
+		advance(300);
+		const writesBefore = writeCount();
+		await reserveAtAll();
+		t.true(writeCount() - writesBefore >= smallHostCount);
+	}
+});
+
 // Guards against refusals that go on after rights have come back.
 test('rights that another host releases are found within 2 s, and those of a top-up at once', async t => {
 	const {hosts, holders, reserveAtAll, advance} = await startEmptyHall();
