Count what a host's own account gained since its last write

Cause: what is left of a budget was estimated by the store's record alone. Rights that clients had handed back since the last write of an allocator, or that its open requests had released, counted as spent, so it could refuse for good, or have its clients refused, what it could serve.

Ruled out: adding what the account has available (what is recorded as held would count twice).

Change: the host's account takes the place of its entry in the record before anything is derived from it (putOwnEntry). What it spent since counts at once too.

Test: an account that gained 200 tokens adds 200, one that released 20 adds 20; before, neither did. The older tests pass the account that matches the entry; their bounds are the same.

--- a/packages/entry/src/lib/rights/create-rights-acquirer.ts
+++ b/packages/entry/src/lib/rights/create-rights-acquirer.ts
@@ -66,7 +66,13 @@
 	};
 
 	const isExhausted = (budget: string, tokens: number, isSkipped: boolean): boolean => isBudgetExhausted({
-		rights: writer.rightsOf(budget), ageMs: writer.rightsAgeMs(budget), isSkipped, holder, hasClients: allocators.hasClients(budget), tokens,
+		rights: writer.rightsOf(budget),
+		ageMs: writer.rightsAgeMs(budget),
+		isSkipped,
+		holder,
+		account: accounts.get(budget),
+		hasClients: allocators.hasClients(budget),
+		tokens,
 	}) || borrower.isExhausted({
 		budget, missing: tokens - accounts.available(budget), version: limitsVersion(), isSkipped,
 	});
--- a/packages/entry/src/lib/rights/create-rights-manager.ts
+++ b/packages/entry/src/lib/rights/create-rights-manager.ts
@@ -105,7 +105,13 @@
 		const rights = writer.rightsOf(budget);
 		const ageMs = writer.rightsAgeMs(budget);
 		return rights && ageMs < maxProofAgeMs(balancer.isStorePaused(budget))
-			? {tokens: mostTokensLeft({rights, holder, hasClients: allocators.hasClients(budget)}), ageMs, version: limits.version}
+			? {
+				tokens: mostTokensLeft({
+					rights, holder, account: accounts.get(budget), hasClients: allocators.hasClients(budget),
+				}),
+				ageMs,
+				version: limits.version,
+			}
 			: undefined;
 	};
 
--- a/packages/entry/src/lib/rights/is-budget-exhausted.ts
+++ b/packages/entry/src/lib/rights/is-budget-exhausted.ts
@@ -1,5 +1,6 @@
 import type {BudgetRights} from '@deckwheel/ledger';
 import {maxProofAgeMs} from './max-proof-age-ms.js';
+import type {HostAccount} from './host-account.js';
 import {mostTokensLeft} from './most-tokens-left.js';
 
 type Inputs = {
@@ -11,6 +12,8 @@
 	readonly isSkipped: boolean;
 	/** The name of this incarnation of the host as a holder of rights. */
 	readonly holder: string;
+	/** This host's own account of the budget. */
+	readonly account: HostAccount;
 	/** Whether this host draws the budget's rights for hosts that do not write to the store. */
 	readonly hasClients: boolean;
 	/** What the request needs, in tokens. */
@@ -25,5 +28,7 @@
 organisation that sends many times its usual demand would be told to retry over and over: 491 of 639 refusals of a quiet day went to one
 such organisation.
 */
-export const isBudgetExhausted = ({rights, ageMs, isSkipped, holder, hasClients, tokens}: Inputs): boolean =>
-	rights !== undefined && ageMs < maxProofAgeMs(isSkipped) && mostTokensLeft({rights, holder, hasClients}) < tokens;
+export const isBudgetExhausted = ({rights, ageMs, isSkipped, holder, account, hasClients, tokens}: Inputs): boolean =>
+	rights !== undefined && ageMs < maxProofAgeMs(isSkipped) && mostTokensLeft({
+		rights, holder, account, hasClients,
+	}) < tokens;
--- a/packages/entry/src/test/exhausted-in-a-large-hall.test.ts
+++ b/packages/entry/src/test/exhausted-in-a-large-hall.test.ts
@@ -8,7 +8,9 @@
 import {slotOfBudget, type BudgetRights, type HolderRights} from '@deckwheel/ledger';
 import {isReportedExhausted} from '../lib/lending/is-reported-exhausted.js';
 import {rankAllocators} from '../lib/lending/rank-allocators.js';
+import {emptyHostAccount} from '../lib/rights/empty-host-account.js';
 import {mostTokensLeft} from '../lib/rights/most-tokens-left.js';
+import type {HostAccount} from '../lib/rights/host-account.js';
 import {slotCount} from '../lib/rights-store/slot-count.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {seedRandom} from './lib/seed-random.js';
@@ -140,17 +142,37 @@
 	}));
 });
 
+const lender: HolderRights = {
+	epoch: 0, granted: 900, transferred: -700, rate: 100, settled: 150, billed: 150, reserved: 20,
+};
+/** The lender's account, as in its entry. */
+const lenderAccount: HostAccount = {
+	...emptyHostAccount, granted: 900, given: new Map([['b#1', 700]]), settled: 150, reserved: 20,
+};
+const lenderRights: BudgetRights = {
+	organisation: 'org', limit: 1000, topUps: [], holders: {'a#1': lender},
+};
+
 test('of what was lent to hosts without an entry, 3 s of the demand count as left', t => {
-	const lender: HolderRights = {
-		epoch: 0, granted: 900, transferred: -700, rate: 100, settled: 150, billed: 150, reserved: 20,
-	};
-	const rights: BudgetRights = {
-		organisation: 'org', limit: 1000, topUps: [], holders: {'a#1': lender},
+	const inputs = {
+		rights: lenderRights, holder: 'a#1', account: lenderAccount, hasClients: true,
 	};
 	// 100 unallocated, 50 held, 300 kept by clients, 20 reserved.
-	const left = mostTokensLeft({rights, holder: 'a#1', hasClients: true});
+	const left = mostTokensLeft(inputs);
 	// Rates are recorded in steps of up to a tenth.
 	t.true(left > 400 && left <= 430, `${left}`);
-	t.is(mostTokensLeft({rights: {...rights, holders: {'a#1': {...lender, rate: 1000}}}, holder: 'a#1', hasClients: true}), 830, 'no more than was not spent');
-	t.is(mostTokensLeft({rights, holder: 'a#1', hasClients: false}), 830);
+	t.is(mostTokensLeft({...inputs, rights: {...lenderRights, holders: {'a#1': {...lender, rate: 1000}}}}), 830, 'no more than was not spent');
+	t.is(mostTokensLeft({...inputs, hasClients: false}), 830);
+});
+
+// Guards against final refusals at an allocator that has just got rights back.
+test('what the account of a host gained or spent since its last write counts at once', t => {
+	const leftBy = (account: HostAccount): number => mostTokensLeft({
+		rights: lenderRights, holder: 'a#1', account, hasClients: true,
+	});
+	const left = leftBy(lenderAccount);
+	t.is(leftBy({...lenderAccount, received: new Map([['b#1', 200]])}), left + 200, 'handed back by a client');
+	t.is(leftBy({...lenderAccount, reserved: 0}), left + 20, 'released');
+	t.is(leftBy({...lenderAccount, reserved: 0, settled: 170}), left, 'spent');
+	t.is(leftBy({...lenderAccount, granted: 880}), left, 'about to be given back to the store');
 });
--- a/packages/entry/src/test/refuse-for-lack-of-rights.test.ts
+++ b/packages/entry/src/test/refuse-for-lack-of-rights.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type {BudgetRights, HolderRights} from '@deckwheel/ledger';
 import {rankHolders} from '../lib/lending/rank-holders.js';
+import {emptyHostAccount} from '../lib/rights/empty-host-account.js';
 import {isBudgetExhausted} from '../lib/rights/is-budget-exhausted.js';
 import {planRetryAfter} from '../lib/rights/plan-retry-after.js';
 
@@ -10,10 +11,12 @@
 const rights: BudgetRights = {
 	organisation: 'org', limit: 1000, topUps: [], holders: {'a#1': holder(300, 250), 'b#1': holder(400, 100), 'c#1': holder(200, 190)},
 };
+/** The account of the host that asks, as in its entry. */
+const account = {...emptyHostAccount, granted: 300, settled: 250};
 
 test('a refusal is final only if a fresh record proves it, and what other hosts hold counts as left', t => {
 	const inputs = {
-		rights, ageMs: 0, isSkipped: false, holder: 'a#1', hasClients: false, tokens: 461,
+		rights, ageMs: 0, isSkipped: false, holder: 'a#1', account, hasClients: false, tokens: 461,
 	};
 	t.true(isBudgetExhausted(inputs));
 	t.false(isBudgetExhausted({...inputs, tokens: 460}));
@@ -31,7 +34,7 @@
 	const {holders} = rights;
 	const busy = {...rights, holders: {...holders, 'b#1': {...holders['b#1']!, reserved: 290}}};
 	const inputs = {
-		rights: busy, ageMs: 0, isSkipped: false, holder: 'a#1', hasClients: false,
+		rights: busy, ageMs: 0, isSkipped: false, holder: 'a#1', account, hasClients: false,
 	};
 	t.true(isBudgetExhausted({...inputs, tokens: 171}));
 	t.false(isBudgetExhausted({...inputs, tokens: 170}));
