--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -1,3 +1,4 @@
+import {succeed, type Result} from '@deckwheel/core';
 import type {LinkError, Mesh} from '@deckwheel/mesh';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {Log} from '../../adapter/log.js';
@@ -57,23 +58,36 @@
 		silentPeers.add(address);
 	};
 
-	const requestLoan = async (link: Mesh, peer: ListedPeer, message: LoanMessage, timeoutMs: number): Promise<LoanReply | undefined> => {
+	/** Asks a peer, and takes in the total that it tells. A reply that cannot be read tells none. */
+	const askForTotal = async (link: Mesh, peer: ListedPeer, message: LoanMessage, timeoutMs: number): Promise<Result<LoanReply | undefined, LinkError>> => {
 		const {address} = peer;
 		const reply = await link.request(address, message, timeoutMs);
 		if (!reply.ok) {
-			missingReplies.note(peer, message.budget);
-			noteSilence(address, reply.error);
-			return undefined;
+			return reply;
 		}
 
-		silentPeers.delete(address);
-		missingReplies.end(peer, message.budget);
 		const loan = readPeerReply(loanReplySchema, reply.value, {address, type: message.type}, log);
 		if (loan) {
+			missingReplies.end(peer, message.budget);
 			onLoan(message.budget, loan.lender, loan.total);
 		}
 
-		return loan;
+		return succeed(loan);
+	};
+
+	const requestLoan = async (link: Mesh, peer: ListedPeer, message: LoanMessage, timeoutMs: number): Promise<LoanReply | undefined> => {
+		const loan = await askForTotal(link, peer, message, timeoutMs);
+		if (loan.ok) {
+			silentPeers.delete(peer.address);
+			return loan.value;
+		}
+
+		if (loan.error === 'unknown') {
+			missingReplies.note(peer, message.budget);
+		}
+
+		noteSilence(peer.address, loan.error);
+		return undefined;
 	};
 
 	return {
@@ -110,17 +124,11 @@
 		},
 		async collect() {
 			const link = mesh();
-			await Promise.all(missingReplies.next(maxCollected).map(async ({peer, budget}) => {
-				const message = {
+			if (link) {
+				await Promise.all(missingReplies.next(maxCollected).map(async ({peer, budget}) => askForTotal(link, peer, {
 					type: 'lend', budget, tokens: leastTokens, demanded: 0, received: receivedFrom(budget, peer.holder),
-				} as const;
-				const reply = await link?.request(peer.address, message, replyTimeoutMs);
-				const loan = reply?.ok ? readPeerReply(loanReplySchema, reply.value, {address: peer.address, type: message.type}, log) : undefined;
-				if (loan) {
-					missingReplies.end(peer, budget);
-					onLoan(budget, loan.lender, loan.total);
-				}
-			}));
+				}, replyTimeoutMs)));
+			}
 		},
 		async handBack({address, holder}, budget, total) {
 			const reply = await mesh()?.request(address, {
