Keep the time to come back after an outage within its bound

Cause: a refusal for lack of rights names the length of the store's outage, up to 30 s; it was then spread over half as long again, up to 45 s.

Ruled out: a bound in the spreading itself (it does not know whose time it spreads).

Change: only the usual time is spread (refuseForRights).

Conclusion: callers who are told the length of an outage come back together, as with other stated times.

--- a/packages/entry/src/lib/request/create-reservation.ts
+++ b/packages/entry/src/lib/request/create-reservation.ts
@@ -1,5 +1,6 @@
 import type {AdmittedRequest} from '../admission/admitted-request.js';
 import {hostRefusals} from '../admission/host-refusals.js';
+import {refuseForRights} from '../admission/refuse-for-rights.js';
 import type {HostContext} from './host-context.js';
 import type {Reservation} from './reservation.js';
 
@@ -29,7 +30,7 @@
 				return hostRefusals.budgetKept;
 			}
 
-			return outcome === 'exhausted' ? hostRefusals.budgetExhausted : {...hostRefusals.rightsUnavailable, retryAfterSeconds: rights.retryAfterSeconds()};
+			return outcome === 'exhausted' ? hostRefusals.budgetExhausted : refuseForRights(rights.retryAfterSeconds());
 		},
 		reserved: () => reserved,
 		settle(charged) {
