--- a/packages/entry/src/lib/rights/most-tokens-left.ts
+++ b/packages/entry/src/lib/rights/most-tokens-left.ts
@@ -21,7 +21,7 @@
 
 What was lent to hosts that write no entry may have been spent or not. Those hosts keep no more than `maxKeptSeconds` of their demand and hand back
 the rest, and their demand is part of the rates in the record. So about that much of it can be left, apart from remainders that are not worth
-handing back.
+handing back. Worst cases of requests that are open at clients count as spent, since no record tells them apart from what was spent.
 */
 export const mostTokensLeft = ({rights: recorded, holder, account, hasClients}: Inputs): number => {
 	const rights = putOwnEntry(recorded, holder, account);
