Let no own older record make final what an allocator does not know

Cause: a host whose allocator reaches the store does not ask the store. Where that allocator did not ask either, because of a pause, and so told nothing of what is left, the host's own record from before (of a time when it drew itself) still made the refusal final.

Ruled out: the same bound for the allocator's word (it comes with its age, and was asked for).

Test: a client that drew itself for a moment said 'exhausted' half a second later, while both allocators paused; now 'unavailable'.

--- a/packages/entry/src/lib/rights/create-rights-acquirer.ts
+++ b/packages/entry/src/lib/rights/create-rights-acquirer.ts
@@ -35,6 +35,14 @@
 	readonly now: () => number;
 };
 
+/** Why a host did not ask a source for a request. */
+type Skipped = {
+	/** Whether a pause kept it from asking the store or its allocators. */
+	readonly isPaused: boolean;
+	/** Whether an allocator replied that reaches the store. The host then does not ask the store, and the allocator's word is newer than its own record. */
+	readonly hasReachedStore: boolean;
+};
+
 /**
 Creates the acquirer of a host's rights. It tries the sources of rights in the order of `decideRightsSource`.
 */
@@ -65,34 +73,34 @@
 		return isEnough;
 	};
 
-	const isExhausted = (budget: string, tokens: number, isSkipped: boolean): boolean => isBudgetExhausted({
+	const isExhausted = (budget: string, tokens: number, {isPaused, hasReachedStore}: Skipped): boolean => isBudgetExhausted({
 		rights: writer.rightsOf(budget),
 		ageMs: writer.rightsAgeMs(budget),
-		isSkipped,
+		isSkipped: isPaused || hasReachedStore,
 		holder,
 		account: accounts.get(budget),
 		hasClients: allocators.hasClients(budget),
 		tokens,
 	}) || borrower.isExhausted({
-		budget, missing: tokens - accounts.available(budget), version: limitsVersion(), isSkipped,
+		budget, missing: tokens - accounts.available(budget), version: limitsVersion(), isSkipped: isPaused,
 	});
 
 	const areAllocatorsPaused = (budget: string): boolean => loanPauses.current('allocators', budget) !== undefined;
 
 	return {
-		isExhausted: (budget, tokens) => isExhausted(budget, tokens, balancer.isStorePaused(budget) || areAllocatorsPaused(budget)),
+		isExhausted: (budget, tokens) => isExhausted(budget, tokens, {isPaused: balancer.isStorePaused(budget) || areAllocatorsPaused(budget), hasReachedStore: false}),
 		async acquire({budget, tokens, deadline, priority}) {
 			let lastSource: RightsSource | undefined;
 			let hasReachedStore = false;
 			let hasDrawn = false;
-			let isSkipped = false;
+			let isPaused = false;
 			while (!accounts.tryReserve(budget, tokens)) {
 				lastSource = decideRightsSource({
 					lastSource, isRetiring: isRetiring(), isAllocator: allocators.isAllocator(budget), hasReachedStore, mayDraw: balancer.mayDraw(budget),
 				});
-				isSkipped ||= lastSource === 'allocators' ? areAllocatorsPaused(budget) : lastSource !== 'store' && !hasDrawn && balancer.isStorePaused(budget);
+				isPaused ||= lastSource === 'allocators' ? areAllocatorsPaused(budget) : lastSource !== 'store' && !hasDrawn && balancer.isStorePaused(budget);
 				if (lastSource === undefined) {
-					return isExhausted(budget, tokens, isSkipped) ? 'exhausted' : 'unavailable';
+					return isExhausted(budget, tokens, {isPaused, hasReachedStore}) ? 'exhausted' : 'unavailable';
 				}
 
 				if (lastSource === 'allocators') {
--- a/packages/entry/src/lib/rights/is-budget-exhausted.ts
+++ b/packages/entry/src/lib/rights/is-budget-exhausted.ts
@@ -8,7 +8,7 @@
 	readonly rights: BudgetRights | undefined;
 	/** Age of that record, in ms. */
 	readonly ageMs: number;
-	/** Whether a pause kept this host from asking the store or its allocators. */
+	/** Whether this host did not ask the store for the request, because of a pause or since it asked an allocator. */
 	readonly isSkipped: boolean;
 	/** The name of this incarnation of the host as a holder of rights. */
 	readonly holder: string;
--- a/packages/entry/src/test/exhausted-in-a-large-hall.test.ts
+++ b/packages/entry/src/test/exhausted-in-a-large-hall.test.ts
@@ -35,7 +35,11 @@
 	readonly clients: readonly HostWithRights[];
 	/** The host that is asked first. */
 	readonly allocator: HostWithRights;
-	/** Tries to reserve a request, and lets the time between two requests pass. */
+	/** Both hosts that draw. */
+	readonly allocators: readonly HostWithRights[];
+	/** Tries to reserve a request at several hosts at once, and lets the time between two requests pass. */
+	readonly reserveAtAll: (hosts: readonly HostWithRights[]) => Promise<readonly string[]>;
+	/** The same at one host. */
 	readonly reserve: (host: HostWithRights) => Promise<string>;
 	/** Lets time pass without requests. */
 	readonly pass: (ms: number) => Promise<void>;
@@ -56,13 +60,14 @@
 		}
 	};
 
-	const reserve = async ({rights}: HostWithRights): Promise<string> => {
-		let outcome: string | undefined;
-		void (async () => {
-			outcome = await rights.reserve('org', requestTokens, timers.now() + requestGapMs, undefined);
-		})();
-
+	const reserveAtAll: UsedUpHall['reserveAtAll'] = async asked => {
+		const results = asked.map(async ({rights}) => rights.reserve('org', requestTokens, timers.now() + requestGapMs, undefined));
 		await pass(requestGapMs);
+		return Promise.all(results);
+	};
+
+	const reserve = async (host: HostWithRights): Promise<string> => {
+		const [outcome] = await reserveAtAll([host]);
 		return outcome!;
 	};
 
@@ -70,8 +75,9 @@
 		outcomes.push(await reserve(clients[0]!));
 	}
 
+	const allocators = ranked.map(holder => hosts.find(({peer}) => peer === holder)!);
 	await playMore({
-		clients, allocator: hosts.find(({peer}) => peer === ranked[0])!, reserve, pass,
+		clients, allocator: allocators[0]!, allocators, reserveAtAll, reserve, pass,
 	});
 	for (const {kill} of hosts) {
 		kill();
@@ -95,26 +101,53 @@
 	t.true(outcomes.includes('exhausted'));
 });
 
-test.serial('no host refuses for good by a word from before a pause that keeps it or its allocator from asking', async t => {
-	await playUsedUpHall(async ({clients: [client, otherClient], allocator, reserve}) => {
-		const reserveUntilExhausted = async (host: HostWithRights): Promise<void> => {
-			for (let request = 0; request < 10; request++) {
-				if (await reserve(host) === 'exhausted') {
-					return;
-				}
-			}
+const reserveUntilExhausted = async (host: HostWithRights, {reserve}: UsedUpHall): Promise<boolean> => {
+	for (let request = 0; request < 10; request++) {
+		if (await reserve(host) === 'exhausted') {
+			return true;
+		}
+	}
 
-			t.fail('a host that asks learns that nothing is left');
-		};
+	return false;
+};
 
-		await reserveUntilExhausted(client!);
+test.serial('no host refuses for good by a word from before a pause that keeps it or its allocator from asking', async t => {
+	await playUsedUpHall(async hall => {
+		const {clients: [client, otherClient], allocator, reserve} = hall;
+		t.true(await reserveUntilExhausted(client!, hall), 'a host that asks learns that nothing is left');
 		t.is(await reserve(client!), 'unavailable', 'the client does not ask');
 		t.is(await reserve(otherClient!), 'unavailable', 'the allocator does not ask the store for it');
-		await reserveUntilExhausted(allocator);
+		t.true(await reserveUntilExhausted(allocator, hall));
 		t.is(await reserve(allocator), 'unavailable', 'the allocator does not ask the store');
 	});
 });
 
+test.serial('a client does not refuse for good by its own older record while its allocator does not ask the store', async t => {
+	const faults = {losesReplies: false, isStoreDown: false};
+	await playUsedUpHall(async hall => {
+		const {clients, allocators, reserveAtAll, reserve} = hall;
+		const setReach = (isUnreachable: boolean): void => {
+			for (const {setFaults} of allocators) {
+				setFaults({...faults, isUnreachable});
+			}
+		};
+
+		const [standIn] = rankAllocators(slotOfBudget('org', slotCount), clients.map(({peer}) => peer), hallSize);
+		const client = clients.find(({peer}) => peer === standIn)!;
+		// Requests at both allocators lengthen their pauses, until both have just drawn.
+		let outcomes: readonly string[] = [];
+		for (let round = 0; round < 20 && (round < 10 || outcomes.some(outcome => outcome !== 'exhausted')); round++) {
+			outcomes = await reserveAtAll(allocators);
+		}
+
+		t.deepEqual(outcomes, ['exhausted', 'exhausted']);
+		setReach(true);
+		t.is(await reserve(client), 'exhausted', 'it draws itself');
+		setReach(false);
+		t.is(await reserve(client), 'unavailable');
+	});
+});
+
 test.serial('a client that knows of a top-up does not take the word of an allocator that does not', async t => {
 	await playUsedUpHall(async ({clients: [client], reserve, pass}) => {
 		await pass(pastPausesMs);
