--- /dev/null
+++ b/packages/entry/src/lib/host/caller-listener.ts
@@ -0,0 +1,11 @@
+/** What opens and closes the listening socket at which the server for callers accepts their connections. */
+export type CallerListener = {
+	/** Whether connections are accepted. */
+	readonly isAccepting: () => boolean;
+	/** Accepts connections, or refuses them until the next call. The connections that are open stay. Does nothing once the listener stopped. */
+	readonly setAccepting: (isAccepting: boolean) => void;
+	/** Refuses connections for good. The connections that are open stay. */
+	readonly stop: () => void;
+	/** Closes the server and all its connections at once. */
+	readonly kill: () => void;
+};
--- a/packages/entry/src/lib/host/start-servers.ts
+++ b/packages/entry/src/lib/host/start-servers.ts
@@ -1,9 +1,10 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {Server as NetServer, type Socket} from 'node:net';
-import {httpStatus, splitAddress} from '@deckwheel/core';
+import type {Socket} from 'node:net';
+import {httpStatus} from '@deckwheel/core';
 import {listenAt} from '@deckwheel/host-kit';
 import type {Log} from '../../adapter/log.js';
 import type {CallerConnections} from './caller-connections.js';
+import {createCallerListener} from './create-caller-listener.js';
 import type {RequestCounter} from './request-counter.js';
 import type {Servers} from './servers.js';
 
@@ -54,29 +55,8 @@
 		res.end();
 	});
 	const [callersAddress, readyAddress] = await Promise.all([listenAt(callerServer, listen.callers), listenAt(readinessServer, listen.ready)]);
-	let isListening = true;
-	let hasStopped = false;
-
-	const refuseConnections = (): void => {
-		isListening = false;
-		// `close` of the HTTP server would also destroy the connections that Node.js counts as idle, among them those with responses that
-		// callers are still reading.
-		NetServer.prototype.close.call(callerServer);
-	};
-
-	const listenAgain = (): void => {
-		isListening = true;
-		const {host, port} = splitAddress(callersAddress);
-		callerServer.listen(port, host);
-	};
-
-	callerServer.on('listening', () => {
-		log('accepting', {accepting: true, open: requestCounter.count()});
-	});
-	callerServer.on('error', error => {
-		// The next call of `setAccepting` tries again.
-		isListening = callerServer.listening;
-		log('listen_failed', {address: callersAddress, error: error.message});
+	const listener = createCallerListener({
+		server: callerServer, address: callersAddress, open: requestCounter.count, log,
 	});
 	return {
 		addresses: {callers: callersAddress, ready: readyAddress},
@@ -86,32 +66,15 @@
 		},
 		closeIdleConnections: connections.closeIdle,
 		stopListening() {
-			hasStopped = true;
-			if (isListening) {
-				refuseConnections();
-			}
-
+			listener.stop();
 			connections.closeIdle();
 		},
-		isAccepting: () => isListening,
-		setAccepting(isAccepting) {
-			if (hasStopped || isAccepting === isListening) {
-				return;
-			}
-
-			if (isAccepting) {
-				listenAgain();
-			} else {
-				refuseConnections();
-				log('accepting', {accepting: false, open: requestCounter.count()});
-			}
-		},
+		isAccepting: listener.isAccepting,
+		setAccepting: listener.setAccepting,
 		kill() {
-			hasStopped = true;
-			for (const server of [callerServer, readinessServer]) {
-				server.closeAllConnections();
-				server.close();
-			}
+			listener.kill();
+			readinessServer.closeAllConnections();
+			readinessServer.close();
 		},
 	};
 };
