--- a/packages/entry/src/lib/load-sharing/create-ended-endpoints.ts
+++ b/packages/entry/src/lib/load-sharing/create-ended-endpoints.ts
@@ -1,5 +1,5 @@
 import {LRUCache} from 'lru-cache';
-import {readEntries} from './read-entries.js';
+import {readEntries} from './wire/read-entries.js';
 
 /** For how long hosts tell each other that an endpoint ended, in ms. Later, the platform's list has left the endpoint out. */
 const tellMs = 5000;
--- a/packages/entry/src/lib/load-sharing/create-load-sharing.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-sharing.ts
@@ -6,16 +6,16 @@
 import type {PeerLinks} from '../peers/peer-links.js';
 import {smallHall} from '../peers/small-hall.js';
 import {createEndedEndpoints} from './create-ended-endpoints.js';
-import {createHallPulls} from './create-hall-pulls.js';
-import {createLoadClient} from './create-load-client.js';
-import {createLoadLeader} from './create-load-leader.js';
-import {createLoadMember} from './create-load-member.js';
-import {createLoadTracker} from './create-load-tracker.js';
-import {createSilentHosts} from './create-silent-hosts.js';
-import {indexEndpoints} from './index-endpoints.js';
+import {createHallPulls} from './leader/create-hall-pulls.js';
+import {createLoadLeader} from './leader/create-load-leader.js';
+import {createSilentHosts} from './leader/create-silent-hosts.js';
+import {pickLoadLeader} from './leader/pick-load-leader.js';
 import type {LoadSharing} from './load-sharing.js';
-import {pickLoadLeader} from './pick-load-leader.js';
+import {createLoadClient} from './member/create-load-client.js';
+import {createLoadMember} from './member/create-load-member.js';
+import {createLoadTracker} from './member/create-load-tracker.js';
 import {ticksBetweenExchanges} from './ticks-between-exchanges.js';
+import {indexEndpoints} from './wire/index-endpoints.js';
 
 /** The time between two messages of a host to its load leader in halls of up to 30 hosts, in ms: short beside the time for which most requests are open. */
 const tickMs = 300;
--- a/packages/entry/src/lib/load-sharing/add-totals.ts
+++ b/packages/entry/src/lib/load-sharing/leader/add-totals.ts
@@ -1,4 +1,4 @@
-import type {LoadRow} from './load-row.js';
+import type {LoadRow} from '../wire/load-row.js';
 
 /** Adds two sets of totals by endpoint. */
 export const addTotals = (one: ReadonlyMap<number, LoadRow>, other: ReadonlyMap<number, LoadRow>): ReadonlyMap<number, LoadRow> => {
--- a/packages/entry/src/lib/load-sharing/create-hall-pulls.ts
+++ b/packages/entry/src/lib/load-sharing/leader/create-hall-pulls.ts
@@ -1,8 +1,8 @@
-import type {ListedPeer} from '../../adapter/listed-peer.js';
-import {smallHall} from '../peers/small-hall.js';
-import {createSampleOutbox} from './create-sample-outbox.js';
-import type {LoadAnswer} from './load-answer.js';
-import type {PaceSample} from './pace-sample.js';
+import type {ListedPeer} from '../../../adapter/listed-peer.js';
+import {smallHall} from '../../peers/small-hall.js';
+import {createSampleOutbox} from '../member/create-sample-outbox.js';
+import type {LoadAnswer} from '../member/load-answer.js';
+import type {PaceSample} from '../wire/pace-sample.js';
 import {pickLoadLeader} from './pick-load-leader.js';
 
 type Options = {
--- a/packages/entry/src/lib/load-sharing/create-load-board.ts
+++ b/packages/entry/src/lib/load-sharing/leader/create-load-board.ts
@@ -1,5 +1,5 @@
+import type {LoadRow} from '../wire/load-row.js';
 import type {LoadBoard} from './load-board.js';
-import type {LoadRow} from './load-row.js';
 
 type Report = {readonly rows: readonly LoadRow[]; readonly at: number; readonly until: number};
 
--- a/packages/entry/src/lib/load-sharing/create-load-leader.ts
+++ b/packages/entry/src/lib/load-sharing/leader/create-load-leader.ts
@@ -1,17 +1,17 @@
 import type {Identity} from '@deckwheel/mesh';
+import type {EndpointIndex} from '../wire/endpoint-index.js';
+import type {LoadMessage} from '../wire/load-message.js';
+import type {LoadReply} from '../wire/load-reply.js';
+import type {LoadRow} from '../wire/load-row.js';
+import type {PaceSample} from '../wire/pace-sample.js';
+import {readSamples} from '../wire/read-samples.js';
+import {readTotals} from '../wire/read-totals.js';
+import {writePaces} from '../wire/write-paces.js';
+import {writeTotals} from '../wire/write-totals.js';
 import {addTotals} from './add-totals.js';
 import {createLoadBoard} from './create-load-board.js';
 import {createPaceBoard} from './create-pace-board.js';
-import type {EndpointIndex} from './endpoint-index.js';
 import type {LoadBoard} from './load-board.js';
-import type {LoadMessage} from './load-message.js';
-import type {LoadReply} from './load-reply.js';
-import type {LoadRow} from './load-row.js';
-import type {PaceSample} from './pace-sample.js';
-import {readSamples} from './read-samples.js';
-import {readTotals} from './read-totals.js';
-import {writePaces} from './write-paces.js';
-import {writeTotals} from './write-totals.js';
 
 /**
 After how many intervals without a message the report of a host, or of another hall, no longer counts: what a host had open ends with it, and
--- a/packages/entry/src/lib/load-sharing/create-pace-board.ts
+++ b/packages/entry/src/lib/load-sharing/leader/create-pace-board.ts
@@ -1,8 +1,8 @@
 import {
 	relativePaces, stepPaceWindow, typicalMs, type PaceWindow,
 } from '@deckwheel/routing';
-import type {EndpointIndex} from './endpoint-index.js';
-import type {PaceSample} from './pace-sample.js';
+import type {EndpointIndex} from '../wire/endpoint-index.js';
+import type {PaceSample} from '../wire/pace-sample.js';
 
 /** For how long computed paces are used, in ms: they change slowly, and every host of a hall asks for them. */
 const recomputeIntervalMs = 1000;
--- a/packages/entry/src/lib/load-sharing/load-board.ts
+++ b/packages/entry/src/lib/load-sharing/leader/load-board.ts
@@ -1,4 +1,4 @@
-import type {LoadRow} from './load-row.js';
+import type {LoadRow} from '../wire/load-row.js';
 
 /** Adds up what several sources reported: the hosts of a hall, or the load leaders of other halls. */
 export type LoadBoard = {
--- a/packages/entry/src/lib/load-sharing/pick-load-leader.ts
+++ b/packages/entry/src/lib/load-sharing/leader/pick-load-leader.ts
@@ -1,5 +1,5 @@
 import {firstByRendezvous} from '@deckwheel/core';
-import type {ListedPeer} from '../../adapter/listed-peer.js';
+import type {ListedPeer} from '../../../adapter/listed-peer.js';
 
 /**
 Picks the load leader among the hosts of a hall: the same at every host that counts the same hosts as reachable. Returns `undefined` if
--- a/packages/entry/src/lib/load-sharing/load-sharing.ts
+++ b/packages/entry/src/lib/load-sharing/load-sharing.ts
@@ -1,8 +1,8 @@
 import type {Identity} from '@deckwheel/mesh';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import type {LoadMessage} from './load-message.js';
-import type {LoadReply} from './load-reply.js';
 import type {LoadTracker} from './load-tracker.js';
+import type {LoadMessage} from './wire/load-message.js';
+import type {LoadReply} from './wire/load-reply.js';
 
 /** Shares between hosts what is open at endpoints, how fast these are, and which of them ended. */
 export type LoadSharing = {
--- a/packages/entry/src/lib/load-sharing/create-load-client.ts
+++ b/packages/entry/src/lib/load-sharing/member/create-load-client.ts
@@ -1,17 +1,17 @@
 import type {Result} from '@deckwheel/core';
 import type {LinkError} from '@deckwheel/mesh';
-import type {Log} from '../../adapter/log.js';
-import {readPeerReply} from '../peers/read-peer-reply.js';
-import type {EndpointIndex} from './endpoint-index.js';
+import type {Log} from '../../../adapter/log.js';
+import {readPeerReply} from '../../peers/read-peer-reply.js';
+import type {EndpointIndex} from '../wire/endpoint-index.js';
+import type {LoadMessage} from '../wire/load-message.js';
+import {loadReplySchema} from '../wire/load-reply-schema.js';
+import type {LoadReply} from '../wire/load-reply.js';
+import {readPaces} from '../wire/read-paces.js';
+import {readTotals} from '../wire/read-totals.js';
+import {writeRows} from '../wire/write-rows.js';
+import {writeSamples} from '../wire/write-samples.js';
 import type {LoadClient} from './load-client.js';
 import type {LoadEvent} from './load-event.js';
-import type {LoadMessage} from './load-message.js';
-import {loadReplySchema} from './load-reply-schema.js';
-import type {LoadReply} from './load-reply.js';
-import {readPaces} from './read-paces.js';
-import {readTotals} from './read-totals.js';
-import {writeRows} from './write-rows.js';
-import {writeSamples} from './write-samples.js';
 
 type Options = {
 	/** Sends a message to the host at an address, as `request` of `Mesh` does. */
--- a/packages/entry/src/lib/load-sharing/create-load-member.ts
+++ b/packages/entry/src/lib/load-sharing/member/create-load-member.ts
@@ -1,9 +1,9 @@
-import type {EndpointIndex} from './endpoint-index.js';
+import type {EndpointIndex} from '../wire/endpoint-index.js';
+import type {LoadRow} from '../wire/load-row.js';
+import type {PaceSample} from '../wire/pace-sample.js';
+import {createSampleOutbox} from './create-sample-outbox.js';
 import type {LoadAnswer} from './load-answer.js';
 import type {LoadClient} from './load-client.js';
-import type {LoadRow} from './load-row.js';
-import type {PaceSample} from './pace-sample.js';
-import {createSampleOutbox} from './create-sample-outbox.js';
 import type {SharedLoadTracker} from './shared-load-tracker.js';
 import {subtractOwnLoad} from './subtract-own-load.js';
 
--- a/packages/entry/src/lib/load-sharing/create-load-tracker.ts
+++ b/packages/entry/src/lib/load-sharing/member/create-load-tracker.ts
@@ -1,9 +1,9 @@
 import {hash32} from '@deckwheel/core';
 import {remainingPromptTokens} from '@deckwheel/routing';
+import type {PaceSample} from '../wire/pace-sample.js';
+import {promptUnitTokens} from '../wire/prompt-unit-tokens.js';
 import {createRunTimer} from './create-run-timer.js';
 import type {OthersLoad} from './others-load.js';
-import type {PaceSample} from './pace-sample.js';
-import {promptUnitTokens} from './prompt-unit-tokens.js';
 import type {SharedLoadTracker} from './shared-load-tracker.js';
 
 type Options = {
--- a/packages/entry/src/lib/load-sharing/create-run-timer.ts
+++ b/packages/entry/src/lib/load-sharing/member/create-run-timer.ts
@@ -1,5 +1,5 @@
 import {msPerEvent} from '@deckwheel/routing';
-import type {PaceSample} from './pace-sample.js';
+import type {PaceSample} from '../wire/pace-sample.js';
 
 /** Times the response to one request. */
 type RunTimer = {
--- a/packages/entry/src/lib/load-sharing/create-sample-outbox.ts
+++ b/packages/entry/src/lib/load-sharing/member/create-sample-outbox.ts
@@ -1,4 +1,4 @@
-import type {PaceSample} from './pace-sample.js';
+import type {PaceSample} from '../wire/pace-sample.js';
 
 /** The most samples that wait: a peer that answers after a pause gets the latest ones. */
 const maxSamples = 128;
--- a/packages/entry/src/lib/load-sharing/load-answer.ts
+++ b/packages/entry/src/lib/load-sharing/member/load-answer.ts
@@ -1,4 +1,4 @@
-import type {LoadRow} from './load-row.js';
+import type {LoadRow} from '../wire/load-row.js';
 
 /** What the reply of a load leader says, as its receiver reads it. */
 export type LoadAnswer = {
--- a/packages/entry/src/lib/load-sharing/load-client.ts
+++ b/packages/entry/src/lib/load-sharing/member/load-client.ts
@@ -1,7 +1,7 @@
+import type {LoadMessage} from '../wire/load-message.js';
+import type {LoadRow} from '../wire/load-row.js';
+import type {PaceSample} from '../wire/pace-sample.js';
 import type {LoadAnswer} from './load-answer.js';
-import type {LoadMessage} from './load-message.js';
-import type {LoadRow} from './load-row.js';
-import type {PaceSample} from './pace-sample.js';
 
 /** What a host tells a load leader, and what it wants to know; `wants` and `wantsPaces` are those of `loadMessageSchema`. */
 type Question = Pick<LoadMessage, 'wants' | 'wantsPaces'> & {
--- a/packages/entry/src/lib/load-sharing/shared-load-tracker.ts
+++ b/packages/entry/src/lib/load-sharing/member/shared-load-tracker.ts
@@ -1,5 +1,5 @@
-import type {LoadRow} from './load-row.js';
-import type {LoadTracker} from './load-tracker.js';
+import type {LoadTracker} from '../load-tracker.js';
+import type {LoadRow} from '../wire/load-row.js';
 import type {OthersLoad} from './others-load.js';
 
 /** A load tracker, with what the exchange between hosts reads from it and adds to it. */
--- a/packages/entry/src/lib/load-sharing/subtract-own-load.ts
+++ b/packages/entry/src/lib/load-sharing/member/subtract-own-load.ts
@@ -1,7 +1,7 @@
-import type {EndpointIndex} from './endpoint-index.js';
-import type {LoadRow} from './load-row.js';
+import type {EndpointIndex} from '../wire/endpoint-index.js';
+import type {LoadRow} from '../wire/load-row.js';
+import {promptUnitTokens} from '../wire/prompt-unit-tokens.js';
 import type {OthersLoad} from './others-load.js';
-import {promptUnitTokens} from './prompt-unit-tokens.js';
 
 /**
 Returns the load of other hosts, by the id of the endpoint, from totals and what this host had sent before they were added up. Endpoints
--- a/packages/entry/src/lib/load-sharing/index-endpoints.ts
+++ b/packages/entry/src/lib/load-sharing/wire/index-endpoints.ts
@@ -1,5 +1,5 @@
 import {hash32} from '@deckwheel/core';
-import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import type {ListedEndpoint} from '../../../adapter/listed-endpoint.js';
 import type {EndpointIndex} from './endpoint-index.js';
 
 /** Indexes the listed endpoints by the hashes of their ids. */
--- a/packages/entry/src/lib/peers/peer-message-schema.ts
+++ b/packages/entry/src/lib/peers/peer-message-schema.ts
@@ -1,6 +1,6 @@
 import {suspicionsRequestSchema} from '@deckwheel/poison';
 import {z} from 'zod';
-import {loadMessageSchema} from '../load-sharing/load-message-schema.js';
+import {loadMessageSchema} from '../load-sharing/wire/load-message-schema.js';
 import {limitsMessageSchema} from '../request-limits/limits-message-schema.js';
 import {permitRequestSchema} from '../request-limits/permit-request-schema.js';
 
--- a/packages/entry/src/test/create-load-member.test.ts
+++ b/packages/entry/src/test/create-load-member.test.ts
@@ -1,10 +1,10 @@
 import test from 'ava';
 import {hash32} from '@deckwheel/core';
-import {createLoadMember} from '../lib/load-sharing/create-load-member.js';
-import {createLoadTracker} from '../lib/load-sharing/create-load-tracker.js';
-import {indexEndpoints} from '../lib/load-sharing/index-endpoints.js';
-import type {LoadAnswer} from '../lib/load-sharing/load-answer.js';
-import type {PaceSample} from '../lib/load-sharing/pace-sample.js';
+import {createLoadMember} from '../lib/load-sharing/member/create-load-member.js';
+import {createLoadTracker} from '../lib/load-sharing/member/create-load-tracker.js';
+import {indexEndpoints} from '../lib/load-sharing/wire/index-endpoints.js';
+import type {LoadAnswer} from '../lib/load-sharing/member/load-answer.js';
+import type {PaceSample} from '../lib/load-sharing/wire/pace-sample.js';
 
 const engine = 'engine@1';
 const endpoint = hash32(engine);
--- a/packages/entry/src/test/create-load-tracker.test.ts
+++ b/packages/entry/src/test/create-load-tracker.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createLoadTracker} from '../lib/load-sharing/create-load-tracker.js';
+import {createLoadTracker} from '../lib/load-sharing/member/create-load-tracker.js';
 
 test('a run counts as open until its end, and its prompt as pending until its first event', t => {
 	const tracker = createLoadTracker({onSample: () => undefined, now: () => 0});
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -7,7 +7,7 @@
 import type {AddressInfo} from 'node:net';
 import type {EndpointLoad} from '@deckwheel/routing';
 import test, {type ExecutionContext} from 'ava';
-import {createLoadTracker} from '../lib/load-sharing/create-load-tracker.js';
+import {createLoadTracker} from '../lib/load-sharing/member/create-load-tracker.js';
 import {createResponseWriter} from '../lib/relaying/create-response-writer.js';
 import type {AttemptEnd} from '../lib/request/attempt-end.js';
 import type {HostContext} from '../lib/request/host-context.js';
--- a/packages/entry/src/test/load-sharing.test.ts
+++ b/packages/entry/src/test/load-sharing.test.ts
@@ -2,7 +2,7 @@
 import {remainingPromptTokens} from '@deckwheel/routing';
 import {Packr} from 'msgpackr';
 import type {ListedPeer} from '../adapter/listed-peer.js';
-import type {LoadReply} from '../lib/load-sharing/load-reply.js';
+import type {LoadReply} from '../lib/load-sharing/wire/load-reply.js';
 import {createLoadFleet, type CarriedMessage} from './lib/create-load-fleet.js';
 import {createRandom} from './lib/create-random.js';
 
