--- a/packages/entry/src/lib/load-sharing/create-load-sharing.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-sharing.ts
@@ -4,12 +4,10 @@
 import type {Log} from '../../adapter/log.js';
 import {createSparseLog} from '../peers/create-sparse-log.js';
 import type {PeerLinks} from '../peers/peer-links.js';
-import {smallHall} from '../peers/small-hall.js';
 import {createEndedEndpoints} from './create-ended-endpoints.js';
 import {createHallPulls} from './leader/create-hall-pulls.js';
+import {createLeaderFinder} from './leader/create-leader-finder.js';
 import {createLoadLeader} from './leader/create-load-leader.js';
-import {createSilentHosts} from './leader/create-silent-hosts.js';
-import {pickLoadLeader} from './leader/pick-load-leader.js';
 import type {LoadSharing} from './load-sharing.js';
 import {createLoadClient} from './member/create-load-client.js';
 import {createLoadMember} from './member/create-load-member.js';
@@ -50,9 +48,8 @@
 counts its own requests only. The store takes no part.
 */
 export const createLoadSharing = ({links, request, every, onEnded, counter, log, now}: Options): LoadSharing => {
-	const silent = createSilentHosts(now);
+	const finder = createLeaderFinder({links, log, now});
 	let index = indexEndpoints([]);
-	let leaderAddress: string | undefined;
 	let ticks = 0;
 	let pullTicks = 0;
 	let isReporting = false;
@@ -82,7 +79,7 @@
 	const leader = createLoadLeader({
 		hall: () => links().self().hall,
 		index: () => index,
-		leads: () => isSelf(findLeader()),
+		leads: () => isSelf(finder.find()),
 		intervalMs,
 		onSamples(samples) {
 			halls.addSamples(samples);
@@ -106,7 +103,7 @@
 		timeoutMs: intervalMs,
 		endedToTell: ended.toTell,
 		onEndedTold: ended.merge,
-		onSilence: silent.note,
+		onSilence: finder.noteSilence,
 		onLeftOut,
 		count: counter.increment,
 		log: createSparseLog(log, now),
@@ -136,37 +133,24 @@
 
 	const halls = createHallPulls({
 		hosts: () => links().others().filter(({hall}) => hall !== links().self().hall),
-		isSilent: silent.has,
+		isSilent: finder.isSilent,
 		ask: async (address, samples) => ask(address, {
 			wants: 'hall', wantsPaces: false, rows: [], samples,
 		}),
 		onAnswer(hall, {rows, asOf}) {
 			leader.setHall(hall, rows, asOf);
 		},
-		onNoLeader: silent.note,
+		onNoLeader: finder.noteSilence,
 	});
 
-	const findLeader = (): string | undefined =>
-		links().hallSize() > smallHall ? pickLoadLeader(links().hallPeers(), silent.has)?.address : undefined;
-
-	const updateLeader = (): string | undefined => {
-		const address = findLeader();
-		if (address !== leaderAddress) {
-			leaderAddress = address;
-			log('load_leader_changed', {leader: address ?? 'none', hosts: links().hallPeers().length});
-		}
-
-		return address;
-	};
-
 	/** Reports to the leader or, if it does not answer, to the next one. */
 	const report = async (): Promise<void> => {
-		const address = updateLeader();
+		const address = finder.update();
 		if (address === undefined || await member.reportTo(address) || isClosed) {
 			return;
 		}
 
-		const next = updateLeader();
+		const next = finder.update();
 		if (next !== undefined && next !== address) {
 			await member.reportTo(next);
 		}
@@ -194,7 +178,7 @@
 		}),
 		every(hallPullMs, () => {
 			pullTicks++;
-			if (isSelf(leaderAddress) && pullTicks % intervalTicks() === 0) {
+			if (isSelf(finder.lastFound()) && pullTicks % intervalTicks() === 0) {
 				halls.pull();
 			}
 		}),
