--- /dev/null
+++ b/packages/entry/src/lib/host/create-shutdown.ts
@@ -0,0 +1,57 @@
+import {setMaxListeners} from 'node:events';
+import type {Log} from '../../adapter/log.js';
+import type {Schedule} from '../../adapter/schedule.js';
+import {planShutdown} from './plan-shutdown.js';
+import type {RequestCounter} from './request-counter.js';
+import {runShutdown} from './run-shutdown.js';
+import type {ShutdownPlan} from './shutdown-plan.js';
+import type {Shutdown} from './shutdown.js';
+
+type Options = {
+	/** The time from the signal to stop until the platform kills the process, in ms. */
+	readonly graceMs: number;
+	readonly requestCounter: Pick<RequestCounter, 'count' | 'untilNone'>;
+	readonly schedule: Schedule;
+	readonly log: Log;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/** Creates the shutdown of a host that is not shutting down yet. */
+export const createShutdown = ({graceMs, requestCounter, schedule, log, now}: Options): Shutdown => {
+	let plan: ShutdownPlan | undefined;
+	const controller = new AbortController();
+	// Each open request listens to this signal, so more than ten listeners are no leak.
+	setMaxListeners(0, controller.signal);
+	return {
+		plan: () => plan,
+		signal: controller.signal,
+		async execute({servers, rights}) {
+			const made = planShutdown(now(), graceMs);
+			plan = made;
+			const cancelAbort = schedule(made.cutRequestsAt - now(), () => {
+				controller.abort();
+			});
+			await runShutdown({
+				servers,
+				rights,
+				requestCounter,
+				plan: made,
+				log,
+				waitUntil: async time => new Promise<void>(resolve => {
+					schedule(time - now(), resolve);
+				}),
+				stopForwarding() {
+					plan = {...made, isForwardingOver: true};
+				},
+				async endOpenRequests() {
+					controller.abort();
+					if (requestCounter.count() > 0) {
+						await requestCounter.untilNone(made.waitForFinalResponsesUntil);
+					}
+				},
+			});
+			cancelAbort();
+		},
+	};
+};
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -1,4 +1,3 @@
-import {setMaxListeners} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {isDeepStrictEqual} from 'node:util';
@@ -14,28 +13,22 @@
 import {createCallerConnections} from './lib/host/create-caller-connections.js';
 import {createRequestCounter} from './lib/host/create-request-counter.js';
 import {createRetryLimiter} from './lib/host/create-retry-limiter.js';
+import {createShutdown} from './lib/host/create-shutdown.js';
 import {mayForward} from './lib/host/may-forward.js';
 import {newHolderName} from './lib/host/new-holder-name.js';
-import {planShutdown} from './lib/host/plan-shutdown.js';
-import {repeatByTimer} from './lib/host/repeat-by-timer.js';
-import {runShutdown} from './lib/host/run-shutdown.js';
 import {scheduleByTimer} from './lib/host/schedule-by-timer.js';
+import {startAcceptanceChecks} from './lib/host/start-acceptance-checks.js';
 import {startHealthMonitor} from './lib/host/start-health-monitor.js';
 import {startServers} from './lib/host/start-servers.js';
 import {startPeerTasks} from './lib/host/start-peer-tasks.js';
-import type {ShutdownPlan} from './lib/host/shutdown-plan.js';
 import {createAcceptQueueMonitor} from './lib/own-health/create-accept-queue-monitor.js';
 import {createWaitLog} from './lib/own-health/create-wait-log.js';
-import {isAccepting} from './lib/own-health/is-accepting.js';
 import {rankOfPriority} from './lib/own-health/rank-of-priority.js';
 import {smallHall} from './lib/peers/small-hall.js';
 import type {HostContext} from './lib/request/host-context.js';
 import {serveRequest} from './lib/request/serve-request.js';
 import {createConnectionPool} from './lib/sending/create-connection-pool.js';
 
-/** How often it is decided whether this host accepts connections of callers, in ms: as often as its lateness is sampled. */
-const acceptCheckMs = 100;
-
 const countBudgets = ({organisationsByKey}: FleetConfig): number =>
 	new Set([...organisationsByKey.values()].map(({name}) => name)).size;
 
@@ -45,8 +38,7 @@
 Starts an entry host. The host is ready once it has a configuration, a list of endpoints and, where operators may order evacuations,
 the set of evacuated halls. While it is overloaded, stops, or lets new connections wait too long, it is not ready.
 
-This function holds the configuration in force, the evacuated halls and the plan of a shutdown. All other state belongs to the
-components that it connects.
+This function holds the configuration in force and the evacuated halls. All other state belongs to the components that it connects.
 */
 export const startEntryHost = async (options: EntryHostOptions): Promise<EntryHost> => {
 	const {host, hall, listen, bounds, hasEvacuations = false, headers: headerNames, rightsStore, peers: directory, log} = options;
@@ -109,14 +101,13 @@
 			log('endpoints_listed', {count: used.length, leaving: used.filter(({isLeaving}) => isLeaving).length, unused});
 		},
 	});
-	let shutdownPlan: ShutdownPlan | undefined;
+	const shutdown = createShutdown({
+		graceMs: bounds.stopGraceMs, requestCounter, schedule, log, now,
+	});
 	let shutdownDone: Promise<void> | undefined;
-	const shutdownController = new AbortController();
-	// Each open request listens to this signal, so more than ten listeners are no leak.
-	setMaxListeners(0, shutdownController.signal);
 
 	// Callers whose connections this host closes reconnect through the balancer, which sends them to hosts that are ready.
-	const isClosingConnections = (): boolean => shutdownPlan !== undefined || overload.isOverloaded();
+	const isClosingConnections = (): boolean => shutdown.plan() !== undefined || overload.isOverloaded();
 
 	const connections = createCallerConnections(now);
 	const acceptQueueMonitor = createAcceptQueueMonitor({isBusy: () => requestCounter.count() > 0, onMeasured: createWaitLog({open: requestCounter.count, log, now}), now});
@@ -127,9 +118,9 @@
 		config: () => evacuatedHalls === undefined ? undefined : config,
 		configProof: () => ({ageMs: elapsed() - configConfirmedAt, applyMs: bounds.configApplyMs}),
 		closesAfter,
-		isStopping: () => shutdownPlan !== undefined,
-		shutdownSignal: shutdownController.signal,
-		mayForward: deadline => mayForward({shutdownPlan, deadline, now: now()}),
+		isStopping: () => shutdown.plan() !== undefined,
+		shutdownSignal: shutdown.signal,
+		mayForward: deadline => mayForward({shutdownPlan: shutdown.plan(), deadline, now: now()}),
 		isOverloaded: overload.isOverloaded,
 		rankOf: priority => config && isLoadShared() ? rankOfPriority(config, priority) : 0,
 		isShedding: overload.isShedding,
@@ -168,42 +159,21 @@
 		closesAfter,
 		log,
 	});
-	const endAcceptChecks = repeatByTimer(acceptCheckMs, () => {
-		servers.setAccepting(isAccepting({
-			wasAccepting: servers.isAccepting(), isOverloaded: overload.isOverloaded(), openShare: loadSharing.loads.openShare(), hallHosts: peerTasks.reachableHallHosts(),
-		}));
+	const endAcceptChecks = startAcceptanceChecks({
+		servers, isOverloaded: overload.isOverloaded, openShare: loadSharing.loads.openShare, hallHosts: peerTasks.reachableHallHosts,
 	});
 	acceptQueueMonitor.start(servers.addresses.callers);
 	log('started', {holder, hall});
 
-	const executeShutdownPlan = async (plan: ShutdownPlan): Promise<void> => {
-		shutdownPlan = plan;
-		const cancelAbort = schedule(plan.cutRequestsAt - now(), () => {
-			shutdownController.abort();
-		});
-		await runShutdown({
-			servers,
-			rights,
-			requestCounter,
-			plan,
-			log,
-			waitUntil: async time => new Promise<void>(resolve => {
-				schedule(time - now(), resolve);
-			}),
-			stopForwarding() {
-				shutdownPlan = {...plan, isForwardingOver: true};
-			},
-			async endOpenRequests() {
-				shutdownController.abort();
-				if (requestCounter.count() > 0) {
-					await requestCounter.untilNone(plan.waitForFinalResponsesUntil);
-				}
-			},
-		});
-		cancelAbort();
+	const closeMonitors = (): void => {
 		endAcceptChecks();
 		acceptQueueMonitor.close();
 		health.close();
+	};
+
+	const shutDown = async (): Promise<void> => {
+		await shutdown.execute({servers, rights});
+		closeMonitors();
 		await peerTasks.close();
 	};
 
@@ -239,15 +209,13 @@
 			peerTasks.register();
 		},
 		async kill() {
-			endAcceptChecks();
-			acceptQueueMonitor.close();
-			health.close();
+			closeMonitors();
 			servers.kill();
 			pool.keepOnly(new Set());
 			await peerTasks.close();
 		},
 		async stop() {
-			shutdownDone ??= executeShutdownPlan(planShutdown(now(), bounds.stopGraceMs));
+			shutdownDone ??= shutDown();
 			await shutdownDone;
 		},
 	};
