--- a/packages/entry/src/test/is-accepting.test.ts
+++ b/packages/entry/src/test/is-accepting.test.ts
@@ -61,10 +61,12 @@
 	t.true(isAccepting({...busy, openShare: 1, hallHosts: 4}));
 });
 
-test('a host that does not know the load of others changes whether it accepts connections', t => {
+test('an overloaded host that does not know the load of others changes whether it accepts connections', t => {
 	t.true(isAccepting({...busy, openShare: undefined}));
 	t.false(isAccepting({...busy, wasAccepting: false, openShare: undefined}));
-	t.true(isAccepting({...busy, wasAccepting: false, isOverloaded: false, openShare: undefined}));
+	t.true(isAccepting({
+		...busy, wasAccepting: false, isOverloaded: false, openShare: undefined,
+	}));
 });
 
 test('a host that accepts no connections breaks off those that are open, or does not accept any again', async t => {
