Decide twice a second whether connections are accepted

Change: 500 ms in place of 100. A host notices its overload over about a second, and callers give up unread requests after one.

Conclusion: the effect on processor time was not measured.

--- a/packages/entry/src/lib/host/start-acceptance-checks.ts
+++ b/packages/entry/src/lib/host/start-acceptance-checks.ts
@@ -2,8 +2,8 @@
 import {repeatByTimer} from './repeat-by-timer.js';
 import type {Servers} from './servers.js';
 
-/** How often it is decided whether this host accepts connections of callers, in ms: as often as its lateness is sampled. */
-const acceptCheckMs = 100;
+/** How often it is decided whether this host accepts connections of callers, in ms: before callers have given up requests that are not read. */
+const acceptCheckMs = 500;
 
 type Options = {
 	readonly servers: Pick<Servers, 'isAccepting' | 'setAccepting'>;
