Make no slow endpoint the home of a prompt

Cause: of 98 endpoints a third are 2.4 times as slow as the others (68 hosts).

Ruled out: busy homes alone, which are skipped already.

Change: a ranked endpoint with a pace of 1.5 or more is a home only where no faster one is ranked, as a busy one is.

--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -66,7 +66,7 @@
 			return {homes: [], ranked: []};
 		}
 
-		return placing?.isOn() ? prefixHomes.homesOf(service, part, {endpointCount, minRanked: placing.prefixEndpoints}) : prefixHomes.firstOf(service, part);
+		return placing?.isOn() ? prefixHomes.homesOf(service, part, {endpointCount, minRanked: placing.prefixEndpoints, paceOf: id => placing.loadOf(id).pace}) : prefixHomes.firstOf(service, part);
 	};
 
 	const chooseByExpectedTime = (by: Placing, request: AffinityRequest, candidates: EndpointCandidates) => {
--- a/packages/entry/src/lib/choice/create-prefix-homes.ts
+++ b/packages/entry/src/lib/choice/create-prefix-homes.ts
@@ -11,6 +11,21 @@
 	readonly ranked: readonly string[];
 };
 
+type HomeOptions = {
+	/** How many endpoints the service has. */
+	readonly endpointCount: number;
+	/** How many endpoints are ranked at least. */
+	readonly minRanked: number;
+	/** The pace of an endpoint (`EndpointLoad`). */
+	readonly paceOf: (endpoint: string) => number;
+};
+
+/**
+From this pace on an endpoint is no home of prompts: whatever it has cached, most prompts have their first event sooner elsewhere, and would be
+read there anew each time.
+*/
+const slowPace = 1.5;
+
 /** Where the prompts with a shared part are at home. Hosts that know the same load agree on it without asking each other. */
 type PrefixHomes = {
 	/** Replaces the endpoints that can be a home. */
@@ -21,15 +36,15 @@
 	readonly noteOpen: (service: string, endpoint: string, open: number) => void;
 	/** Returns the only home of a part in a host that does not know the load of endpoints: there is one, or none without endpoints. */
 	readonly firstOf: (service: string, part: string) => Homes;
-	/** Returns the homes of a part by its demand and by the load of endpoints, among at least `minRanked` ranked endpoints of `endpointCount`. */
-	readonly homesOf: (service: string, part: string, counts: {readonly endpointCount: number; readonly minRanked: number}) => Homes;
+	/** Returns the homes of a part by its demand and by the load and pace of endpoints. */
+	readonly homesOf: (service: string, part: string, options: HomeOptions) => Homes;
 };
 
 /**
 Creates the homes of a host; there are none before the first `list`.
 
 A part that many requests share has several homes, so that no endpoint gets many more requests than others. An endpoint that is usually
-busier than others, for instance since it is the first one for several parts, is a home only where no other one is ranked.
+busier than others, for instance since it is the first one for several parts, or that is slow, is a home only where no other one is ranked.
 */
 export const createPrefixHomes = (now: () => number): PrefixHomes => {
 	const preferred = createPreferredEndpoints();
@@ -44,11 +59,11 @@
 			const ranked = preferred.rankedFor(service, part, 1);
 			return {homes: ranked, ranked};
 		},
-		homesOf(service, part, {endpointCount, minRanked}) {
+		homesOf(service, part, {endpointCount, minRanked, paceOf}) {
 			const spread = demand.spreadOf(service, part, endpointCount);
 			const ranked = preferred.rankedFor(service, part, Math.max(spread, minRanked));
-			const isHeavy = (endpoint: string): boolean => usualLoad.isHeavy(service, endpoint);
-			return {homes: [...ranked.filter(id => !isHeavy(id)), ...ranked.filter(id => isHeavy(id))].slice(0, spread), ranked};
+			const isLast = (endpoint: string): boolean => usualLoad.isHeavy(service, endpoint) || paceOf(endpoint) >= slowPace;
+			return {homes: [...ranked.filter(id => !isLast(id)), ...ranked.filter(id => isLast(id))].slice(0, spread), ranked};
 		},
 	};
 };
--- a/packages/entry/src/test/create-prefix-homes.test.ts
+++ b/packages/entry/src/test/create-prefix-homes.test.ts
@@ -2,7 +2,7 @@
 import {createPrefixHomes} from '../lib/choice/create-prefix-homes.js';
 
 const endpointCount = 32;
-const counts = {endpointCount, minRanked: 4};
+const counts = {endpointCount, minRanked: 4, paceOf: () => 1};
 
 const startHomes = () => {
 	let now = 0;
@@ -84,3 +84,12 @@
 
 	t.deepEqual(host.homes.homesOf('s', 'p', counts).homes, [ranked[0]]);
 });
+
+// A third of the endpoints were 2.4 times as slow as the others. Prompts at home there were read anew at faster ones.
+test('a slow endpoint is the home of a part although a faster one is ranked', t => {
+	const host = startHomes();
+	const {ranked} = host.homes.homesOf('s', 'p', counts);
+	const withSlow = (slow: readonly string[]) => host.homes.homesOf('s', 'p', {...counts, paceOf: id => slow.includes(id) ? 2.4 : 1});
+	t.deepEqual(withSlow(ranked.slice(0, 1)).homes, [ranked[1]]);
+	t.deepEqual(withSlow(ranked).homes, [ranked[0]]);
+});
