Group by a key in one place

Cause: hall monitor, load leader and paces each grouped by hand; the load leader copied a hall's hosts once a host, at each of its pulls. Change: `groupBy` in core. Behaviour as before; found by reading.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export type {ValidationIssue} from './validation-issue.js';
 export {findValidationIssues} from './find-validation-issues.js';
 export {firstByRendezvous} from './first-by-rendezvous.js';
+export {groupBy} from './group-by.js';
 export {hash32} from './hash32.js';
 export {httpStatus} from './http-status.js';
 export {isSuccessStatus} from './is-success-status.js';
--- a/packages/entry/src/lib/hall-health/start-hall-monitor.ts
+++ b/packages/entry/src/lib/hall-health/start-hall-monitor.ts
@@ -1,3 +1,4 @@
+import {groupBy} from '@deckwheel/core';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {Log} from '../../adapter/log.js';
 import {createOpenAttempts} from './create-open-attempts.js';
@@ -16,15 +17,6 @@
 	isUnreachable: false, heardAt: 0, hasConnectFailed: false, isProbing: false, nextProbeAt: 0,
 };
 
-const groupByHall = (endpoints: readonly ListedEndpoint[]): ReadonlyMap<string, readonly ListedEndpoint[]> => {
-	const endpointsByHall = new Map<string, ListedEndpoint[]>();
-	for (const endpoint of endpoints) {
-		endpointsByHall.set(endpoint.hall, [...endpointsByHall.get(endpoint.hall) ?? [], endpoint]);
-	}
-
-	return endpointsByHall;
-};
-
 // Picks `count` consecutive entries from a random position on, past the end of the list from its start again.
 const pickConsecutive = <T>(entries: readonly T[], count: number): readonly T[] => {
 	const start = Math.floor(Math.random() * entries.length);
@@ -96,7 +88,7 @@
 
 	return {
 		list(endpoints) {
-			endpointsByHall = groupByHall(endpoints.filter(({isLeaving}) => !isLeaving));
+			endpointsByHall = groupBy(endpoints.filter(({isLeaving}) => !isLeaving), ({hall}) => hall);
 		},
 		isUnreachable: hall => reachOf(hall).isUnreachable,
 		noteAttempt: attempts.add,
--- a/packages/entry/src/lib/load-sharing/leader/create-hall-pulls.ts
+++ b/packages/entry/src/lib/load-sharing/leader/create-hall-pulls.ts
@@ -1,3 +1,4 @@
+import {groupBy} from '@deckwheel/core';
 import type {ListedPeer} from '../../../adapter/listed-peer.js';
 import {smallHall} from '../../peers/small-hall.js';
 import {createSampleOutbox} from '../member/create-sample-outbox.js';
@@ -51,12 +52,7 @@
 
 	return {
 		pull() {
-			const byHall = new Map<string, ListedPeer[]>();
-			for (const host of hosts()) {
-				byHall.set(host.hall, [...byHall.get(host.hall) ?? [], host]);
-			}
-
-			for (const [hall, members] of byHall) {
+			for (const [hall, members] of groupBy(hosts(), host => host.hall)) {
 				const leader = members.length > smallHall && !awaited.has(hall) ? pickLoadLeader(members, isSilent) : undefined;
 				if (leader) {
 					void pullFrom(hall, leader.address);
--- a/packages/routing/src/load/relative-paces.ts
+++ b/packages/routing/src/load/relative-paces.ts
@@ -1,3 +1,4 @@
+import {groupBy} from '@deckwheel/core';
 import {median} from '../lib/median.js';
 import type {MeasuredEndpoint} from './measured-endpoint.js';
 
@@ -15,13 +16,6 @@
 
 /** Returns the pace of each endpoint (`EndpointLoad`): its typical time as a multiple of the median over the endpoints of its group. */
 export const relativePaces = <Id>(endpoints: ReadonlyArray<MeasuredEndpoint<Id>>): ReadonlyMap<Id, number> => {
-	const times = new Map<string, number[]>();
-	for (const {group, ms} of endpoints) {
-		const ofGroup = times.get(group) ?? [];
-		ofGroup.push(ms);
-		times.set(group, ofGroup);
-	}
-
-	const typical = new Map([...times].map(([group, all]) => [group, median(all)!]));
+	const typical = new Map([...groupBy(endpoints, ({group}) => group)].map(([group, members]) => [group, median(members.map(({ms}) => ms))!]));
 	return new Map(endpoints.map(({endpoint, group, ms}) => [endpoint, Math.min(maxPace, Math.max(minPace, ms / typical.get(group)!))]));
 };
