Draw members at random in one place; name typical durations of responses

Cause: gossip drew its peers with a loop of its own beside `sampleOf`; `typicalMs` was the name of two things, the speed of an endpoint and the duration of a service's responses. Change: `sampleOf` in core, also for gossip (every subset as likely as before); `typicalResponseMs` for the durations. No assertion changed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,6 +18,7 @@
 export type {RefusalCode} from './refusal-code.js';
 export {refusalBody} from './refusal-body.js';
 export type {RunState} from './run-state.js';
+export {sampleOf} from './sample-of.js';
 export {splitAddress} from './split-address.js';
 export {succeed} from './succeed.js';
 export {systemClock} from './system-clock.js';
--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -1,5 +1,6 @@
+import {sampleOf} from '@deckwheel/core';
 import {
-	chooseAmongCandidates, chooseEndpoint, exclusionOfAll, sampleOf, scoreByAffinity, scoreByExpectedTime, smooth, stepEndpoints,
+	chooseAmongCandidates, chooseEndpoint, exclusionOfAll, scoreByAffinity, scoreByExpectedTime, smooth, stepEndpoints,
 	type AffinityRequest, type EndpointCandidates, type EndpointLoad, type EndpointTable, type WarmupRules,
 } from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
@@ -39,7 +40,7 @@
 	const prefixHomes = createPrefixHomes(now);
 	const hallsOfServices = createHallsOfServices(hall);
 	/** The smoothed duration of a request that was served, in ms, by service. */
-	const typicalMs = new Map<string, number>();
+	const typicalResponseMs = new Map<string, number>();
 	let listedHalls: readonly string[] = [];
 	let table: EndpointTable = new Map();
 	let byId: ReadonlyMap<string, ListedEndpoint> = new Map();
@@ -76,7 +77,7 @@
 			return load;
 		};
 
-		return chooseAmongCandidates(table, {...request, loadOf, typicalMs: typicalMs.get(request.target)}, now(), {
+		return chooseAmongCandidates(table, {...request, loadOf, typicalResponseMs: typicalResponseMs.get(request.target)}, now(), {
 			candidates, scoreEndpoint: scoreByExpectedTime, randomCount: by.randomEndpoints, random: by.random,
 		});
 	};
@@ -121,7 +122,7 @@
 		},
 		noteServed(endpoint, durationMs) {
 			for (const service of table.get(endpoint)?.info.serves ?? []) {
-				typicalMs.set(service, smooth(typicalMs.get(service) ?? durationMs, durationMs));
+				typicalResponseMs.set(service, smooth(typicalResponseMs.get(service) ?? durationMs, durationMs));
 			}
 		},
 		exclusionOfAll: request => exclusionOfAll(table, constraintsOf(request), now()),
--- a/packages/poison/src/lib/pick-gossip-peers.ts
+++ b/packages/poison/src/lib/pick-gossip-peers.ts
@@ -1,3 +1,4 @@
+import {sampleOf} from '@deckwheel/core';
 import type {Peer} from '../peer.js';
 
 /** Peers of this host's hall that one round reaches. With two, nearly all hosts of a hall of any size are reached within a few rounds. */
@@ -6,18 +7,8 @@
 /** Peers of other halls that one round reaches. */
 const otherHallPeers = 1;
 
-const pickRandom = (peers: readonly Peer[], count: number, random: () => number): readonly Peer[] => {
-	const remaining = [...peers];
-	const picked: Peer[] = [];
-	while (picked.length < count && remaining.length > 0) {
-		picked.push(...remaining.splice(Math.floor(random() * remaining.length), 1));
-	}
-
-	return picked;
-};
-
 /** Picks the peers for one round of gossip of a host in `hall`. `random` returns a number from 0 (inclusive) to 1 (exclusive). */
 export const pickGossipPeers = (hall: string, peers: readonly Peer[], random: () => number): readonly Peer[] => [
-	...pickRandom(peers.filter(peer => peer.hall === hall), ownHallPeers, random),
-	...pickRandom(peers.filter(peer => peer.hall !== hall), otherHallPeers, random),
+	...sampleOf(peers.filter(peer => peer.hall === hall), ownHallPeers, random),
+	...sampleOf(peers.filter(peer => peer.hall !== hall), otherHallPeers, random),
 ];
--- a/packages/routing/src/endpoints/choose-among-candidates.ts
+++ b/packages/routing/src/endpoints/choose-among-candidates.ts
@@ -1,4 +1,4 @@
-import {sampleOf} from '../lib/sample-of.js';
+import {sampleOf} from '@deckwheel/core';
 import type {ScoreEndpoint} from '../scoring/score-endpoint.js';
 import type {ScoredEndpoint} from '../scoring/scored-endpoint.js';
 import type {EndpointCandidates} from './endpoint-candidates.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -24,7 +24,6 @@
 export {dequeueRequest} from './request-queue/dequeue-request.js';
 export type {Priority} from './request-queue/priority.js';
 export {queueRetryAfterSeconds} from './request-queue/queue-retry-after-seconds.js';
-export {sampleOf} from './lib/sample-of.js';
 export {scoreByAffinity} from './scoring/score-by-affinity.js';
 export {scoreByCost} from './scoring/score-by-cost.js';
 export {scoreByExpectedTime} from './scoring/score-by-expected-time.js';
--- a/packages/routing/src/scoring/expected-time-request.ts
+++ b/packages/routing/src/scoring/expected-time-request.ts
@@ -6,5 +6,5 @@
 	/** Returns the load of an endpoint, over all hosts as far as this host knows it. */
 	readonly loadOf: (endpoint: string) => EndpointLoad;
 	/** The typical duration of a response of the target, in ms; `undefined` where it is unknown. */
-	readonly typicalMs: number | undefined;
+	readonly typicalResponseMs: number | undefined;
 };
--- a/packages/routing/src/scoring/score-by-expected-time.ts
+++ b/packages/routing/src/scoring/score-by-expected-time.ts
@@ -24,16 +24,16 @@
 what came instead is about the same at all endpoints. If hosts went by the count as reported, they would all avoid the endpoints that
 were busy then, and crowd the ones that were idle.
 */
-const expectedOpen = ({inFlight, info: {slots}}: EndpointState, {open, ageMs = 0}: EndpointLoad, typicalMs: number | undefined): number => {
+const expectedOpen = ({inFlight, info: {slots}}: EndpointState, {open, ageMs = 0}: EndpointLoad, typicalResponseMs: number | undefined): number => {
 	const others = Math.max(0, open - inFlight);
-	if (typicalMs === undefined) {
+	if (typicalResponseMs === undefined) {
 		return open;
 	}
 
 	// While all slots are taken, requests that wait for one take the places of those that end.
 	const waitingOthers = Math.max(0, others - slots);
-	const drainMs = waitingOthers * typicalMs / slots;
-	return inFlight + (ageMs < drainMs ? others - (slots * ageMs / typicalMs) : (others - waitingOthers) * Math.exp((drainMs - ageMs) / typicalMs));
+	const drainMs = waitingOthers * typicalResponseMs / slots;
+	return inFlight + (ageMs < drainMs ? others - (slots * ageMs / typicalResponseMs) : (others - waitingOthers) * Math.exp((drainMs - ageMs) / typicalResponseMs));
 };
 
 /**
@@ -49,7 +49,7 @@
 	const {open, pendingPromptTokens, pace, ageMs} = load;
 	const cached = Math.min(request.promptTokens, request.cachedTokens(info.id));
 	const prefillMs = (request.promptTokens - cached) * prefillMsPerToken;
-	const openNow = expectedOpen(state, load, request.typicalMs);
+	const openNow = expectedOpen(state, load, request.typicalResponseMs);
 	const waitMs = ((openNow + 1) * waitMsPerRequest) + (pendingPromptTokens * prefillMsPerToken);
 	const hallMs = hallPenaltyMs(info.hall, request);
 	const coldMs = warmupPenaltyMs(state, request, now);
--- a/packages/routing/src/test/choose-among-candidates.test.ts
+++ b/packages/routing/src/test/choose-among-candidates.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {sampleOf} from '@deckwheel/core';
 import fc from 'fast-check';
 import {chooseAmongCandidates} from '../endpoints/choose-among-candidates.js';
 import type {EndpointEvent} from '../endpoints/endpoint-event.js';
@@ -6,7 +7,6 @@
 import type {EndpointTable} from '../endpoints/endpoint-table.js';
 import {stepEndpoints} from '../endpoints/step-endpoints.js';
 import type {EndpointLoad} from '../load/endpoint-load.js';
-import {sampleOf} from '../lib/sample-of.js';
 import {scoreByExpectedTime} from '../scoring/score-by-expected-time.js';
 
 const endpointCount = 40;
@@ -44,7 +44,7 @@
 		open: openAt(id), pendingPromptTokens: 0, pace: 1, ageMs: 0,
 	});
 	return chooseAmongCandidates(table, {
-		target: 's', hall: 'a', tried, avoidedHalls: [], unreachableHalls, promptTokens: 1000, cachedTokens, loadOf, typicalMs: undefined,
+		target: 's', hall: 'a', tried, avoidedHalls: [], unreachableHalls, promptTokens: 1000, cachedTokens, loadOf, typicalResponseMs: undefined,
 	}, 0, {
 		candidates: {favoured, near, far}, scoreEndpoint: scoreByExpectedTime, randomCount: 3, random,
 	});
--- a/packages/routing/src/test/score-by-expected-time.test.ts
+++ b/packages/routing/src/test/score-by-expected-time.test.ts
@@ -14,21 +14,21 @@
 	readonly cached?: number;
 	readonly promptTokens?: number;
 	readonly avoidedHalls?: readonly string[];
-	readonly typicalMs?: number;
+	readonly typicalResponseMs?: number;
 };
 
 /** A prompt of which most is shared, and the tokens of that part. */
 const longPrompt = 9190;
 const sharedPart = 6300;
 
-const scoreOf = ({info, load, cached = 0, promptTokens = 0, avoidedHalls = [], typicalMs}: Case) => {
+const scoreOf = ({info, load, cached = 0, promptTokens = 0, avoidedHalls = [], typicalResponseMs}: Case) => {
 	const endpoint: EndpointInfo = {
 		id: 'e', hall: 'a', serves: ['s'], slots: 16, isLeaving: false, ...info,
 	};
 	const state = stepEndpoints(new Map(), {type: 'configured', endpoints: [endpoint]}, 0).get('e')!;
 	const warmup = {warmupMs: 0, reopenedAt: new Map<string, number>(), isSender: () => true};
 	return scoreByExpectedTime(state, {
-		target: 's', hall: 'a', tried: [], avoidedHalls, promptTokens, cachedTokens: () => cached, loadOf: () => ({...idle, ...load}), warmup, typicalMs,
+		target: 's', hall: 'a', tried: [], avoidedHalls, promptTokens, cachedTokens: () => cached, loadOf: () => ({...idle, ...load}), warmup, typicalResponseMs,
 	}, 0);
 };
 
@@ -84,13 +84,13 @@
 
 // Guards against hosts that all avoid the endpoints that were busy when a report was made, and crowd the others.
 test('open requests of other hosts count less the older their report is, by the time that requests take', t => {
-	const costAt = (ageMs: number, open = 8): number => scoreOf({load: {open, ageMs}, typicalMs: 100}).cost;
+	const costAt = (ageMs: number, open = 8): number => scoreOf({load: {open, ageMs}, typicalResponseMs: 100}).cost;
 	t.is(costAt(0), scoreOf({load: {open: 8}}).cost);
 	t.true(costAt(50) < costAt(0));
 	t.true(costAt(200) < costAt(50));
 	t.true(costAt(2000) - scoreOf({}).cost < 0.001);
 	// Those that wait for a slot take the places of those that end: of 48 at 16 slots, 32 are left after 100 ms, all of which were reported.
 	t.is(costAt(100, 48), costAt(0, 32));
-	t.false(scoreOf({load: {open: 48, ageMs: 100}, typicalMs: 100}).hasCapacity);
-	t.true(scoreOf({load: {open: 16, ageMs: 100}, typicalMs: 100}).hasCapacity);
+	t.false(scoreOf({load: {open: 48, ageMs: 100}, typicalResponseMs: 100}).hasCapacity);
+	t.true(scoreOf({load: {open: 16, ageMs: 100}, typicalResponseMs: 100}).hasCapacity);
 });
