Load sharing: one loop for exchanges, counts added at once

Cause: two tick counters and a guard stood among the wiring, and entries that were left out (up to 15,000 a message) were counted one by one. Change: `startExchanges` owns ticks and guard; `EventCounter.increment` takes a number. Behaviour as before; the tests' counter takes the number too.

--- a/packages/entry/src/lib/load-sharing/create-load-sharing.ts
+++ b/packages/entry/src/lib/load-sharing/create-load-sharing.ts
@@ -12,6 +12,7 @@
 import {createLoadClient} from './member/create-load-client.js';
 import {createLoadMember} from './member/create-load-member.js';
 import {createLoadTracker} from './member/create-load-tracker.js';
+import {startExchanges} from './start-exchanges.js';
 import {ticksBetweenExchanges} from './ticks-between-exchanges.js';
 import {indexEndpoints} from './wire/index-endpoints.js';
 
@@ -50,9 +51,6 @@
 export const createLoadSharing = ({links, request, every, onEnded, counter, log, now}: Options): LoadSharing => {
 	const finder = createLeaderFinder({links, log, now});
 	let index = indexEndpoints([]);
-	let ticks = 0;
-	let pullTicks = 0;
-	let isReporting = false;
 	let isClosed = false;
 
 	const isSelf = (address: string | undefined): boolean => address === links().self().address;
@@ -60,8 +58,8 @@
 	const intervalMs = (): number => intervalTicks() * tickMs;
 
 	const onLeftOut = (entries: number): void => {
-		for (let entry = 0; entry < entries; entry++) {
-			counter.increment('left_out');
+		if (entries > 0) {
+			counter.increment('left_out', entries);
 		}
 	};
 
@@ -156,31 +154,26 @@
 		}
 	};
 
-	const tick = async (): Promise<void> => {
-		leader.expire();
-		member.expire(totalsIntervals * intervalMs());
-		ticks++;
-		if (isReporting || ticks % intervalTicks() !== 0) {
-			return;
-		}
-
-		isReporting = true;
-		try {
-			await report();
-		} finally {
-			isReporting = false;
-		}
-	};
-
 	const stops = [
-		every(tickMs, () => {
-			void tick();
+		startExchanges({
+			every,
+			tickMs,
+			ticksApart: intervalTicks,
+			onTick() {
+				leader.expire();
+				member.expire(totalsIntervals * intervalMs());
+			},
+			exchange: report,
 		}),
-		every(hallPullMs, () => {
-			pullTicks++;
-			if (isSelf(finder.lastFound()) && pullTicks % intervalTicks() === 0) {
-				halls.pull();
-			}
+		startExchanges({
+			every,
+			tickMs: hallPullMs,
+			ticksApart: intervalTicks,
+			async exchange() {
+				if (isSelf(finder.lastFound())) {
+					halls.pull();
+				}
+			},
 		}),
 	];
 
--- a/packages/entry/src/test/lib/create-load-fleet.ts
+++ b/packages/entry/src/test/lib/create-load-fleet.ts
@@ -100,8 +100,8 @@
 				endedTold.push(endpoint);
 			},
 			counter: {
-				increment(name) {
-					counts[name] = (counts[name] ?? 0) + 1;
+				increment(name, by = 1) {
+					counts[name] = (counts[name] ?? 0) + by;
 				},
 				recordMax(name, value) {
 					counts[name] = Math.max(counts[name] ?? 0, value);
--- a/packages/host-kit/src/create-event-counter.ts
+++ b/packages/host-kit/src/create-event-counter.ts
@@ -24,8 +24,8 @@
 	timer.unref();
 
 	return {
-		increment(name) {
-			counts[name] = (counts[name] ?? 0) + 1;
+		increment(name, by = 1) {
+			counts[name] = (counts[name] ?? 0) + by;
 		},
 		recordMax(name, value) {
 			counts[name] = Math.max(counts[name] ?? 0, value);
