--- a/packages/entry/src/lib/load-sharing/member/create-load-tracker.ts
+++ b/packages/entry/src/lib/load-sharing/member/create-load-tracker.ts
@@ -3,7 +3,7 @@
 import type {PaceSample} from '../wire/pace-sample.js';
 import {promptUnitTokens} from '../wire/prompt-unit-tokens.js';
 import {createRunTimer} from './create-run-timer.js';
-import type {OthersLoad} from './others-load.js';
+import type {OpenLoad} from './open-load.js';
 import type {SharedLoadTracker} from './shared-load-tracker.js';
 
 type Options = {
@@ -13,16 +13,13 @@
 	readonly now: () => number;
 };
 
-/** The load of one endpoint by one host, or by all others together. */
-type Load = OthersLoad;
-
-const noLoad: Load = {open: 0, pendingPromptTokens: 0};
+const noLoad: OpenLoad = {open: 0, pendingPromptTokens: 0};
 
 /** Creates a tracker without open requests. It counts the requests of this host only until it is given the load of others. */
 export const createLoadTracker = ({onSample, now}: Options): SharedLoadTracker => {
-	const own = new Map<string, Load>();
-	let others: ReadonlyMap<string, OthersLoad> = new Map();
-	let othersAsOf: number | undefined;
+	const own = new Map<string, OpenLoad>();
+	/** The load of other hosts, and when the oldest of their reports was made; `undefined` while it is not known. */
+	let others: {readonly loads: ReadonlyMap<string, OpenLoad>; readonly asOf: number} | undefined;
 	let paces: ReadonlyMap<string, number> = new Map();
 
 	const add = (endpoint: string, runs: number, promptTokens: number): void => {
@@ -35,7 +32,7 @@
 		}
 	};
 
-	const sumOpen = (loads: ReadonlyMap<string, Load>): number => {
+	const sumOpen = (loads: ReadonlyMap<string, OpenLoad>): number => {
 		let sum = 0;
 		for (const {open} of loads.values()) {
 			sum += open;
@@ -47,9 +44,9 @@
 	return {
 		loadOf(endpoint) {
 			const ownLoad = own.get(endpoint) ?? noLoad;
-			const othersLoad = others.get(endpoint) ?? noLoad;
+			const othersLoad = others?.loads.get(endpoint) ?? noLoad;
 			const pace = paces.get(endpoint) ?? 1;
-			const ageMs = othersAsOf === undefined ? undefined : now() - othersAsOf;
+			const ageMs = others && now() - others.asOf;
 			return {
 				open: ownLoad.open + othersLoad.open,
 				pendingPromptTokens: ownLoad.pendingPromptTokens + remainingPromptTokens({tokens: othersLoad.pendingPromptTokens, ageMs: ageMs ?? 0, pace}),
@@ -59,7 +56,7 @@
 		},
 		openShare() {
 			const ownOpen = sumOpen(own);
-			return othersAsOf === undefined || ownOpen === 0 ? undefined : ownOpen / (ownOpen + sumOpen(others));
+			return others && ownOpen > 0 ? ownOpen / (ownOpen + sumOpen(others.loads)) : undefined;
 		},
 		noteSent(endpoint, promptTokens) {
 			const timer = createRunTimer(now);
@@ -91,13 +88,11 @@
 		ownRows: () => [...own].map(([endpoint, {open, pendingPromptTokens}]) => ({
 			endpoint: hash32(endpoint), open, promptUnits: Math.round(pendingPromptTokens / promptUnitTokens),
 		})),
-		setOthers(next, asOf) {
-			others = next;
-			othersAsOf = asOf;
+		setOthers(loads, asOf) {
+			others = {loads, asOf};
 		},
 		forgetOthers() {
-			others = new Map();
-			othersAsOf = undefined;
+			others = undefined;
 		},
 		setPaces(next) {
 			paces = next;
--- a/packages/entry/src/lib/load-sharing/member/others-load.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The load of other hosts at an endpoint. */
-export type OthersLoad = {readonly open: number; readonly pendingPromptTokens: number};
--- a/packages/entry/src/lib/load-sharing/member/shared-load-tracker.ts
+++ b/packages/entry/src/lib/load-sharing/member/shared-load-tracker.ts
@@ -1,6 +1,6 @@
 import type {LoadTracker} from '../load-tracker.js';
 import type {LoadRow} from '../wire/load-row.js';
-import type {OthersLoad} from './others-load.js';
+import type {OpenLoad} from './open-load.js';
 
 /** A load tracker, with what the exchange between hosts reads from it and adds to it. */
 export type SharedLoadTracker = LoadTracker & {
@@ -11,7 +11,7 @@
 
 	@param asOf When the oldest of the reports was made, in monotonic ms.
 	*/
-	readonly setOthers: (others: ReadonlyMap<string, OthersLoad>, asOf: number) => void;
+	readonly setOthers: (others: ReadonlyMap<string, OpenLoad>, asOf: number) => void;
 	/** Forgets the load of other hosts. */
 	readonly forgetOthers: () => void;
 	/** Replaces the paces, by the id of the endpoint. */
