--- a/packages/entry/src/test/create-loan-client.test.ts
+++ b/packages/entry/src/test/create-loan-client.test.ts
@@ -14,20 +14,27 @@
 
 const peer = (holder: string, address: string): ListedPeer => ({holder, address, hall: 'h'});
 
+type ClientOptions = Parameters<typeof createLoanClient>[0];
+
+const createClient = (options: Pick<ClientOptions, 'mesh'> & Partial<ClientOptions>) => createLoanClient({
+	onLoan: () => undefined,
+	receivedFrom: () => 0,
+	onSilence: () => undefined,
+	replyTimeoutMs: defaultTimeouts.peerMs,
+	log: () => undefined,
+	now: () => 0,
+	...options,
+});
+
 test('the loan of a restarted host that is asked under its old and its new name counts once', async t => {
 	// Both addresses lead to one incarnation of the host.
 	const mesh = meshOf(async () => succeed({lender: 'edge-1#new', total: 50, reachesStore: true}));
 	let account = emptyHostAccount;
-	const loanClient = createLoanClient({
+	const loanClient = createClient({
 		mesh: () => mesh,
 		onLoan(_budget, from, total) {
 			account = stepAccount(account, {type: 'received', from, total});
 		},
-		receivedFrom: () => 0,
-		onSilence: () => undefined,
-		replyTimeoutMs: defaultTimeouts.peerMs,
-		log: () => undefined,
-		now: () => 0,
 	});
 	await loanClient.borrow({
 		budget: 'budget', tokens: 100, demanded: 0, peers: [peer('edge-1#old', '127.0.0.1:1'), peer('edge-1#new', '127.0.0.1:2')], isEnough: () => false,
@@ -38,16 +45,11 @@
 test('a peer is reported as silent after two missing replies in a row, or at once when it is unreachable', async t => {
 	const reportedSilent: string[] = [];
 	const errors: LinkError[] = ['unknown', 'unknown', 'unreachable'];
-	const loanClient = createLoanClient({
+	const loanClient = createClient({
 		mesh: () => meshOf(async () => fail(errors.shift()!)),
-		onLoan: () => undefined,
-		receivedFrom: () => 0,
 		onSilence(address) {
 			reportedSilent.push(address);
 		},
-		replyTimeoutMs: defaultTimeouts.peerMs,
-		log: () => undefined,
-		now: () => 0,
 	});
 	const borrow = async () => loanClient.borrow({
 		budget: 'budget', tokens: 100, demanded: 0, peers: [peer('edge-1#a', '127.0.0.1:1')], isEnough: () => false,
@@ -62,16 +64,11 @@
 
 test('a malformed reply to rights that were handed back is logged, and the result is unknown', async t => {
 	const logged: string[] = [];
-	const loanClient = createLoanClient({
+	const loanClient = createClient({
 		mesh: () => meshOf(async () => succeed({isTaken: 'yes'})),
-		onLoan: () => undefined,
-		receivedFrom: () => 0,
-		onSilence: () => undefined,
-		replyTimeoutMs: defaultTimeouts.peerMs,
 		log(event) {
 			logged.push(event);
 		},
-		now: () => 0,
 	});
 	t.is(await loanClient.handBack(peer('edge-1#a', '127.0.0.1:1'), 'budget', 100), 'unknown');
 	t.deepEqual(logged, ['peer_reply_malformed']);
@@ -80,17 +77,12 @@
 test('peers are asked only until the deadline, which also shortens the timeout of each reply', async t => {
 	let time = 0;
 	const timeouts: number[] = [];
-	const loanClient = createLoanClient({
+	const loanClient = createClient({
 		mesh: () => meshOf(async (_address, _body, timeoutMs) => {
 			timeouts.push(timeoutMs);
 			time += 50;
 			return fail('unknown');
 		}),
-		onLoan: () => undefined,
-		receivedFrom: () => 0,
-		onSilence: () => undefined,
-		replyTimeoutMs: defaultTimeouts.peerMs,
-		log: () => undefined,
 		now: () => time,
 	});
 	await loanClient.borrow({
@@ -102,16 +94,11 @@
 // Guards against a pause in loans after peers were not asked at all.
 test('a loan whose deadline passes before all peers were asked is not conclusive', async t => {
 	let time = 0;
-	const loanClient = createLoanClient({
+	const loanClient = createClient({
 		mesh: () => meshOf(async () => {
 			time += 100;
 			return succeed({lender: 'edge-1#a', total: 0, reachesStore: true});
 		}),
-		onLoan: () => undefined,
-		receivedFrom: () => 0,
-		onSilence: () => undefined,
-		replyTimeoutMs: defaultTimeouts.peerMs,
-		log: () => undefined,
 		now: () => time,
 	});
 	const peers = ['127.0.0.1:1', '127.0.0.1:2'].map(address => peer(address, address));
@@ -131,14 +118,9 @@
 			lender: 'edge-3#a', total: received, reachesStore: false, isKept: true,
 		}),
 	};
-	const loanClient = createLoanClient({
+	const loanClient = createClient({
 		mesh: () => meshOf(async address => replies[address]!),
-		onLoan: () => undefined,
 		receivedFrom: () => received,
-		onSilence: () => undefined,
-		replyTimeoutMs: defaultTimeouts.peerMs,
-		log: () => undefined,
-		now: () => 0,
 	});
 	const borrowFrom = async (...addresses: readonly string[]) => loanClient.borrow({
 		budget: 'budget', tokens: 100, demanded: 0, peers: addresses.map(address => peer(address, address)), isEnough: () => false,
