--- a/packages/entry/src/lib/lending/create-loan-client.ts
+++ b/packages/entry/src/lib/lending/create-loan-client.ts
@@ -41,8 +41,12 @@
 const mostLeft = (loans: readonly LoanReply[]): ReportedLeft | undefined =>
 	loans.map(({left}) => left).filter(left => left !== undefined).sort((a, b) => b.tokens - a.tokens)[0];
 
-/** Creates the client that requests loans from peers. Rights in a lost reply are not lost: each reply carries the total, so the next one makes up for it. A host
-that lacks no rights any more asks nobody, so what it was lent would stay on its way: `collect` asks for missing replies. */
+/**
+Creates the client that requests loans from peers.
+
+Rights in a lost reply are not lost: each reply carries the total, so the next one makes up for it. A host that lacks no rights any more asks
+nobody, so what it was lent would stay on its way: `collect` asks for missing replies.
+*/
 export const createLoanClient = ({mesh, receivedFrom, onLoan, onSilence, replyTimeoutMs, log, now}: Options): LoanClient => {
 	const silentPeers = new Set<string>();
 	const missingReplies = createMissingReplies(now);
--- a/packages/entry/src/lib/rights/is-budget-exhausted.ts
+++ b/packages/entry/src/lib/rights/is-budget-exhausted.ts
@@ -25,8 +25,7 @@
 
 A final refusal needs proof: a fresh record of the store by which too few tokens are neither spent nor reserved for the worst case of
 open requests. Tokens that hosts hold and may still lend count as left. If reservations of open requests counted as left too, an
-organisation that sends many times its usual demand would be told to retry over and over: 491 of 639 refusals of a quiet day went to one
-such organisation.
+organisation that sends many times its usual demand would be told to retry over and over.
 */
 export const isBudgetExhausted = ({rights, ageMs, isSkipped, holder, account, hasClients, tokens}: Inputs): boolean =>
 	rights !== undefined && ageMs < maxProofAgeMs(isSkipped) && mostTokensLeft({
