--- a/packages/entry/src/adapter/header-names.ts
+++ b/packages/entry/src/adapter/header-names.ts
@@ -25,6 +25,8 @@
 	readonly prefix: string;
 	/** The last event of a stream that the caller has received, after which an endpoint resumes the stream. */
 	readonly lastEventId: string;
+	/** The id of the attempt that brought the caller the first event of the stream that this request takes up. */
+	readonly resumes: string;
 	/** Headers that callers may not set: hosts do not forward them. */
 	readonly reserved: readonly string[];
 };
--- a/packages/entry/src/lib/admission/admit-request.ts
+++ b/packages/entry/src/lib/admission/admit-request.ts
@@ -70,6 +70,6 @@
 
 	const deadline = findDeadline(route, firstValueOf(headers[headerNames.deadline]), receivedAt);
 	return succeed({
-		route, organisation, prompt, deadline,
+		route, organisation, prompt, deadline, resumes: firstValueOf(headers[headerNames.resumes]),
 	});
 };
--- a/packages/entry/src/lib/admission/admitted-request.ts
+++ b/packages/entry/src/lib/admission/admitted-request.ts
@@ -9,6 +9,8 @@
 	readonly organisation: Organisation | undefined;
 	/** The size of the prompt; `undefined` where the request has no token count. */
 	readonly prompt: Prompt | undefined;
+	/** The id of the attempt that brought the caller the first event of the stream that this request takes up; `undefined` for other requests. */
+	readonly resumes?: string;
 	/** The earlier of when the caller stops waiting and when the timeout of the route ends, in monotonic ms. */
 	readonly deadline: number;
 };
--- a/packages/entry/src/lib/request/request-progress.ts
+++ b/packages/entry/src/lib/request/request-progress.ts
@@ -1,3 +1,5 @@
+import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+
 /** The attempts and runs of one request so far. */
 export type RequestProgress = {
 	/** How many attempts reached an endpoint. */
@@ -10,10 +12,14 @@
 	readonly lostRuns: number;
 	/** The ids of the endpoints that the request was sent to, in order. */
 	readonly tried: readonly string[];
+	/** The endpoint of the latest attempt; `undefined` before one. */
+	readonly latest: ListedEndpoint | undefined;
 	/** Halls in which an endpoint accepted no connection for this request. */
 	readonly avoidedHalls: readonly string[];
 	/** How many whole events of a stream the caller got, over all runs. */
 	readonly relayedEvents: number;
+	/** The endpoint that wrote the first event that the caller got; `undefined` before one. */
+	readonly begunBy: ListedEndpoint | undefined;
 	/** The id of the last event that the caller got, after which another run resumes the stream. */
 	readonly lastEventId: string | undefined;
 };
--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -1,3 +1,4 @@
+import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {ResponseTiming} from '../relaying/response-timing.js';
 
 /** How a request ended after it was admitted and its first run was reserved. */
@@ -21,8 +22,10 @@
 	readonly retryAt?: number;
 	/** For the log: why the endpoint of an answered request was chosen, or why the request was given up. The refusal depends on it. */
 	readonly reason: string;
-	/** The id of the endpoint of the last attempt; empty where no attempt was made. */
-	readonly endpoint: string;
+	/** The endpoint of the last attempt; `undefined` where no attempt was made. */
+	readonly endpoint: ListedEndpoint | undefined;
+	/** The endpoint that wrote the first event that the caller got from this host; `undefined` without one. */
+	readonly begunBy: ListedEndpoint | undefined;
 	/** When the request was sent and answered. */
 	readonly timing: ResponseTiming;
 };
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -103,9 +103,9 @@
 
 	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt}: Pick<RequestResult, 'status' | 'retryAt'> = {}): RequestResult => {
 		requestEnd.close();
-		const {arrivals, misdirectedAttempts: misdirected, lostRuns, tried, relayedEvents} = progress;
+		const {arrivals, misdirectedAttempts: misdirected, lostRuns, latest, begunBy, relayedEvents} = progress;
 		return {
-			outcome, arrivals, misdirected, lostRuns, status, retryAt, reason, endpoint: tried.at(-1) ?? '', outputTokens: relayedEvents * tokensPerEvent, timing: timer.timing(),
+			outcome, arrivals, misdirected, lostRuns, status, retryAt, reason, endpoint: latest, begunBy, outputTokens: relayedEvents * tokensPerEvent, timing: timer.timing(),
 		};
 	};
 
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -50,7 +50,19 @@
 	const used = chargeOfResult(result, reserved, admitted.prompt);
 	reservation.settle(used);
 	const fields = {
-		route: admitted.route.name, budget, endpoint: result.endpoint, arrivals: result.arrivals, misdirected: result.misdirected, lost_runs: result.lostRuns, reserved, used, reason: result.reason,
+		route: admitted.route.name,
+		budget,
+		endpoint: result.endpoint?.id ?? '',
+		endpoint_version: result.endpoint?.version,
+		begun_by: result.begunBy?.id,
+		begun_version: result.begunBy?.version,
+		resumes: admitted.resumes,
+		arrivals: result.arrivals,
+		misdirected: result.misdirected,
+		lost_runs: result.lostRuns,
+		reserved,
+		used,
+		reason: result.reason,
 	};
 	if (result.outcome === 'answered') {
 		requestLog.answered(result, fields);
--- a/packages/entry/src/lib/request/step-progress.ts
+++ b/packages/entry/src/lib/request/step-progress.ts
@@ -12,8 +12,13 @@
 	/** A response with a status of 500 or more is dropped, and the request is sent to another endpoint. Its run counts as lost. */
 	| {readonly type: 'error_dropped'};
 
-const addRelayedEvents = (progress: RequestProgress, relayed: RelayEnd | undefined): RequestProgress => relayed
-	? {...progress, relayedEvents: progress.relayedEvents + relayed.count, lastEventId: relayed.lastId}
+const addRelayedEvents = (progress: RequestProgress, endpoint: ListedEndpoint, relayed: RelayEnd | undefined): RequestProgress => relayed
+	? {
+		...progress,
+		relayedEvents: progress.relayedEvents + relayed.count,
+		lastEventId: relayed.lastId,
+		begunBy: progress.begunBy ?? (relayed.count > 0 ? endpoint : undefined),
+	}
 	: progress;
 
 const progressAfterEnd = (progress: RequestProgress, {endpoint, end, isOver}: ProgressEvent & {type: 'ended'}): RequestProgress => {
@@ -27,11 +32,11 @@
 		}
 
 		case 'lost': {
-			return addRelayedEvents({...progress, arrivals: progress.arrivals + 1, lostRuns: progress.lostRuns + 1}, end.relayed);
+			return addRelayedEvents({...progress, arrivals: progress.arrivals + 1, lostRuns: progress.lostRuns + 1}, endpoint, end.relayed);
 		}
 
 		case 'streamed': {
-			return addRelayedEvents({...progress, arrivals: progress.arrivals + 1}, end.relayed);
+			return addRelayedEvents({...progress, arrivals: progress.arrivals + 1}, endpoint, end.relayed);
 		}
 
 		default: {
@@ -44,7 +49,7 @@
 export const stepProgress = (progress: RequestProgress, event: ProgressEvent): RequestProgress => {
 	switch (event.type) {
 		case 'sent': {
-			return {...progress, tried: [...progress.tried, event.endpoint.id]};
+			return {...progress, tried: [...progress.tried, event.endpoint.id], latest: event.endpoint};
 		}
 
 		case 'ended': {
--- a/packages/entry/src/test/lib/header-names.ts
+++ b/packages/entry/src/test/lib/header-names.ts
@@ -16,5 +16,6 @@
 	tokenCount: 'x-tokens',
 	prefix: 'x-prefix',
 	lastEventId: 'last-event-id',
+	resumes: 'x-resumes',
 	reserved: ['x-reserved'],
 };
--- a/packages/entry/src/test/step-progress.test.ts
+++ b/packages/entry/src/test/step-progress.test.ts
@@ -29,7 +29,7 @@
 test('a lost run is counted, and its stream resumes after the last event that the caller got', t => {
 	t.deepEqual(progressAfter({type: 'lost', reason: 'lost'}), {...initialProgress, arrivals: 1, lostRuns: 1});
 	t.deepEqual(progressAfter({type: 'lost', reason: 'broken', relayed: {type: 'broken', lastId: '7', count: 3}}), {
-		...initialProgress, arrivals: 1, lostRuns: 1, relayedEvents: 3, lastEventId: '7',
+		...initialProgress, arrivals: 1, lostRuns: 1, relayedEvents: 3, begunBy: endpoint, lastEventId: '7',
 	});
 });
 
--- a/packages/routing/src/endpoints/endpoint-info.ts
+++ b/packages/routing/src/endpoints/endpoint-info.ts
@@ -12,4 +12,6 @@
 	readonly region?: string;
 	/** The instant until which the endpoint warms up after a start or a loss of its caches, in monotonic ms; `undefined` for a warm endpoint. */
 	readonly coldUntil?: number;
+	/** The version of the endpoint's software; `undefined` where it is not stated. What two versions write into one stream does not fit together. */
+	readonly version?: string;
 };
