--- /dev/null
+++ b/packages/entry/src/test/lib/start-versioned-fleet.ts
@@ -0,0 +1,74 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ExecutionContext} from 'ava';
+import type {ListedPeer} from '../../adapter/listed-peer.js';
+import {createMemoryRightsStore} from './memory-rights-store.js';
+import {startEndpoint} from './start-endpoint.js';
+import {makeConfig, makeRoute, startHost} from './start-host.js';
+
+/** How many events a whole stream has. */
+export const streamLength = 6;
+
+/**
+The header with which a caller asks the endpoint that begins its stream for trouble: `break` breaks the stream off after two events, `hold`
+writes one event and then nothing, and `crash` breaks the response off before the first event.
+*/
+export const troubleHeader = 'x-trouble';
+
+const writeEvents = (res: ServerResponse, from: number, to: number, version: string): void => {
+	for (let id = from; id <= to; id++) {
+		res.write(`id: ${id}\ndata: ${version}\n\n`);
+	}
+};
+
+/** Responds with a stream whose events name the version that wrote them. It goes on after the event that the request names. */
+const answerWith = (version: string) => (req: IncomingMessage, res: ServerResponse): void => {
+	const after = Number(req.headers['last-event-id'] ?? 0);
+	const trouble = after === 0 ? req.headers[troubleHeader] : undefined;
+	if (trouble === 'crash') {
+		res.destroy();
+		return;
+	}
+
+	res.writeHead(200, {'content-type': 'text/event-stream'});
+	if (trouble === 'hold') {
+		writeEvents(res, 1, 1, version);
+	} else if (trouble === 'break') {
+		res.write(`id: 1\ndata: ${version}\n\nid: 2\ndata: ${version}\n\n`, () => {
+			res.destroy();
+		});
+	} else {
+		writeEvents(res, after + 1, streamLength, version);
+		res.end();
+	}
+};
+
+type Options = {
+	/** The hall of each host. */
+	readonly halls: readonly string[];
+	/** The version of each endpoint; they stand in the halls in turn. */
+	readonly versions: ReadonlyArray<string | undefined>;
+};
+
+/** Starts whole hosts that know each other and list endpoints of several software versions, behind a route for streams that may be resumed. */
+export const startVersionedFleet = async (t: ExecutionContext, {halls, versions}: Options) => {
+	const peers = new Map<string, ListedPeer>();
+	const hallNames = [...new Set(halls)];
+	const endpoints = await Promise.all(versions.map(async (version, index) => {
+		const endpoint = await startEndpoint(`e${index}`, answerWith(version ?? 'none'), hallNames[index % hallNames.length]);
+		return {...endpoint, listed: {...endpoint.listed, version}};
+	}));
+	const hosts = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {host: `edge-${index}`, hall, peers})));
+	for (const {entry} of hosts) {
+		entry.configure(makeConfig({routes: [makeRoute({kind: 'stream', isResumable: true, maxAttempts: 4})]}));
+		entry.listEndpoints(endpoints.map(({listed}) => listed));
+	}
+
+	await Promise.all(hosts.map(async ({logged}) => logged('peers_listed', ({count}) => count === halls.length)));
+	t.teardown(async () => {
+		await Promise.all(hosts.map(async ({entry}) => entry.kill()));
+		for (const endpoint of endpoints) {
+			endpoint.close();
+		}
+	});
+	return {hosts, endpoints, peers};
+};
