--- a/packages/entry/src/lib/choice/choice-request.ts
+++ b/packages/entry/src/lib/choice/choice-request.ts
@@ -10,6 +10,8 @@
 	readonly tried: readonly string[];
 	/** Halls in which an earlier attempt of the request could not connect to an endpoint. */
 	readonly avoidedHalls: readonly string[];
+	/** The software version that began the stream that the request goes on with; `undefined` for any other request. */
+	readonly version?: string;
 	/** Sets of allowed regions; the endpoint's region must be in every set. */
 	readonly regions: ReadonlyArray<readonly string[]>;
 };
--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -58,8 +58,8 @@
 		hallsOfServices.list(usable);
 	};
 
-	const constraintsOf = ({service, regions}: Pick<ChoiceRequest, 'service' | 'regions'>) => ({
-		target: service, hall, unreachableHalls: unreachableHalls(), evacuatedHalls: evacuations.halls, regions, warmup: warmupRules?.(service, evacuations.reopenedAt),
+	const constraintsOf = ({service, version, regions}: Pick<ChoiceRequest, 'service' | 'version' | 'regions'>) => ({
+		target: service, version, hall, unreachableHalls: unreachableHalls(), evacuatedHalls: evacuations.halls, regions, warmup: warmupRules?.(service, evacuations.reopenedAt),
 	});
 
 	const homesOf = (service: string, part: string | undefined, endpointCount: number) => {
--- a/packages/entry/src/lib/choice/endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/endpoint-chooser.ts
@@ -12,10 +12,10 @@
 	/** Chooses an endpoint for an attempt of a request; `undefined` where none can serve it. */
 	readonly choose: (request: ChoiceRequest) => ChosenEndpoint | undefined;
 	/**
-	Tells why all endpoints of a service are excluded now, where the passing of time or an order of the operators will end that;
+	Tells why all endpoints of a service (and a version) are excluded now, where the passing of time or an order of the operators will end that;
 	`undefined` otherwise.
 	*/
-	readonly exclusionOfAll: (request: Pick<ChoiceRequest, 'service' | 'regions'>) => EndpointExclusion | undefined;
+	readonly exclusionOfAll: (request: Pick<ChoiceRequest, 'service' | 'version' | 'regions'>) => EndpointExclusion | undefined;
 	/** Notes that a request is sent to an endpoint, which will have the parts of the request's prompt in its cache. */
 	readonly noteStarted: (endpoint: string, parts: ChoiceRequest['parts']) => void;
 	/** Notes how long an endpoint took to serve a request, in ms. */
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,3 +1,4 @@
+import {versionOf} from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import {pickService} from '../choice/pick-service.js';
 import type {ChosenEndpoint} from '../choice/chosen-endpoint.js';
@@ -109,12 +110,14 @@
 		};
 	};
 
+	const requiredVersion = (): string | undefined => progress.begunBy && versionOf(progress.begunBy);
+
 	const mayForward = (): boolean => host.mayForward(deadline);
 
 	const giveUp = (reason: string, retryAt?: number): RequestResult => {
 		const endedBy = requestEnd.endedBy();
 		const outcome = decideOutcome({progress, endedBy, hasResponseBegun: writer.hasBegun()});
-		const exclusion = outcome === 'not_run' && isLackOfEndpoints(reason) ? chooser.exclusionOfAll({service, regions}) : undefined;
+		const exclusion = outcome === 'not_run' && isLackOfEndpoints(reason) ? chooser.exclusionOfAll({service, version: requiredVersion(), regions}) : undefined;
 		if (exclusion) {
 			return finish(outcome, `endpoints_${exclusion.reason}`, {retryAt: exclusion.until});
 		}
@@ -194,7 +197,7 @@
 		}
 
 		const choice = chooser.choose({
-			service, parts, tried: progress.tried, avoidedHalls: progress.avoidedHalls, regions,
+			service, parts, tried: progress.tried, avoidedHalls: progress.avoidedHalls, version: requiredVersion(), regions,
 		});
 		if (!choice) {
 			return giveUp('no_endpoint');
--- a/packages/entry/src/test/streams-across-versions.test.ts
+++ b/packages/entry/src/test/streams-across-versions.test.ts
@@ -22,6 +22,14 @@
 	const ends = await Promise.all(Array.from({length: streamCount}, async (_, index) =>
 		openStream(hosts[0]!.callers, `s${index}`, {[troubleHeader]: 'break'}).ended));
 	t.deepEqual(ends.map(end => versionsIn([end])), ends.map(() => 1));
+});
+
+// One stream for each endpoint: more of them in a row would eject endpoints, and an ejected one gets no stream.
+test('a stream that breaks off ends there although another endpoint of its version is left', async t => {
+	const {hosts} = await startVersionedFleet(t, {halls: ['hall-a'], versions});
+	const ends = await Promise.all(versions.map(async (_, index) =>
+		openStream(hosts[0]!.callers, `s${index}`, {[troubleHeader]: 'break'}).ended));
+	t.deepEqual(ends.map(end => versionsIn([end])), ends.map(() => 1));
 	t.deepEqual(ends.map(end => idsIn([end])), ends.map(() => wholeStream));
 });
 
--- a/packages/routing/src/endpoints/endpoint-exclusion.ts
+++ b/packages/routing/src/endpoints/endpoint-exclusion.ts
@@ -5,6 +5,8 @@
 		| 'unlisted'
 		/** The endpoint does not serve the model or service that the request asks for. */
 		| 'other_service'
+		/** The endpoint's software is of another version than the one that began the stream. */
+		| 'other_version'
 		/** The endpoint will shut down soon. */
 		| 'leaving'
 		/** The operators ordered that the endpoint's hall gets no requests. */
--- a/packages/routing/src/endpoints/endpoint-request.ts
+++ b/packages/routing/src/endpoints/endpoint-request.ts
@@ -14,6 +14,8 @@
 	readonly evacuatedHalls?: ReadonlySet<string>;
 	/** Sets of allowed regions; the endpoint's region must be in every set. */
 	readonly regions?: ReadonlyArray<readonly string[]>;
+	/** The software version (`versionOf`) that began the stream that the request goes on with; `undefined` for any other request. */
+	readonly version?: string;
 	/** How this host may use endpoints that warm up; by default they are used like warm ones. */
 	readonly warmup?: WarmupRules;
 };
--- a/packages/routing/src/endpoints/find-exclusion.ts
+++ b/packages/routing/src/endpoints/find-exclusion.ts
@@ -2,6 +2,7 @@
 import type {EndpointExclusion} from './endpoint-exclusion.js';
 import type {EndpointRequest} from './endpoint-request.js';
 import type {EndpointState} from './endpoint-state.js';
+import {versionOf} from './version-of.js';
 import {warmAt} from './warm-at.js';
 
 /** The part of a request that decides which endpoints are excluded for it. `chooseEndpoint` itself leaves out those in `tried`. */
@@ -45,6 +46,10 @@
 		return {reason: 'other_service'};
 	}
 
+	if (request.version !== undefined && versionOf(info) !== request.version) {
+		return {reason: 'other_version'};
+	}
+
 	if (info.isLeaving) {
 		return {reason: 'leaving'};
 	}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -38,6 +38,7 @@
 export {stepRetryWindow} from './retries/step-retry-window.js';
 export type {QueuedRequest} from './request-queue/queued-request.js';
 export type {QueueState} from './request-queue/queue-state.js';
+export {versionOf} from './endpoints/version-of.js';
 export {turnAwayPauseMs} from './endpoints/turn-away-pause-ms.js';
 export {coordinatorsOf} from './request-limits/coordinators-of.js';
 export {permitRate} from './request-limits/permit-rate.js';
--- a/packages/routing/src/test/find-exclusion.test.ts
+++ b/packages/routing/src/test/find-exclusion.test.ts
@@ -31,6 +31,7 @@
 	t.is(exclusionAt(tableOf(), {}, 0), undefined);
 	t.is(exclusionAt(tableOf({}, [{type: 'started', endpoint: 'a'}, {type: 'configured', endpoints: []}]), {}, 0)?.reason, 'unlisted');
 	t.is(exclusionAt(tableOf(), {target: 'other'}, 0)?.reason, 'other_service');
+	t.is(exclusionAt(tableOf({version: 'v1'}), {version: 'v2'}, 0)?.reason, 'other_version');
 	t.is(exclusionAt(tableOf({}, [{type: 'leaving', endpoint: 'a'}]), {}, 0)?.reason, 'leaving');
 	t.is(exclusionAt(tableOf(), {evacuatedHalls: new Set(['hall-a'])}, 0)?.reason, 'evacuated');
 	t.is(exclusionAt(tableOf(), {unreachableHalls: new Set(['hall-a'])}, 0)?.reason, 'out_of_reach');
@@ -39,6 +40,21 @@
 	t.deepEqual(exclusionAt(tableOf({coldUntil: 300}), {warmup}, 0), {reason: 'cold', until: 300});
 });
 
+test('a stream goes on at its own version only, where endpoints that state none are of one version', t => {
+	t.is(exclusionAt(tableOf({version: 'v1'}), {version: 'v1'}, 0), undefined);
+	t.is(exclusionAt(tableOf({version: 'v1'}), {}, 0), undefined);
+	t.is(exclusionAt(tableOf(), {version: ''}, 0), undefined);
+	t.is(exclusionAt(tableOf({version: 'v1'}), {version: ''}, 0)?.reason, 'other_version');
+	t.is(exclusionAt(tableOf(), {version: 'v1'}, 0)?.reason, 'other_version');
+});
+
+test('the exclusion of all endpoints of a version is not ended by an endpoint of another one', t => {
+	const table = stepEndpoints(new Map(), {type: 'configured', endpoints: [{...info, version: 'v1', coldUntil: 300}, {...info, id: 'b', version: 'v2'}]}, 0);
+	const warmup = {warmupMs: 500, reopenedAt: new Map<string, number>(), isSender: () => false};
+	t.is(exclusionOfAll(table, {...request, warmup}, 0), undefined);
+	t.deepEqual(exclusionOfAll(table, {...request, warmup, version: 'v1'}, 0), {reason: 'cold', until: 300});
+});
+
 test('an evacuation also excludes endpoints of the host\'s own hall; an unreachable hall never means the own one', t => {
 	t.is(exclusionAt(tableOf(), {hall: 'hall-a', evacuatedHalls: new Set(['hall-a'])}, 0)?.reason, 'evacuated');
 	t.is(exclusionAt(tableOf(), {hall: 'hall-a', unreachableHalls: new Set(['hall-a'])}, 0), undefined);
