--- a/packages/entry/src/lib/request/find-stream-plan.ts
+++ b/packages/entry/src/lib/request/find-stream-plan.ts
@@ -1,3 +1,4 @@
+import {hash32} from '@deckwheel/core';
 import type {AdmittedRequest} from '../admission/admitted-request.js';
 import {pickService} from '../choice/pick-service.js';
 import {streamKeyOf} from '../stream-origins/stream-key-of.js';
@@ -16,14 +17,18 @@
 	return found.type === 'single' || !hasEvents ? {type: 'any', service, key} : {type: 'unknown', service};
 };
 
+/** Turns the key of a stream into a number from 0 up to but not including 1, the same on every host. */
+const fractionOf = (key: string): number => hash32(key) / (2 ** 32);
+
 /** Finds which endpoints a request may be sent to, by where the stream began that its caller takes up. Asks other hosts where this one does not know. */
 export const findStreamPlan = async ({id, req, admitted: {route, organisation, resumes}}: RequestInputs, host: HostContext): Promise<StreamPlan> => {
-	const service = pickService(route, Math.random()) ?? '';
 	if (route.kind !== 'stream' || !route.isResumable) {
-		return {type: 'any', service};
+		return {type: 'any', service: pickService(route, host.random()) ?? ''};
 	}
 
 	const key = streamKeyOf(organisation?.name, resumes ?? id);
+	// Picked by the key, so that a stream that is taken up elsewhere goes on at the service that began it.
+	const service = pickService(route, fractionOf(key)) ?? '';
 	const hasEvents = req.headers[host.headerNames.lastEventId] !== undefined;
 	return resumes === undefined ? {type: 'any', service, key} : findResumed(key, service, {route, hasEvents}, host);
 };
--- a/packages/entry/src/test/take-up-of-streams.test.ts
+++ b/packages/entry/src/test/take-up-of-streams.test.ts
@@ -85,3 +85,23 @@
 		t.deepEqual(again.events.map(({data}) => data), Array.from({length: 5}, () => 'v1'));
 	}
 });
+
+test('a stream that is taken up goes on at another service of its route', async t => {
+	const {hosts, endpoints} = await startVersionedFleet(t, {halls: ['hall-a', 'hall-b'], versions: ['v1', 'v1']});
+	const names = ['s', 'other'];
+	for (const {entry} of hosts) {
+		entry.configure(makeConfig({version: 2, routes: [makeRoute({kind: 'stream', isResumable: true, services: names.map(service => ({service, weight: 1}))})]}));
+		entry.listEndpoints(endpoints.map(({listed}, index) => ({...listed, serves: [names[index]!]})));
+	}
+
+	for (let index = 0; index < 20; index++) {
+		await openStream(hosts[0]!.callers, `a${index}`, hold).first;
+		await openStream(hosts[1]!.callers, `b${index}`, takeUp(`a${index}`)).ended;
+	}
+
+	const numbersSeen = endpoints.map(({seen}) => seen.map(({id}) => id));
+	t.true(numbersSeen.every(ids => ids.length > 0));
+	for (const ids of numbersSeen) {
+		t.deepEqual(ids.filter(id => id.startsWith('b')).map(id => id.slice(1)), ids.filter(id => id.startsWith('a')).map(id => id.slice(1)));
+	}
+});
