--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -20,6 +20,7 @@
 import type {RequestProgress} from './request-progress.js';
 import type {RequestResult} from './request-result.js';
 import {runAttempt} from './run-attempt.js';
+import {sharedPartsOf} from './shared-parts-of.js';
 import {stepProgress} from './step-progress.js';
 
 /** Whether a request was given up because no endpoint would take it. */
@@ -70,12 +71,12 @@
 };
 
 /** Reports to the detector of poison requests, which make endpoints crash, whether a run was lost or got a response. */
-const reportToPoisonDetector = ({id, fingerprint}: RequestInputs, {end, endpoint, startedAt, isOver}: Omit<EndedAttempt, 'outputTokens'>, {poison}: HostContext): void => {
+const reportToPoisonDetector = ({id, fingerprint, admitted}: RequestInputs, {end, endpoint, startedAt, isOver}: Omit<EndedAttempt, 'outputTokens'>, {poison}: HostContext): void => {
 	if (hasEndpointResponded(end)) {
 		poison.noteCompletedRun(fingerprint);
 	} else if (end.type === 'lost' && !isOver) {
 		poison.noteLostRun({
-			id, fingerprint, endpoint, sentAt: startedAt,
+			id, fingerprint, parts: sharedPartsOf(admitted.prompt), events: end.relayed?.count ?? 0, endpoint, sentAt: startedAt,
 		});
 	}
 };
--- a/packages/poison/src/create-poison-detector.ts
+++ b/packages/poison/src/create-poison-detector.ts
@@ -52,12 +52,12 @@
 		table, recordSuspicion: createSuspicionRecorder({table, log, now}), self, peers, sendRequest, random, now,
 	});
 
-	const addLostRun = async ({id, fingerprint, endpoint, sentAt}: LostRun): Promise<void> => {
+	const addLostRun = async ({id, fingerprint, parts, events, endpoint, sentAt}: LostRun): Promise<void> => {
 		const endedAt = now();
 		const hasCrashed = await crashDetector.hasCrashed(endpoint);
 		const request = fingerprint();
 		log('run_lost', {
-			id, request, endpoint: endpoint.id, after_ms: Math.round(endedAt - sentAt), endpoint_ended: hasCrashed,
+			id, request, parts: parts?.join(','), endpoint: endpoint.id, after_ms: Math.round(endedAt - sentAt), events, endpoint_ended: hasCrashed,
 		});
 		if (hasCrashed) {
 			onCrashed(endpoint.id);
