--- a/packages/daemon/src/lib/running/chat-job.ts
+++ b/packages/daemon/src/lib/running/chat-job.ts
@@ -95,6 +95,7 @@
 		key,
 		isKeyPresented: options.isKeyPresented,
 		fingerprint: fingerprint('chat', JSON.stringify(content)),
+		sharedParts: body.messages.slice(0, -1).map(message => fingerprint('message', message.role, message.content)),
 		isRepeatable: !options.isNotRepeatable,
 		worstCase: promptBound(body) + maxTokens,
 		deadline: options.deadline,
--- a/packages/daemon/src/lib/running/create-run-job.ts
+++ b/packages/daemon/src/lib/running/create-run-job.ts
@@ -8,7 +8,7 @@
 import type {AskSlot} from '../slots/ask-slot.js';
 import {createJobClaims} from './create-job-claims.js';
 import {decideRecalled} from './decide-recalled.js';
-import {fingerprintOfJob} from './fingerprint-of-job.js';
+import {subjectsOfJob} from './subjects-of-job.js';
 import type {Job} from './job.js';
 import {mayRetryRun} from './may-retry-run.js';
 import {ranAfter} from './ran-after.js';
@@ -120,7 +120,7 @@
 	};
 
 	const runOnce = async (job: Job, tried: string[]): Promise<Next> => {
-		const blockedUntil = poison.blockedUntil(() => fingerprintOfJob(job));
+		const blockedUntil = poison.blockedUntil(subjectsOfJob(job));
 		if (blockedUntil !== undefined) {
 			return done(runRefusals.requestBlocked(blockedUntil - clock.monotonic()));
 		}
--- a/packages/daemon/src/lib/running/job.ts
+++ b/packages/daemon/src/lib/running/job.ts
@@ -10,6 +10,8 @@
 	/** Whether the caller gave the key, so that an earlier attempt may have run. */
 	readonly isKeyPresented: boolean;
 	readonly fingerprint: string;
+	/** Hashes of the parts of its prompt that other requests may share: all messages but the last. */
+	readonly sharedParts: readonly string[];
 	readonly isRepeatable: boolean;
 	readonly worstCase: number;
 	/** Wall-clock ms. */
--- a/packages/daemon/src/lib/running/send-run.ts
+++ b/packages/daemon/src/lib/running/send-run.ts
@@ -3,7 +3,7 @@
 import type {PoisonDetector} from '@deckwheel/poison';
 import type {Place} from '../placing/place.js';
 import type {Context} from '../process/context.js';
-import {fingerprintOfJob} from './fingerprint-of-job.js';
+import {subjectsOfJob} from './subjects-of-job.js';
 import type {Job} from './job.js';
 import type {RunEnd} from './run-end.js';
 import {sendWithinMs} from './send-within-ms.js';
@@ -25,13 +25,13 @@
 
 // Of an endpoint, the bundle names no life: each run stands for the one that it was sent to.
 const notePoison = ({job, run, place, poison}: Options, {end, sentAt}: Sent): void => {
-	const request = (): string => fingerprintOfJob(job);
+	const subjects = subjectsOfJob(job);
 	if (end.outcome === 'finished' || end.outcome === 'failed') {
-		poison.noteCompletedRun(request);
+		poison.noteCompletedRun(subjects, end.outcome === 'finished');
 	} else if (end.outcome === 'lost') {
 		const endpoint = {id: `${place.endpoint} ${job.key.text}#${run.number}`, address: new URL(place.url).host};
-		poison.noteLostRun({
-			id: job.key.text, fingerprint: request, endpoint, sentAt,
+		void poison.noteLostRun({
+			...subjects, id: job.key.text, endpoint, sentAt,
 		});
 	}
 };
--- a/packages/daemon/src/lib/running/service-job.ts
+++ b/packages/daemon/src/lib/running/service-job.ts
@@ -62,6 +62,7 @@
 		key,
 		isKeyPresented: options.isKeyPresented,
 		fingerprint: fingerprint('service', service, method, path, body),
+		sharedParts: [],
 		isRepeatable: call.isRepeatable && !options.isNotRepeatable,
 		worstCase: call.cost,
 		deadline: options.deadline,
--- a/packages/entry/src/lib/request/request-inputs.ts
+++ b/packages/entry/src/lib/request/request-inputs.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {RequestSubjects} from '@deckwheel/poison';
 import type {AdmittedRequest} from '../admission/admitted-request.js';
 
 /** One admitted request with its whole body, ready to be forwarded. */
@@ -9,8 +10,8 @@
 	readonly res: ServerResponse;
 	readonly body: Uint8Array;
 	readonly admitted: AdmittedRequest;
-	/** Returns the fingerprint, which is the same each time that the caller retries the request (`fingerprintOf`). */
-	readonly fingerprint: () => string;
+	/** What crashes of endpoints under the request are held against (`fingerprintOf`, `sharedPartsOf`). */
+	readonly subjects: RequestSubjects;
 	/** Reserves the most that one more run can cost; `false` where rights are short. */
 	readonly reserveRun: () => Promise<boolean>;
 };
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -20,7 +20,6 @@
 import type {RequestProgress} from './request-progress.js';
 import type {RequestResult} from './request-result.js';
 import {runAttempt} from './run-attempt.js';
-import {sharedPartsOf} from './shared-parts-of.js';
 import {stepProgress} from './step-progress.js';
 
 /** Whether a request was given up because no endpoint would take it. */
@@ -70,13 +69,13 @@
 	}
 };
 
-/** Reports to the detector of poison requests, which make endpoints crash, whether a run was lost or got a response. */
-const reportToPoisonDetector = ({id, fingerprint, admitted}: RequestInputs, {end, endpoint, startedAt, isOver}: Omit<EndedAttempt, 'outputTokens'>, {poison}: HostContext): void => {
+/** Reports to the detector of poison requests, which make endpoints crash, whether a run was lost or got a response. Resolves once it is known whether the endpoint crashed. */
+const reportToPoisonDetector = async ({id, subjects}: RequestInputs, {end, endpoint, startedAt, isOver}: Omit<EndedAttempt, 'outputTokens'>, {poison}: HostContext): Promise<void> => {
 	if (hasEndpointResponded(end)) {
-		poison.noteCompletedRun(fingerprint);
+		poison.noteCompletedRun(subjects, hasServed(end));
 	} else if (end.type === 'lost' && !isOver) {
-		poison.noteLostRun({
-			id, fingerprint, parts: sharedPartsOf(admitted.prompt), events: end.relayed?.count ?? 0, endpoint, sentAt: startedAt,
+		await poison.noteLostRun({
+			...subjects, id, events: end.relayed?.count ?? 0, endpoint, sentAt: startedAt,
 		});
 	}
 };
@@ -172,9 +171,13 @@
 		reportAttemptEnd({
 			end, endpoint, startedAt, isOver, outputTokens: progress.relayedEvents * tokensPerEvent,
 		}, host);
-		reportToPoisonDetector(request, {
+		const reported = reportToPoisonDetector(request, {
 			end, endpoint, startedAt, isOver,
 		}, host);
+		// The next attempt waits for what this one shows, so that it does not crash another endpoint that the first crash could have spared.
+		if (host.poison.isSuspected(request.subjects)) {
+			await reported;
+		}
 
 		return end;
 	};
@@ -198,7 +201,7 @@
 			return giveUp(endReason);
 		}
 
-		const blockedUntil = host.poison.blockedUntil(request.fingerprint);
+		const blockedUntil = host.poison.blockedUntil(request.subjects);
 		if (blockedUntil !== undefined) {
 			return giveUp('request_blocked', blockedUntil);
 		}
@@ -221,6 +224,7 @@
 			}
 		}
 
+		host.poison.noteSent(request.subjects);
 		const end = await attemptAt(choice);
 		const next = decideNextStep({
 			end: end.type, progress, maxAttempts: route.maxAttempts, isRetryable, isOver: requestEnd.isOver(),
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -15,6 +15,7 @@
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestLog} from './request-log.js';
 import {refusalOfResult} from './refusal-of-result.js';
+import {sharedPartsOf} from './shared-parts-of.js';
 import {runRequest} from './run-request.js';
 
 /** An admitted request whose whole body was read, and for which no rights are reserved yet. */
@@ -29,10 +30,10 @@
 		return;
 	}
 
-	const blockedUntil = host.poison.blockedUntil(received.fingerprint);
+	const blockedUntil = host.poison.blockedUntil(received.subjects);
 	if (blockedUntil !== undefined) {
 		const retryAfterSeconds = secondsUntil(blockedUntil, host.now());
-		requestLog.refused({...hostRefusals.requestBlocked, retryAfterSeconds}, {route: admitted.route.name, budget, request: received.fingerprint()});
+		requestLog.refused({...hostRefusals.requestBlocked, retryAfterSeconds}, {route: admitted.route.name, budget, request: received.subjects.fingerprint()});
 		return;
 	}
 
@@ -123,10 +124,11 @@
 		host.retries.noteRequest(service);
 	}
 
+	const {organisation, prompt} = admitted.value;
 	const fingerprint = createFingerprint({
-		method: req.method!, hostHeader: req.headers.host ?? '', path: req.url!, organisation: admitted.value.organisation?.name, body,
+		method: req.method!, hostHeader: req.headers.host ?? '', path: req.url!, organisation: organisation?.name, body,
 	});
 	await serveReceivedRequest({
-		id, req, res, body, admitted: admitted.value, fingerprint,
+		id, req, res, body, admitted: admitted.value, subjects: {fingerprint, parts: sharedPartsOf(prompt)},
 	}, requestLog, host);
 };
--- a/packages/entry/src/test/lib/start-parts-fleet.ts
+++ b/packages/entry/src/test/lib/start-parts-fleet.ts
@@ -1,6 +1,9 @@
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
@@ -21,12 +24,16 @@
 	/** The hall of each host. */
 	readonly halls: readonly string[];
 	readonly endpointCount: number;
-	/** Parts that crash endpoints beside `badPart`. */
+	/** Parts that crash endpoints beside `badPart`. A test may add to them. */
 	readonly otherBadParts?: readonly string[];
+	/** How long a crashed endpoint takes to restart, how long a run takes after its first event, and how long it takes to crash, in ms. */
+	readonly restartMs?: number;
+	readonly runMs?: number;
+	readonly crashMs?: number;
 };
 
 /** Starts whole hosts and endpoints that crash under a part of a prompt. A crashed endpoint restarts at once as another incarnation at another port. */
-export const startPartsFleet = async (t: ExecutionContext, {halls, endpointCount, otherBadParts = []}: Options) => {
+export const startPartsFleet = async (t: ExecutionContext, {halls, endpointCount, otherBadParts = [], restartMs = 0, runMs = 0, crashMs = 0}: Options) => {
 	const peers = new Map<string, ListedPeer>();
 	const endpoints: RunningEndpoint[] = [];
 	/** The requests with a bad part that reached endpoints, by their ids, in order. */
@@ -34,6 +41,8 @@
 	let startedCount = 0;
 	let nextRequest = 0;
 	let isClosed = false;
+	/** The servers that have crashed; one of them stands in `endpoints` until its endpoint has restarted. */
+	const crashed = new Set<Server>();
 	let crashes = 0;
 
 	const hosts = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {host: `edge-${index}`, hall, peers})));
@@ -46,9 +55,15 @@
 
 	const crash = async (index: number): Promise<void> => {
 		const {server} = endpoints[index]!;
+		if (crashed.has(server)) {
+			return;
+		}
+
+		crashed.add(server);
 		crashes++;
 		server.close();
 		server.closeAllConnections();
+		await sleep(restartMs);
 		await start(index);
 		if (isClosed) {
 			endpoints[index]!.server.close();
@@ -59,18 +74,23 @@
 
 	const isBad = (parts: string): boolean => [badPart, ...otherBadParts].some(part => parts.includes(`${part}:`));
 
-	const respond = (req: IncomingMessage, res: ServerResponse, index: number): void => {
+	const respond = async (req: IncomingMessage, res: ServerResponse, {index, server}: {readonly index: number; readonly server: Server}): Promise<void> => {
 		const id = String(req.headers[headerNames.requestId]);
 		res.setHeader(headerNames.requestId, id);
 		res.setHeader(headerNames.stamp, endpoints[index]!.listed.id);
 		res.writeHead(200, {'content-type': 'text/event-stream'});
 		if (isBad(String(req.headers[headerNames.prefix]))) {
 			badArrivals.push(id);
-			res.write('id: 1\ndata: x\n\n', () => {
-				void crash(index);
+			res.write('id: 1\ndata: x\n\n', async () => {
+				await sleep(crashMs);
+				if (endpoints[index]!.server === server) {
+					await crash(index);
+				}
 			});
 		} else {
-			res.end('id: 1\ndata: x\n\nid: 2\ndata: y\n\n');
+			res.write('id: 1\ndata: x\n\n');
+			await sleep(runMs);
+			res.end('id: 2\ndata: y\n\n');
 		}
 	};
 
@@ -78,7 +98,7 @@
 		const server = createServer((req, res) => {
 			req.resume();
 			req.on('end', () => {
-				respond(req, res, index);
+				void respond(req, res, {index, server});
 			});
 		});
 		server.listen(0, '127.0.0.1');
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -78,7 +78,7 @@
 				admitted: {
 					route: makeRoute({kind: 'stream'}), organisation: undefined, prompt: undefined, deadline: now() + 60_000,
 				},
-				fingerprint: () => '',
+				subjects: {fingerprint: () => '', parts: []},
 				reserveRun: async () => true,
 			},
 			endpoint: endpoint.listed,
--- a/packages/poison/src/create-poison-detector.ts
+++ b/packages/poison/src/create-poison-detector.ts
@@ -1,21 +1,29 @@
 import type {LogFields} from '@deckwheel/host-kit';
+import {rankByRendezvous} from '@deckwheel/core';
+import {LRUCache} from 'lru-cache';
 import type {CrashDetector} from './crash-detector.js';
+import {createBlockList} from './lib/create-block-list.js';
 import {createExchange} from './lib/create-exchange.js';
 import {createSuspicionRecorder} from './lib/create-suspicion-recorder.js';
 import {createSuspicionTable} from './lib/create-suspicion-table.js';
+import {partSubjectsOf} from './lib/part-subjects-of.js';
+import {subjectsOf} from './lib/subjects-of.js';
 import {successiveCrashes} from './lib/successive-crashes.js';
-import type {LostRun} from './lost-run.js';
+import type {Suspicion} from './lib/suspicion.js';
 import type {Peer} from './peer.js';
 import type {PoisonDetector} from './poison-detector.js';
 import type {SuspicionsRequest} from './suspicions-request.js';
 import type {SuspicionsReply} from './suspicions-reply.js';
 
 /**
-The time between two rounds of gossip while a request is blocked, in ms. A host that reconnects after a network partition learns of
-a blocked request within a few rounds, well before the host counts as in touch again.
+The time between two rounds of gossip while a subject is blocked, in ms. A host that reconnects after a network partition learns of
+a blocked subject within a few rounds, well before the host counts as in touch again.
 */
 const gossipIntervalMs = 1000;
 
+/** The most subjects of which a good end is remembered: a bound on memory. The parts that many requests share stay among them. */
+const maxGoodEnds = 1000;
+
 type Options = {
 	/** This host, as it stands in the peer list. */
 	readonly self: () => Peer;
@@ -38,49 +46,84 @@
 };
 
 /**
-Creates a detector that suspects no request, and starts its gossip.
+Creates a detector that suspects nothing, and starts its gossip.
 
-A request is blocked once endpoints have crashed one after the other while they ran it (`successiveCrashes`, `blockedUntil`),
-whichever hosts sent it. Each host sends the crashes that it observed to the collectors of the request (`collectorsOf`); a host that
-finds the request newly blocked or unblocked tells the other hosts of its hall. While a request is blocked, each host also sends
-that to a few random peers, so that a host that was cut off or has just started learns of it too. The store takes no part: it may be
-unavailable, and each lost run would cost it a call.
+A crash of an endpoint counts against the requests that were under way there and against the parts of their prompts. A subject is
+blocked once endpoints have crashed one after the other under it, whichever hosts sent it (`successiveCrashes`, `blockedUntil`), unless
+another one explains these crashes better (`blamedSubjects`). Each host sends the crashes that it observed to the collectors of the
+subject (`collectorsOf`); a host that finds a subject newly blocked or unblocked tells the other hosts of its hall. While a subject is
+blocked, each host also sends that to a few random peers, so that a host that was cut off or has just started learns of it too. The store
+takes no part: it may be unavailable, and each lost run would cost it a call.
 */
 export const createPoisonDetector = ({self, peers, sendRequest, crashDetector, onCrashed = () => undefined, log, random, every, now}: Options): PoisonDetector => {
 	const table = createSuspicionTable(now);
+	/** When a run of each subject last came to a good end, in monotonic ms. */
+	const goodEndAt = new LRUCache<string, number>({max: maxGoodEnds});
+	let pendingVerdicts = 0;
+	const blockList = createBlockList({
+		table,
+		isProven: subject => goodEndAt.has(subject),
+		rankOf: subject => rankByRendezvous(subject, [self(), ...peers()].map(({address}) => address)).indexOf(self().address),
+		log,
+		now,
+	});
 	const exchange = createExchange({
-		table, recordSuspicion: createSuspicionRecorder({table, log, now}), self, peers, sendRequest, random, now,
+		table, recordSuspicions: createSuspicionRecorder({table, blockList, now}), blockList, self, peers, sendRequest, random, now,
 	});
 
-	const addLostRun = async ({id, fingerprint, parts, events, endpoint, sentAt}: LostRun): Promise<void> => {
-		const endedAt = now();
-		const hasCrashed = await crashDetector.hasCrashed(endpoint);
-		const request = fingerprint();
-		log('run_lost', {
-			id, request, parts: parts?.join(','), endpoint: endpoint.id, after_ms: Math.round(endedAt - sentAt), events, endpoint_ended: hasCrashed,
-		});
-		if (hasCrashed) {
-			onCrashed(endpoint.id);
-			exchange.publish(request, {crashes: new Map([[endpoint.id, {sentAt, endedAt}]]), cleared: new Set()});
-		}
+	const isHeldAgainst = (subject: string): boolean => {
+		const known = table.get(subject);
+		return known !== undefined && successiveCrashes(known).length > 0;
 	};
 
 	return {
-		noteLostRun(run) {
-			void addLostRun(run);
+		async noteLostRun({id, events, endpoint, sentAt, ...request}) {
+			const endedAt = now();
+			pendingVerdicts++;
+			const hasCrashed = await crashDetector.hasCrashed(endpoint);
+			pendingVerdicts--;
+			log('run_lost', {
+				id, request: request.fingerprint(), parts: request.parts.join(','), endpoint: endpoint.id, after_ms: Math.round(endedAt - sentAt), events, endpoint_ended: hasCrashed,
+			});
+			if (!hasCrashed) {
+				return;
+			}
+
+			onCrashed(endpoint.id);
+			const crashes = new Map([[endpoint.id, {sentAt, endedAt}]]);
+			const suspicionOf = (subject: string): Suspicion =>
+				({crashes, cleared: new Set((goodEndAt.get(subject) ?? Number.NEGATIVE_INFINITY) > endedAt ? crashes.keys() : [])});
+			// Of a part that many requests share, one of those that were under way at the endpoint is enough.
+			const news = subjectsOf(request).filter(subject => !table.get(subject)?.crashes.has(endpoint.id));
+			if (news.length > 0) {
+				exchange.publish(new Map(news.map(subject => [subject, suspicionOf(subject)])));
+			}
 		},
-		noteCompletedRun(fingerprint) {
-			if (table.isEmpty()) {
+		noteCompletedRun(request, isGoodEnd) {
+			const parts = isGoodEnd ? partSubjectsOf(request.parts) : [];
+			// Without a crash, nobody asks for the fingerprint, which takes a hash to compute.
+			const subjects = table.isEmpty() && pendingVerdicts === 0 ? parts : [request.fingerprint(), ...parts];
+			for (const subject of subjects) {
+				goodEndAt.set(subject, now());
+			}
+
+			const cleared = subjects.filter(subject => isHeldAgainst(subject));
+			if (cleared.length === 0) {
 				return;
 			}
 
-			const request = fingerprint();
-			const known = table.get(request);
-			if (known && successiveCrashes(known).length > 0) {
-				exchange.publish(request, {crashes: known.crashes, cleared: new Set(known.crashes.keys())});
+			exchange.publish(new Map(cleared.map(subject => {
+				const {crashes} = table.get(subject)!;
+				return [subject, {crashes, cleared: new Set(crashes.keys())}];
+			})));
+		},
+		isSuspected: request => !table.isEmpty() && subjectsOf(request).some(subject => isHeldAgainst(subject)),
+		blockedUntil: request => table.isEmpty() ? undefined : blockList.blockedUntil(subjectsOf(request)),
+		noteSent(request) {
+			if (!table.isEmpty()) {
+				blockList.noteSent(subjectsOf(request));
 			}
 		},
-		blockedUntil: fingerprint => table.isEmpty() ? undefined : table.blockedUntil(fingerprint()),
 		answer: exchange.answer,
 		notePeerList: exchange.gossip,
 		close: every(gossipIntervalMs, exchange.gossip),
--- a/packages/poison/src/lib/blocked-until.ts
+++ b/packages/poison/src/lib/blocked-until.ts
@@ -1,22 +1,17 @@
+import {crashesToBlock} from './crashes-to-block.js';
 import {successiveCrashes} from './successive-crashes.js';
 import type {Suspicion} from './suspicion.js';
 
 /**
-The number of successive crashes that blocks a request. One endpoint may crash by chance under any request, and when many endpoints
-crash at once, two may.
-*/
-const crashesToBlock = 3;
-
-/**
-The length of a first block, in ms, which doubles with each further crash. After the block the request is sent to an endpoint again:
-an endpoint of another version may survive it, and a request that met three unrelated crashes is not blocked for long.
+The length of a first block, in ms, which doubles with each further crash. After the block the subject is tested
+again: an endpoint of another version may survive it, and one that met three unrelated crashes is not blocked for long.
 */
 const firstBlockMs = 120_000;
 
 /** The most times that the block's length is doubled: the longest block ends within a day. */
 const maxDoublings = 9;
 
-/** When the block of a request ends or ended, in monotonic ms; `undefined` when too few crashes count to block the request. Pure. */
+/** When the block of a subject ends or ended, in monotonic ms; `undefined` when too few crashes count to block the request. Pure. */
 export const blockedUntil = (suspicion: Suspicion): number | undefined => {
 	const crashes = successiveCrashes(suspicion);
 	if (crashes.length < crashesToBlock) {
--- a/packages/poison/src/lib/create-exchange.ts
+++ b/packages/poison/src/lib/create-exchange.ts
@@ -1,23 +1,29 @@
+import {groupBy} from '@deckwheel/core';
 import type {Peer} from '../peer.js';
 import type {PoisonDetector} from '../poison-detector.js';
 import type {SuspicionsRequest} from '../suspicions-request.js';
 import type {SuspicionsReply} from '../suspicions-reply.js';
 import {collectorsOf} from './collectors-of.js';
-import type {RecordSuspicion} from './create-suspicion-recorder.js';
+import type {BlockList} from './block-list.js';
+import {blockPhaseAt} from './block-phase-at.js';
+import type {RecordSuspicions} from './create-suspicion-recorder.js';
 import {fromWireSuspicion} from './from-wire-suspicion.js';
-import {isBlockedAt} from './is-blocked-at.js';
 import {noSuspicion} from './no-suspicion.js';
 import {pickGossipPeers} from './pick-gossip-peers.js';
 import type {SuspicionTable} from './suspicion-table.js';
 import type {Suspicion} from './suspicion.js';
 import {toWireSuspicion} from './to-wire-suspicion.js';
 
-/** The most blocked requests sent in one message, the most recently used first: a bound on the message's size. */
+/** The most blocked subjects sent in one message of gossip: a bound on the message's size. */
 const maxBlockedPerMessage = 20;
 
+/** The most subjects that are sent in one message. */
+const maxPerMessage = 50;
+
 type Options = {
 	readonly table: SuspicionTable;
-	readonly recordSuspicion: RecordSuspicion;
+	readonly recordSuspicions: RecordSuspicions;
+	readonly blockList: Pick<BlockList, 'blocked'>;
 	/** This host, as it stands in the peer list. */
 	readonly self: () => Peer;
 	/** All other hosts of the peer list, of every hall. */
@@ -30,73 +36,79 @@
 	readonly now: () => number;
 };
 
-/** Exchanges suspicions of requests with the peers of a host. */
+/** Exchanges suspicions with the peers of a host. */
 type Exchange = Pick<PoisonDetector, 'answer'> & {
-	/** Records what this host observed itself and sends it to the request's collectors; a new block or the end of a block also to the hall. */
-	readonly publish: (request: string, observed: Suspicion) => void;
+	/** Records what this host observed itself and sends it to the collectors of each subject; a new block or the end of a block also to the hall. */
+	readonly publish: (observed: ReadonlyMap<string, Suspicion>) => void;
 	/**
-	Sends the blocked requests to a few random peers and asks for theirs. Does nothing when this host has no blocked request and a peer
+	Sends the blocked subjects to a few random peers and asks for theirs. Does nothing when this host has no blocked subject and a peer
 	has already replied with its own.
 	*/
 	readonly gossip: () => void;
 };
 
-/** Creates the exchange of a host that has not asked any peer for its blocked requests yet. */
-export const createExchange = ({table, recordSuspicion, self, peers, sendRequest, random, now}: Options): Exchange => {
+/** Creates the exchange of a host that has not asked any peer for its blocked subjects yet. */
+export const createExchange = ({table, recordSuspicions, blockList, self, peers, sendRequest, random, now}: Options): Exchange => {
 	let hasReceivedBlocked = false;
 
-	const toWire = (request: string): SuspicionsRequest['suspicions'] => [toWireSuspicion(request, table.get(request) ?? noSuspicion, now())];
+	const toWire = (subjects: readonly string[]): SuspicionsRequest['suspicions'] =>
+		subjects.map(subject => toWireSuspicion(subject, table.get(subject) ?? noSuspicion, now()));
+
+	const fromWire = (suspicions: SuspicionsRequest['suspicions']): ReadonlyMap<string, Suspicion> =>
+		new Map(suspicions.map(suspicion => [suspicion.request, fromWireSuspicion(suspicion, now())]));
 
-	const blockedToWire = (): SuspicionsRequest['suspicions'] => table.blockedRequests().slice(0, maxBlockedPerMessage).flatMap(request => toWire(request));
+	const blockedToWire = (): SuspicionsRequest['suspicions'] => toWire(blockList.blocked().slice(0, maxBlockedPerMessage));
 
 	const exchangeWith = async (peer: Peer, message: SuspicionsRequest): Promise<void> => {
 		const reply = await sendRequest(peer, message);
 		hasReceivedBlocked ||= reply !== undefined && message.wantsBlocked;
-		for (const wireSuspicion of reply?.suspicions ?? []) {
-			if (recordSuspicion(wireSuspicion.request, fromWireSuspicion(wireSuspicion, now()))) {
-				publishInHall(wireSuspicion.request);
-			}
+		if (reply) {
+			publishInHall(recordSuspicions(fromWire(reply.suspicions)));
 		}
 	};
 
-	const exchangeWithAll = (recipients: readonly Peer[], message: SuspicionsRequest): void => {
-		for (const peer of recipients) {
-			void exchangeWith(peer, message);
+	const send = (peer: Peer, subjects: readonly string[]): void => {
+		for (let start = 0; start < subjects.length; start += maxPerMessage) {
+			void exchangeWith(peer, {suspicions: toWire(subjects.slice(start, start + maxPerMessage)), wantsBlocked: false});
 		}
 	};
 
-	const publishInHall = (request: string): void => {
-		exchangeWithAll(peers().filter(({hall}) => hall === self().hall), {suspicions: toWire(request), wantsBlocked: false});
+	const publishInHall = (subjects: readonly string[]): void => {
+		for (const peer of peers().filter(({hall}) => hall === self().hall)) {
+			send(peer, subjects);
+		}
+	};
+
+	const sendToCollectors = (subjects: readonly string[]): void => {
+		const hosts = [self(), ...peers()];
+		const copies = subjects.flatMap(subject => collectorsOf(subject, hosts).map(collector => ({collector, subject})));
+		for (const [address, entries] of groupBy(copies, ({collector}) => collector.address)) {
+			if (address !== self().address) {
+				send(entries[0]!.collector, entries.map(({subject}) => subject));
+			}
+		}
 	};
 
 	/** Whether a peer in `hall` is of this hall and drew the same conclusion from the suspicion that it sent, and so has told this hall. */
-	const hasSenderInformedHall = (hall: string, request: string, received: Suspicion): boolean =>
-		hall === self().hall && isBlockedAt(received, now()) === (table.blockedUntil(request) !== undefined);
+	const hasSenderInformedHall = (hall: string, subject: string, received: Suspicion): boolean =>
+		hall === self().hall && blockPhaseAt(received, now()) === blockPhaseAt(table.get(subject), now());
 
 	return {
-		publish(request, observed) {
-			if (recordSuspicion(request, observed)) {
-				publishInHall(request);
-			}
-
-			const collectors = collectorsOf(request, [self(), ...peers()]).filter(({address}) => address !== self().address);
-			exchangeWithAll(collectors, {suspicions: toWire(request), wantsBlocked: false});
+		publish(observed) {
+			publishInHall(recordSuspicions(observed));
+			sendToCollectors([...observed.keys()]);
 		},
 		answer(hall, {suspicions, wantsBlocked}) {
-			for (const wireSuspicion of suspicions) {
-				const {request} = wireSuspicion;
-				const received = fromWireSuspicion(wireSuspicion, now());
-				if (recordSuspicion(request, received) && !hasSenderInformedHall(hall, request, received)) {
-					publishInHall(request);
-				}
-			}
-
-			return {suspicions: [...suspicions.flatMap(({request}) => toWire(request)), ...(wantsBlocked ? blockedToWire() : [])]};
+			const received = fromWire(suspicions);
+			publishInHall(recordSuspicions(received).filter(subject => !hasSenderInformedHall(hall, subject, received.get(subject)!)));
+			return {suspicions: [...toWire([...received.keys()]), ...(wantsBlocked ? blockedToWire() : [])]};
 		},
 		gossip() {
 			const suspicions = blockedToWire();
 			if (suspicions.length > 0 || !hasReceivedBlocked) {
-				exchangeWithAll(pickGossipPeers(self().hall, peers(), random), {suspicions, wantsBlocked: true});
+				for (const peer of pickGossipPeers(self().hall, peers(), random)) {
+					void exchangeWith(peer, {suspicions, wantsBlocked: true});
+				}
 			}
 		},
 	};
--- a/packages/poison/src/lib/create-suspicion-table.ts
+++ b/packages/poison/src/lib/create-suspicion-table.ts
@@ -1,15 +1,15 @@
 import {LRUCache} from 'lru-cache';
 import {blockedUntil} from './blocked-until.js';
-import {isBlockedAt} from './is-blocked-at.js';
+import {blockPhaseAt} from './block-phase-at.js';
 import {mergeSuspicions} from './merge-suspicions.js';
 import {noSuspicion} from './no-suspicion.js';
 import type {SuspicionTable} from './suspicion-table.js';
 import type {Suspicion} from './suspicion.js';
 
-/** The most requests that are suspected but not blocked: a bound on memory against callers that send a different request each time. */
+/** The most subjects that are suspected but not blocked: a bound on memory against callers that send a different request each time. */
 const maxSuspected = 2000;
 
-/** The most blocked requests: a bound on memory. They are kept in a cache of their own, so that merely suspected requests cannot evict them. */
+/** The most blocked subjects: a bound on memory. They are kept in a cache of their own, so that merely suspected subjects cannot evict them. */
 const maxBlocked = 500;
 
 /** How long a suspicion is kept after its last new entry, or after the end of the block, in ms. */
@@ -32,29 +32,29 @@
 	const suspected = new LRUCache<string, Suspicion>({max: maxSuspected, ...cacheOptions});
 	const blocked = new LRUCache<string, Suspicion>({max: maxBlocked, ...cacheOptions});
 
-	const get = (request: string): Suspicion | undefined => blocked.get(request) ?? suspected.get(request);
+	const get = (subject: string): Suspicion | undefined => blocked.get(subject) ?? suspected.get(subject);
 
-	const setSuspicion = (request: string, suspicion: Suspicion): void => {
+	const setSuspicion = (subject: string, suspicion: Suspicion): void => {
 		const until = blockedUntil(suspicion);
 		const [target, other] = until === undefined ? [suspected, blocked] : [blocked, suspected];
-		other.delete(request);
-		target.set(request, suspicion, {ttl: Math.max(minTtlMs, (until ?? now()) - now() + retentionMs)});
+		other.delete(subject);
+		target.set(subject, suspicion, {ttl: Math.max(minTtlMs, (until ?? now()) - now() + retentionMs)});
 	};
 
 	return {
 		get,
 		isEmpty: () => blocked.size + suspected.size === 0,
-		merge(request, update) {
-			const known = get(request) ?? noSuspicion;
+		merge(subject, update) {
+			const known = get(subject) ?? noSuspicion;
 			const merged = mergeSuspicions(known, update);
 			if (hasNewEntries(merged, known)) {
-				setSuspicion(request, merged);
+				setSuspicion(subject, merged);
 			}
 		},
-		blockedUntil(request) {
-			const suspicion = blocked.get(request);
-			return suspicion && isBlockedAt(suspicion, now()) ? blockedUntil(suspicion) : undefined;
+		blockedUntil(subject) {
+			const suspicion = blocked.get(subject);
+			return blockPhaseAt(suspicion, now()) === 'blocked' ? blockedUntil(suspicion!) : undefined;
 		},
-		blockedRequests: () => [...blocked].filter(([, suspicion]) => isBlockedAt(suspicion, now())).map(([request]) => request),
+		accused: () => new Map(blocked),
 	};
 };
--- /dev/null
+++ b/packages/poison/src/lib/part-prefix.ts
@@ -0,0 +1,2 @@
+/** What the subjects of parts begin with. Fingerprints of requests have no colon. */
+export const partPrefix = 'part:';
--- a/packages/poison/src/lib/suspicion-table.ts
+++ b/packages/poison/src/lib/suspicion-table.ts
@@ -1,13 +1,13 @@
 import type {Suspicion} from './suspicion.js';
 
-/** The suspicions of requests that a host holds, by the request's fingerprint. */
+/** The suspicions that a host holds, by their subjects: fingerprints of requests, and parts of prompts (`partSubjectOf`). */
 export type SuspicionTable = {
-	readonly get: (request: string) => Suspicion | undefined;
+	readonly get: (subject: string) => Suspicion | undefined;
 	readonly isEmpty: () => boolean;
-	/** Merges an update into the suspicion of a request. */
-	readonly merge: (request: string, update: Suspicion) => void;
-	/** When the block of a request ends, in monotonic ms; `undefined` when the request is not blocked now. */
-	readonly blockedUntil: (request: string) => number | undefined;
-	/** The fingerprints of the requests that are blocked now, the most recently used first. */
-	readonly blockedRequests: () => readonly string[];
+	/** Merges an update into the suspicion of a subject. */
+	readonly merge: (subject: string, update: Suspicion) => void;
+	/** When the block of a subject ends that its own crashes alone would block, in monotonic ms; `undefined` when they do not block it now. */
+	readonly blockedUntil: (subject: string) => number | undefined;
+	/** The suspicions of subjects that their own crashes alone block, or blocked up to a while ago. */
+	readonly accused: () => ReadonlyMap<string, Suspicion>;
 };
--- a/packages/poison/src/test/create-poison-detector.test.ts
+++ b/packages/poison/src/test/create-poison-detector.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {createFleet} from './lib/create-fleet.js';
+import {createPoisonDetector} from '../create-poison-detector.js';
+import {createFleet, requestOf} from './lib/create-fleet.js';
 
 test('crashes observed by three hosts in different halls block the request at all hosts at once', async t => {
 	for (const size of [2, 7, 60]) {
@@ -73,7 +74,7 @@
 			await fleet.loseRun(fleet.members[end]!, 'r', `e${end}`);
 		}
 
-		fleet.members[size - 1]!.incarnation.detector.noteCompletedRun(() => 'r');
+		fleet.members[size - 1]!.incarnation.detector.noteCompletedRun({fingerprint: () => 'r', parts: []}, true);
 		await fleet.settle();
 		await fleet.gossipRound();
 		await fleet.gossipRound();
@@ -112,3 +113,57 @@
 	await fleet.settle();
 	t.is(fleet.blockingHostCount('r'), 3);
 });
+
+test('after a block, all hosts send the request at once', async t => {
+	const fleet = createFleet(7);
+	for (const [index, endpoint] of ['e1', 'e2', 'e3'].entries()) {
+		await fleet.loseRun(fleet.members[index]!, 'r', endpoint);
+	}
+
+	t.is(fleet.blockingHostCount('r'), 7);
+	fleet.pass(121_000);
+	const free = fleet.members.filter(member => !fleet.isBlockedAt(member, 'r'));
+	t.is(free.length, 1);
+	free[0]!.incarnation.detector.noteSent(requestOf('r'));
+	t.is(fleet.blockingHostCount('r'), 7);
+	free[0]!.incarnation.detector.noteCompletedRun(requestOf('r'), true);
+	await fleet.settle();
+	t.is(fleet.blockingHostCount('r'), 0);
+});
+
+test('after a block, a request that no host gets but one is never tested', async t => {
+	const fleet = createFleet(7);
+	for (const [index, endpoint] of ['e1', 'e2', 'e3'].entries()) {
+		await fleet.loseRun(fleet.members[index]!, 'r', endpoint);
+	}
+
+	fleet.pass(121_000 + (7 * 2000));
+	t.is(fleet.blockingHostCount('r'), 0);
+});
+
+test('a good end that comes after a crash, and before the host knows of the crash, does not count', async t => {
+	let resolveVerdict: (hasCrashed: boolean) => void;
+	const detector = createPoisonDetector({
+		self: () => ({address: 'a:1', hall: 'a'}),
+		peers: () => [],
+		sendRequest: async () => undefined,
+		crashDetector: {
+			hasCrashed: async () => new Promise(resolve => {
+				resolveVerdict = resolve;
+			}),
+		},
+		every: () => () => undefined,
+		random: () => 0,
+		log: () => undefined,
+		now: () => time,
+	});
+	let time = 10;
+	const lost = detector.noteLostRun({
+		...requestOf('r'), id: 'id', endpoint: {id: 'e', address: ''}, sentAt: 1,
+	});
+	time = 20;
+	detector.noteCompletedRun(requestOf('r'), true);
+	resolveVerdict!(true);
+	await lost;
+	t.false(detector.isSuspected(requestOf('r')));
+});
--- a/packages/poison/src/test/lib/create-fleet.ts
+++ b/packages/poison/src/test/lib/create-fleet.ts
@@ -1,6 +1,7 @@
 import {createPoisonDetector} from '../../create-poison-detector.js';
 import type {Peer} from '../../peer.js';
 import type {PoisonDetector} from '../../poison-detector.js';
+import type {RequestSubjects} from '../../request-subjects.js';
 
 /** The time between two rounds of gossip, in ms, as in `createPoisonDetector`. */
 const roundMs = 1000;
@@ -14,6 +15,9 @@
 	};
 };
 
+/** A request whose prompt has no parts. */
+export const requestOf = (fingerprint: string): RequestSubjects => ({fingerprint: () => fingerprint, parts: []});
+
 /** One process lifetime of a host. */
 type Incarnation = {readonly detector: PoisonDetector; readonly tick: () => void};
 
@@ -78,7 +82,7 @@
 		}
 	};
 
-	const isBlockedAt = ({incarnation}: Member, request: string): boolean => incarnation.detector.blockedUntil(() => request) !== undefined;
+	const isBlockedAt = ({incarnation}: Member, request: string): boolean => incarnation.detector.blockedUntil(requestOf(request)) !== undefined;
 
 	return {
 		members,
@@ -99,14 +103,18 @@
 		async loseRun(member: Member, request: string, endpoint: string) {
 			const sentAt = clockOf(members.indexOf(member));
 			timeMs += 100;
-			member.incarnation.detector.noteLostRun({
+			void member.incarnation.detector.noteLostRun({
+				...requestOf(request),
 				id: 'id',
-				fingerprint: () => request,
 				endpoint: {id: endpoint, address: ''},
 				sentAt,
 			});
 			await settle();
 		},
+		/** Advances the time, in ms. */
+		pass(ms: number) {
+			timeMs += ms;
+		},
 		/** Advances the time by one gossip interval and runs a round of gossip at each host. */
 		async gossipRound() {
 			timeMs += roundMs;
--- a/packages/poison/src/test/suspicions.test.ts
+++ b/packages/poison/src/test/suspicions.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import test from 'ava';
 import {blockedUntil} from '../lib/blocked-until.js';
+import {createBlockList} from '../lib/create-block-list.js';
 import {createSuspicionTable} from '../lib/create-suspicion-table.js';
 import {mergeSuspicions} from '../lib/merge-suspicions.js';
 import {successiveCrashes} from '../lib/successive-crashes.js';
@@ -69,10 +70,15 @@
 	let now = 1;
 	const table = createSuspicionTable(() => now);
 	table.merge('r', suspicionOf([[1, 10], [10, 20], [30, 40]]));
-	t.deepEqual(table.blockedRequests(), ['r']);
+	const blockList = createBlockList({
+		table, isProven: () => false, rankOf: () => 0, log: () => undefined, now: () => now,
+	});
+	blockList.review();
+	t.deepEqual(blockList.blocked(), ['r']);
 	now += 3 * minuteMs;
 	t.is(table.blockedUntil('r'), undefined);
-	t.deepEqual(table.blockedRequests(), []);
+	blockList.review();
+	t.deepEqual(blockList.blocked(), []);
 	table.merge('r', {crashes: new Map([['e9', {sentAt: now, endedAt: now + 10}]]), cleared: new Set()});
 	t.is(table.blockedUntil('r'), now + 10 + (4 * minuteMs));
 	now += 15 * minuteMs;
