--- a/packages/entry/src/test/lib/open-stream.ts
+++ b/packages/entry/src/test/lib/open-stream.ts
@@ -5,7 +5,7 @@
 export type CallerEvent = {readonly id: number; readonly data: string};
 
 /** How a stream ended for its caller. The status is 0 where no response came; `isWhole` is false when the response was cut off. */
-export type StreamEnd = {readonly status: number; readonly isWhole: boolean; readonly events: readonly CallerEvent[]};
+export type StreamEnd = {readonly status: number; readonly isWhole: boolean; readonly body: string; readonly events: readonly CallerEvent[]};
 
 type OpenedStream = {
 	/** Resolves with the first event, and with `undefined` when the stream ends without one. */
@@ -29,7 +29,9 @@
 	const ended = new Promise<StreamEnd>(resolve => {
 		const end = (): void => {
 			resolveFirst(readEvents(text)[0]);
-			resolve({status, isWhole, events: readEvents(text)});
+			resolve({
+				status, isWhole, body: text, events: readEvents(text),
+			});
 		};
 
 		const req = request({
