--- a/packages/entry/src/lib/own-health/accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/accept-queue-monitor.ts
@@ -8,7 +8,9 @@
 	readonly accepted: (socket: Socket) => void;
 	/** How long a connection that is accepted now has waited, in ms: the longer of the last measurement and the one under way. */
 	readonly waitedMs: () => number;
-	/** Whether new connections wait so long that other hosts should accept them instead. */
+	/** Whether new connections wait so long, or did a moment ago, that other hosts should accept them instead. */
 	readonly isQueueLong: () => boolean;
+	/** Whether new connections wait so long that this host closes them unread (`isSheddingConnections`). */
+	readonly isShedding: () => boolean;
 	readonly close: () => void;
 };
--- a/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
@@ -1,11 +1,15 @@
 import type {AcceptProbe} from './accept-probe.js';
 import type {AcceptQueueMonitor} from './accept-queue-monitor.js';
 import {isQueueLong} from './is-queue-long.js';
+import {isSheddingConnections} from './is-shedding-connections.js';
 import {startAcceptProbe} from './start-accept-probe.js';
 
 /** How often the wait of new connections is measured while requests of callers are open, in ms. */
 const measureEveryMs = 200;
 
+/** How long other hosts should accept new connections after this one closed some unread, in ms: the balancer takes a host out that twice in a row, each second, is not ready. */
+const notReadyMs = 2500;
+
 type Options = {
 	/** Whether requests of callers are open at this host. */
 	readonly isBusy: () => boolean;
@@ -27,27 +31,51 @@
 	let timer: NodeJS.Timeout | undefined;
 	let lastWaitMs = 0;
 	let isLong = false;
+	let isShedding = false;
+	/** When this host last shed connections, in monotonic ms. */
+	let shedAt = Number.NEGATIVE_INFINITY;
 
 	const waitedMs = (): number => probe ? Math.max(lastWaitMs, now() - probe.startedAt) : lastWaitMs;
 
+	const updateShedding = (): boolean => {
+		isShedding = isSheddingConnections(isShedding, waitedMs());
+		shedAt = isShedding ? now() : shedAt;
+		return isShedding;
+	};
+
 	const reportWait = (): void => {
 		isLong = isQueueLong(isLong, waitedMs());
+		updateShedding();
 		onMeasured(waitedMs());
 	};
 
-	const endProbe = (finalWaitMs: number): void => {
+	const endProbe = (address: string, finalWaitMs: number): void => {
 		probe = undefined;
 		lastWaitMs = finalWaitMs;
 		reportWait();
+		// The queue may be empty long before the next tick.
+		if (isShedding) {
+			measure(address);
+		}
+	};
+
+	const measure = (address: string): void => {
+		probe = startAcceptProbe({
+			address,
+			onEnd(finalWaitMs) {
+				endProbe(address, finalWaitMs);
+			},
+			now,
+		});
 	};
 
 	const tick = (address: string): void => {
 		if (probe) {
 			reportWait();
 		} else if (isBusy()) {
-			probe = startAcceptProbe({address, onEnd: endProbe, now});
+			measure(address);
 		} else {
-			endProbe(0);
+			endProbe(address, 0);
 		}
 	};
 
@@ -62,7 +90,8 @@
 			probe?.noteAccepted(socket);
 		},
 		waitedMs,
-		isQueueLong: () => isLong,
+		isQueueLong: () => isLong || now() - shedAt < notReadyMs,
+		isShedding: updateShedding,
 		close() {
 			clearInterval(timer);
 			probe?.close();
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -137,6 +137,7 @@
 
 	const connections = createCallerConnections(now);
 	const acceptQueueMonitor = createAcceptQueueMonitor({isBusy: () => requestCounter.count() > 0, onMeasured: createWaitLog({open: requestCounter.count, log, now}), now});
+	const connectionCounter = createEventCounter('connections', log);
 	const closesAfter = (res: ServerResponse): boolean => isClosingConnections() && connections.isLastOpenResponse(res);
 
 	// No request is forwarded before this host knows which halls are evacuated: until then, it serves requests as if it had no configuration.
@@ -182,6 +183,13 @@
 		connections,
 		onConnection(socket) {
 			acceptQueueMonitor.accepted(socket);
+			// A caller whose request is not read may send any request again, and does so at another host.
+			if (acceptQueueMonitor.isShedding()) {
+				connectionCounter.increment('closed_unread');
+				socket.destroy();
+				return;
+			}
+
 			connections.noteConnection(socket, acceptQueueMonitor.waitedMs());
 		},
 		serve: async (req, res) => serveRequest(req, res, hostContext),
--- a/packages/entry/src/test/create-accept-queue-monitor.test.ts
+++ b/packages/entry/src/test/create-accept-queue-monitor.test.ts
@@ -15,6 +15,7 @@
 import {isAbandonedByCaller} from '../lib/admission/is-abandoned-by-caller.js';
 import {createCallerConnections} from '../lib/host/create-caller-connections.js';
 import {createAcceptQueueMonitor} from '../lib/own-health/create-accept-queue-monitor.js';
+import {isSheddingConnections} from '../lib/own-health/is-shedding-connections.js';
 
 const waitMs = 700;
 
@@ -40,6 +41,47 @@
 	t.is(measured, waitMs);
 });
 
+test('a host that accepts connections after a long wait reads them, and calls itself ready at once when the queue is empty', async t => {
+	let time = 0;
+	let waits = [waitMs, 0];
+	const server = createServer();
+	const address = await listenAt(server, '127.0.0.1:0');
+	const watch = createAcceptQueueMonitor({isBusy: () => true, onMeasured: () => undefined, now: () => time});
+	t.teardown(() => {
+		watch.close();
+		server.closeAllConnections();
+		server.close();
+	});
+	t.false(watch.isShedding());
+	const states: Array<{isShedding: boolean; isQueueLong: boolean}> = [];
+	await new Promise<void>(resolve => {
+		server.on('connection', (socket: Socket) => {
+			const [wait = 0, ...rest] = waits;
+			waits = rest;
+			time += wait;
+			watch.accepted(socket);
+			setImmediate(() => {
+				states.push({isShedding: watch.isShedding(), isQueueLong: watch.isQueueLong()});
+				if (states.length === 2) {
+					resolve();
+				}
+			});
+		});
+		watch.start(address);
+	});
+	t.deepEqual(states, [{isShedding: true, isQueueLong: true}, {isShedding: false, isQueueLong: true}]);
+	time += 2500;
+	t.false(watch.isQueueLong());
+});
+
+test('the shedding of connections flaps between its two bounds', t => {
+	let isShedding = false;
+	for (const [waitedMs, expected] of [[0, false], [200, false], [201, true], [150, true], [51, true], [50, false], [150, false]] as const) {
+		isShedding = isSheddingConnections(isShedding, waitedMs);
+		t.is(isShedding, expected, `${waitedMs} ms`);
+	}
+});
+
 test('a host without open requests reports no wait and does not connect to itself', async t => {
 	const server = createServer();
 	const address = await listenAt(server, '127.0.0.1:0');
