--- a/packages/entry/src/lib/own-health/accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/accept-queue-monitor.ts
@@ -10,7 +10,7 @@
 	readonly waitedMs: () => number;
 	/** Whether new connections wait so long, or did a moment ago, that other hosts should accept them instead. */
 	readonly isQueueLong: () => boolean;
-	/** Whether new connections wait so long that this host closes them unread (`isSheddingConnections`). */
+	/** Whether this host closes the new connections that it accepts now unread (`isSheddingConnections`). */
 	readonly isShedding: () => boolean;
 	readonly close: () => void;
 };
--- a/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
@@ -1,8 +1,11 @@
 import type {AcceptProbe} from './accept-probe.js';
 import type {AcceptQueueMonitor} from './accept-queue-monitor.js';
+import type {ConnectionRate} from './connection-rate.js';
+import {isConnectionSurge} from './is-connection-surge.js';
 import {isQueueLong} from './is-queue-long.js';
 import {isSheddingConnections} from './is-shedding-connections.js';
 import {startAcceptProbe} from './start-accept-probe.js';
+import {stepConnectionRate} from './step-connection-rate.js';
 
 /** How often the wait of new connections is measured while requests of callers are open, in ms. */
 const measureEveryMs = 200;
@@ -32,13 +35,16 @@
 	let lastWaitMs = 0;
 	let isLong = false;
 	let isShedding = false;
+	let rate: ConnectionRate = {recent: 0, usual: 0};
+	let acceptedCount = 0;
+	let countedAt = now();
 	/** When this host last shed connections, in monotonic ms. */
 	let shedAt = Number.NEGATIVE_INFINITY;
 
 	const waitedMs = (): number => probe ? Math.max(lastWaitMs, now() - probe.startedAt) : lastWaitMs;
 
 	const updateShedding = (): boolean => {
-		isShedding = isSheddingConnections(isShedding, waitedMs());
+		isShedding = isSheddingConnections({wasShedding: isShedding, waitedMs: waitedMs(), isSurge: isConnectionSurge(rate)});
 		shedAt = isShedding ? now() : shedAt;
 		return isShedding;
 	};
@@ -69,7 +75,14 @@
 		});
 	};
 
+	const countConnections = (): void => {
+		rate = stepConnectionRate(rate, acceptedCount, now() - countedAt);
+		acceptedCount = 0;
+		countedAt = now();
+	};
+
 	const tick = (address: string): void => {
+		countConnections();
 		if (probe) {
 			reportWait();
 		} else if (isBusy()) {
@@ -87,6 +100,7 @@
 			timer.unref();
 		},
 		accepted(socket) {
+			acceptedCount++;
 			probe?.noteAccepted(socket);
 		},
 		waitedMs,
--- a/packages/entry/src/test/create-accept-queue-monitor.test.ts
+++ b/packages/entry/src/test/create-accept-queue-monitor.test.ts
@@ -8,13 +8,16 @@
 50 to 200 ms, and timers were 10 to 40 ms late.
 */
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {connect, type Socket} from 'node:net';
+import {connect, Socket} from 'node:net';
 import {once} from 'node:events';
 import test from 'ava';
 import {listenAt} from '@deckwheel/host-kit';
 import {isAbandonedByCaller} from '../lib/admission/is-abandoned-by-caller.js';
 import {createCallerConnections} from '../lib/host/create-caller-connections.js';
 import {createAcceptQueueMonitor} from '../lib/own-health/create-accept-queue-monitor.js';
+import type {ConnectionRate} from '../lib/own-health/connection-rate.js';
+import {isConnectionSurge} from '../lib/own-health/is-connection-surge.js';
+import {stepConnectionRate} from '../lib/own-health/step-connection-rate.js';
 import {isSheddingConnections} from '../lib/own-health/is-shedding-connections.js';
 
 const waitMs = 700;
@@ -41,7 +44,7 @@
 	t.is(measured, waitMs);
 });
 
-test('a host that accepts connections after a long wait reads them, and calls itself ready at once when the queue is empty', async t => {
+test('a host that gets the connections of others reads them after a long wait, and calls itself ready at once when the queue is empty', async t => {
 	let time = 0;
 	let waits = [waitMs, 0];
 	const server = createServer();
@@ -53,6 +56,12 @@
 		server.close();
 	});
 	t.false(watch.isShedding());
+	// A surge before the first tick.
+	for (let count = 0; count < 200; count++) {
+		watch.accepted(new Socket());
+	}
+
+	time += 1000;
 	const states: Array<{isShedding: boolean; isQueueLong: boolean}> = [];
 	await new Promise<void>(resolve => {
 		server.on('connection', (socket: Socket) => {
@@ -74,12 +83,33 @@
 	t.false(watch.isQueueLong());
 });
 
-test('the shedding of connections flaps between its two bounds', t => {
+test('connections are shed without a surge, or the shedding flaps between its two bounds', t => {
 	let isShedding = false;
 	for (const [waitedMs, expected] of [[0, false], [200, false], [201, true], [150, true], [51, true], [50, false], [150, false]] as const) {
-		isShedding = isSheddingConnections(isShedding, waitedMs);
+		isShedding = isSheddingConnections({wasShedding: isShedding, waitedMs, isSurge: true});
 		t.is(isShedding, expected, `${waitedMs} ms`);
 	}
+
+	t.false(isSheddingConnections({wasShedding: false, waitedMs: 1000, isSurge: false}));
+});
+
+test('a higher rate of connections is a surge for ever, or a burst that is less than threefold is one', t => {
+	const play = (perSecond: number, seconds: number, before: ConnectionRate): ConnectionRate => {
+		let rate = before;
+		for (let passedMs = 0; passedMs < seconds * 1000; passedMs += 200) {
+			rate = stepConnectionRate(rate, perSecond / 5, 200);
+		}
+
+		return rate;
+	};
+
+	const calm = play(30, 120, {recent: 0, usual: 0});
+	t.false(isConnectionSurge(calm));
+	t.false(isConnectionSurge(play(75, 5, calm)));
+	t.true(isConnectionSurge(play(210, 2, calm)));
+	t.true(isConnectionSurge(play(210, 5, calm)));
+	t.false(isConnectionSurge(play(210, 60, calm)));
+	t.false(isConnectionSurge(play(25, 2, {recent: 0, usual: 0})));
 });
 
 test('a host without open requests reports no wait and does not connect to itself', async t => {
