--- a/packages/entry/src/lib/own-health/accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/accept-queue-monitor.ts
@@ -4,13 +4,11 @@
 export type AcceptQueueMonitor = {
 	/** Starts to measure, at the `ip:port` where this host listens for callers. */
 	readonly start: (address: string) => void;
-	/** Notes that this process accepted a connection: a caller's or one that measures. */
-	readonly accepted: (socket: Socket) => void;
+	/** Notes that this process accepted a connection. Returns whether that is to be closed unread: a caller's one during a surge (`isSheddingConnections`). */
+	readonly accepted: (socket: Pick<Socket, 'remoteAddress' | 'remotePort'>) => boolean;
 	/** How long a connection that is accepted now has waited, in ms: the longer of the last measurement and the one under way. */
 	readonly waitedMs: () => number;
 	/** Whether new connections wait so long, or did a moment ago, that other hosts should accept them instead. */
 	readonly isQueueLong: () => boolean;
-	/** Whether this host closes the new connections that it accepts now unread (`isSheddingConnections`). */
-	readonly isShedding: () => boolean;
 	readonly close: () => void;
 };
--- a/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
@@ -1,3 +1,4 @@
+import {splitAddress} from '@deckwheel/core';
 import type {AcceptProbe} from './accept-probe.js';
 import type {AcceptQueueMonitor} from './accept-queue-monitor.js';
 import type {ConnectionRate} from './connection-rate.js';
@@ -33,6 +34,8 @@
 	let probe: AcceptProbe | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let lastWaitMs = 0;
+	/** The ip of this host, from which only its measurements connect. */
+	let ownHost: string | undefined;
 	let isLong = false;
 	let isShedding = false;
 	let rate: ConnectionRate = {recent: 0, usual: 0};
@@ -94,18 +97,24 @@
 
 	return {
 		start(address) {
+			ownHost = splitAddress(address).host;
 			timer = setInterval(() => {
 				tick(address);
 			}, measureEveryMs);
 			timer.unref();
 		},
 		accepted(socket) {
-			acceptedCount++;
 			probe?.noteAccepted(socket);
+			// A measurement whose connection is closed before it comes up would show no wait.
+			if (socket.remoteAddress === ownHost) {
+				return false;
+			}
+
+			acceptedCount++;
+			return updateShedding();
 		},
 		waitedMs,
 		isQueueLong: () => isLong || now() - shedAt < notReadyMs,
-		isShedding: updateShedding,
 		close() {
 			clearInterval(timer);
 			probe?.close();
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -182,9 +182,8 @@
 		requestCounter,
 		connections,
 		onConnection(socket) {
-			acceptQueueMonitor.accepted(socket);
 			// A caller whose request is not read may send any request again, and does so at another host.
-			if (acceptQueueMonitor.isShedding()) {
+			if (acceptQueueMonitor.accepted(socket)) {
 				connectionCounter.increment('closed_unread');
 				socket.destroy();
 				return;
--- a/packages/entry/src/test/create-accept-queue-monitor.test.ts
+++ b/packages/entry/src/test/create-accept-queue-monitor.test.ts
@@ -8,7 +8,7 @@
 50 to 200 ms, and timers were 10 to 40 ms late.
 */
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {connect, Socket} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {once} from 'node:events';
 import test from 'ava';
 import {listenAt} from '@deckwheel/host-kit';
@@ -44,6 +44,9 @@
 	t.is(measured, waitMs);
 });
 
+/** A connection from a caller on another machine. */
+const callerSocket: Pick<Socket, 'remoteAddress' | 'remotePort'> = {remoteAddress: '127.0.0.2', remotePort: 1};
+
 test('a host that gets the connections of others reads them after a long wait, and calls itself ready at once when the queue is empty', async t => {
 	let time = 0;
 	let waits = [waitMs, 0];
@@ -55,22 +58,21 @@
 		server.closeAllConnections();
 		server.close();
 	});
-	t.false(watch.isShedding());
 	// A surge before the first tick.
 	for (let count = 0; count < 200; count++) {
-		watch.accepted(new Socket());
+		t.false(watch.accepted(callerSocket));
 	}
 
 	time += 1000;
-	const states: Array<{isShedding: boolean; isQueueLong: boolean}> = [];
+	const states: Array<{isClosed: boolean; isQueueLong: boolean}> = [];
 	await new Promise<void>(resolve => {
 		server.on('connection', (socket: Socket) => {
 			const [wait = 0, ...rest] = waits;
 			waits = rest;
 			time += wait;
-			watch.accepted(socket);
+			t.false(watch.accepted(socket));
 			setImmediate(() => {
-				states.push({isShedding: watch.isShedding(), isQueueLong: watch.isQueueLong()});
+				states.push({isClosed: watch.accepted(callerSocket), isQueueLong: watch.isQueueLong()});
 				if (states.length === 2) {
 					resolve();
 				}
@@ -78,7 +80,7 @@
 		});
 		watch.start(address);
 	});
-	t.deepEqual(states, [{isShedding: true, isQueueLong: true}, {isShedding: false, isQueueLong: true}]);
+	t.deepEqual(states, [{isClosed: true, isQueueLong: true}, {isClosed: false, isQueueLong: true}]);
 	time += 2500;
 	t.false(watch.isQueueLong());
 });
