--- a/packages/daemon/src/lib/gateway/reading/read-request-options.ts
+++ b/packages/daemon/src/lib/gateway/reading/read-request-options.ts
@@ -22,6 +22,7 @@
 	priority: 'x-priority',
 	session: 'x-session',
 	notRepeatable: 'x-not-repeatable',
+	lastEventId: 'last-event-id',
 } as const;
 
 type Sources = {
@@ -104,5 +105,6 @@
 		priority: priority.value,
 		session: header(headerNames.session).slice(0, 200) || undefined,
 		isNotRepeatable: notRepeatable === 'true',
+		hasEvents: Number(header(headerNames.lastEventId)) > 0,
 	});
 };
--- a/packages/daemon/src/lib/gateway/reading/request-options.ts
+++ b/packages/daemon/src/lib/gateway/reading/request-options.ts
@@ -11,4 +11,6 @@
 	readonly priority: Priority;
 	readonly session?: string;
 	readonly isNotRepeatable: boolean;
+	/** Whether the caller has got events of an earlier attempt's stream, after which it takes the stream up. */
+	readonly hasEvents: boolean;
 };
--- a/packages/daemon/src/lib/running/chat-job.ts
+++ b/packages/daemon/src/lib/running/chat-job.ts
@@ -94,6 +94,7 @@
 		budget: caller.budget,
 		key,
 		isKeyPresented: options.isKeyPresented,
+		hasEvents: options.hasEvents,
 		fingerprint: fingerprint('chat', JSON.stringify(content)),
 		sharedParts: body.messages.slice(0, -1).map(message => fingerprint('message', message.role, message.content)),
 		isRepeatable: !options.isNotRepeatable,
--- a/packages/daemon/src/lib/running/create-run-job.ts
+++ b/packages/daemon/src/lib/running/create-run-job.ts
@@ -149,7 +149,7 @@
 			return done(runRefusals.claimUnavailable(job.isKeyPresented));
 		}
 
-		const recalled = decideRecalled(reply.value.claim, job.fingerprint);
+		const recalled = decideRecalled(reply.value.claim, job);
 		switch (recalled.type) {
 			case 'claim': {
 				return recalled;
--- a/packages/daemon/src/lib/running/decide-recalled.ts
+++ b/packages/daemon/src/lib/running/decide-recalled.ts
@@ -1,4 +1,5 @@
 import {ranStateOf, type Claim} from '@deckwheel/ledger';
+import type {Job} from './job.js';
 import type {Recalled} from './recalled.js';
 import {runRefusals} from './run-refusals.js';
 
@@ -6,9 +7,9 @@
 Decides what becomes of a request whose key the caller presented, by the record of that key. Pure.
 
 @param claim The record; `undefined` where there is none.
-@param fingerprint Of the content of the request.
+@param job The fingerprint of the content of the request, and whether its caller has got events of an earlier run.
 */
-export const decideRecalled = (claim: Claim | undefined, fingerprint: string): Recalled => {
+export const decideRecalled = (claim: Claim | undefined, {fingerprint, hasEvents}: Pick<Job, 'fingerprint' | 'hasEvents'>): Recalled => {
 	if (!claim) {
 		return {type: 'claim', ran: 'not_run'};
 	}
@@ -17,6 +18,11 @@
 		return {type: 'refuse', refusal: runRefusals.keyConflict};
 	}
 
+	// Its events may be those of a run that has ended, and what another run writes does not go on with them.
+	if (hasEvents && claim.runs.some(({state}) => state === 'failed' || state === 'lost')) {
+		return {type: 'refuse', refusal: runRefusals.streamEnded(ranStateOf(claim))};
+	}
+
 	if (claim.answer) {
 		return {type: 'deliver', answer: claim.answer};
 	}
--- a/packages/daemon/src/lib/running/job.ts
+++ b/packages/daemon/src/lib/running/job.ts
@@ -9,6 +9,8 @@
 	readonly key: RequestKey;
 	/** Whether the caller gave the key, so that an earlier attempt may have run. */
 	readonly isKeyPresented: boolean;
+	/** Whether the caller has got events of an earlier attempt's stream, so that only the same run may go on with it. */
+	readonly hasEvents: boolean;
 	readonly fingerprint: string;
 	/** Hashes of the parts of its prompt that other requests may share: all messages but the last. */
 	readonly sharedParts: readonly string[];
--- a/packages/daemon/src/lib/running/run-refusals.ts
+++ b/packages/daemon/src/lib/running/run-refusals.ts
@@ -16,6 +16,9 @@
 		code: 'endpoint_failed', message: 'The endpoint broke off. Retry with the same key.', ran, retryAfterSeconds: comeBackSeconds,
 	}),
 	outcomeUnknown,
+	streamEnded: (ran: RunState): Refusal => ({
+		code: 'endpoint_failed', message: 'The run that began this stream may have ended. Send the request with the same key and without Last-Event-ID to get a whole answer.', ran,
+	}),
 	/** `waitMs`: until it is tried again. */
 	requestBlocked: (waitMs: number): Refusal => ({
 		code: 'request_blocked',
--- a/packages/daemon/src/lib/running/service-job.ts
+++ b/packages/daemon/src/lib/running/service-job.ts
@@ -61,6 +61,7 @@
 		budget: caller.budget,
 		key,
 		isKeyPresented: options.isKeyPresented,
+		hasEvents: false,
 		fingerprint: fingerprint('service', service, method, path, body),
 		sharedParts: [],
 		isRepeatable: call.isRepeatable && !options.isNotRepeatable,
--- a/packages/lab/src/test/retry-after-a-failed-run.test.ts
+++ b/packages/lab/src/test/retry-after-a-failed-run.test.ts
@@ -50,3 +50,18 @@
 	await cancelRun(fleet.engines, run.id);
 	t.like(await cancelled, {isWhole: false, error: {code: 'endpoint_failed'}});
 });
+
+// Guards against a stream that its caller takes up with Last-Event-ID after its run has ended for good, and that goes on with a second run.
+test('a caller that takes a cancelled stream up gets the rest of another run', async t => {
+	const fleet = await startFleet({halls: {'hall-a': 3}, engine: {msPerToken: 20}});
+	t.teardown(fleet.close);
+	const call = {
+		prompt: 'Summarise this contract.', maxTokens: 40, apiKey: fleet.apiKey, headers: {'idempotency-key': randomUUID()},
+	};
+	const cancelled = sendChat(fleet.entries[0]!.callers, call);
+	const run = await runWithOutput(fleet.engines);
+	await cancelRun(fleet.engines, run.id);
+	await cancelled;
+	const takenUp = await sendChat(fleet.entries[1]!.callers, {...call, headers: {...call.headers, 'last-event-id': '3'}});
+	t.false(takenUp.isWhole);
+});
