--- a/packages/entry/src/test/lib/start-versioned-fleet.ts
+++ b/packages/entry/src/test/lib/start-versioned-fleet.ts
@@ -47,20 +47,26 @@
 	readonly halls: readonly string[];
 	/** The version of each endpoint; they stand in the halls in turn. */
 	readonly versions: ReadonlyArray<string | undefined>;
+	/** How many of the endpoints the hosts list at first; all by default. */
+	readonly listedAtFirst?: number;
+	/** As for `startHost`. */
+	readonly seenAs?: (peer: ListedPeer) => ListedPeer;
 };
 
 /** Starts whole hosts that know each other and list endpoints of several software versions, behind a route for streams that may be resumed. */
-export const startVersionedFleet = async (t: ExecutionContext, {halls, versions}: Options) => {
+export const startVersionedFleet = async (t: ExecutionContext, {halls, versions, listedAtFirst = versions.length, seenAs}: Options) => {
 	const peers = new Map<string, ListedPeer>();
 	const hallNames = [...new Set(halls)];
 	const endpoints = await Promise.all(versions.map(async (version, index) => {
 		const endpoint = await startEndpoint(`e${index}`, answerWith(version ?? 'none'), hallNames[index % hallNames.length]);
 		return {...endpoint, listed: {...endpoint.listed, version}};
 	}));
-	const hosts = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {host: `edge-${index}`, hall, peers})));
+	const hosts = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {
+		host: `edge-${index}`, hall, peers, seenAs,
+	})));
 	for (const {entry} of hosts) {
 		entry.configure(makeConfig({routes: [makeRoute({kind: 'stream', isResumable: true, maxAttempts: 4})]}));
-		entry.listEndpoints(endpoints.map(({listed}) => listed));
+		entry.listEndpoints(endpoints.slice(0, listedAtFirst).map(({listed}) => listed));
 	}
 
 	await Promise.all(hosts.map(async ({logged}) => logged('peers_listed', ({count}) => count === halls.length)));
--- a/packages/entry/src/test/poison-parts.test.ts
+++ b/packages/entry/src/test/poison-parts.test.ts
@@ -38,6 +38,15 @@
 	t.true(badArrivals.length <= crashesToKnow + maxLateArrivals, `${badArrivals.length} arrivals`);
 });
 
+test('a request with a part that is already suspected crashes two endpoints in one attempt', async t => {
+	const {send, hosts: [host], badArrivals} = await startPartsFleet(t, {halls: ['hall-a'], endpointCount: 6});
+	await send(0, [firstPart, badPart]);
+	t.true(await eventually(() => host!.events.filter(({event}) => event === 'run_lost').length === 2));
+	t.is(badArrivals.length, 2);
+	await send(0, [firstPart, badPart]);
+	t.is(badArrivals.length, 3);
+});
+
 test('requests with a part that crashes endpoints reach them, or sound ones are refused, once many of both have run at once', async t => {
 	const fleet = await startPartsFleet(t, {halls, endpointCount});
 	const badPrompts = Array.from({length: 4}, (_, index) => index % 2 === 0 ? [firstPart, badPart] : [firstPart, middleOf(index), badPart]);
--- a/packages/entry/src/test/take-up-of-streams.test.ts
+++ b/packages/entry/src/test/take-up-of-streams.test.ts
@@ -1,7 +1,10 @@
 /** Guards against take-ups of streams that go on at a wrong endpoint, are refused without need, or learn of the streams of others. */
 import test from 'ava';
+import {startRelay} from '@deckwheel/stand-ins';
+import {callHost} from './lib/call-host.js';
 import {headerNames} from './lib/header-names.js';
 import {openStream} from './lib/open-stream.js';
+import {eventually} from './lib/start-crashing-fleet.js';
 import {makeConfig, makeRoute} from './lib/start-host.js';
 import {startVersionedFleet, troubleHeader} from './lib/start-versioned-fleet.js';
 
@@ -68,24 +71,65 @@
 });
 
 test('a stream that began before the second version came goes on at that one', async t => {
-	const {hosts: [first, second], endpoints} = await startVersionedFleet(t, {halls: ['hall-a', 'hall-a'], versions: ['v1', 'v1', 'v2', 'v2']});
-	const listed = endpoints.map(endpoint => endpoint.listed);
+	const {hosts: [first, second], endpoints} = await startVersionedFleet(t, {halls: ['hall-a', 'hall-a'], versions: ['v1', 'v1', 'v2', 'v2'], listedAtFirst: 2});
+	const begun = Array.from({length: 10}, (_, index) => openStream(first!.callers, `a${index}`, hold));
+	await Promise.all(begun.map(async stream => stream.first));
 	for (const {entry} of [first!, second!]) {
-		entry.listEndpoints(listed.slice(0, 2));
+		entry.listEndpoints(endpoints.map(({listed}) => listed));
 	}
 
+	for (const index of begun.keys()) {
+		const again = await openStream(second!.callers, `b${index}`, takeUp(`a${index}`)).ended;
+		t.deepEqual(again.events.map(({data}) => data), Array.from({length: 5}, () => 'v1'));
+	}
+});
+
+test('a stream that began before the second version came is lost with its host', async t => {
+	const {hosts: [first, second], endpoints} = await startVersionedFleet(t, {halls: ['hall-a', 'hall-a'], versions: ['v1', 'v1', 'v2', 'v2'], listedAtFirst: 2});
 	const begun = Array.from({length: 10}, (_, index) => openStream(first!.callers, `a${index}`, hold));
 	await Promise.all(begun.map(async stream => stream.first));
 	for (const {entry} of [first!, second!]) {
-		entry.listEndpoints(listed);
+		entry.listEndpoints(endpoints.map(({listed}) => listed));
 	}
 
+	// Its first event comes once the other host has got what was sent before.
+	await openStream(first!.callers, 'later', hold).first;
+	await first!.entry.kill();
 	for (const index of begun.keys()) {
 		const again = await openStream(second!.callers, `b${index}`, takeUp(`a${index}`)).ended;
 		t.deepEqual(again.events.map(({data}) => data), Array.from({length: 5}, () => 'v1'));
 	}
 });
 
+test('a first event reaches the caller before another host keeps where the stream began', async t => {
+	const relay = await startRelay();
+	t.teardown(relay.close);
+	const {hosts: [host], endpoints} = await startVersionedFleet(t, {
+		halls: ['hall-a', 'hall-a'], versions: ['v1', 'v2'], seenAs(peer) {
+			relay.aimAt(Number(peer.address.split(':')[1]));
+			return {...peer, address: `127.0.0.1:${relay.port}`};
+		},
+	});
+	await openStream(host!.callers, 'warm', hold).first;
+	relay.silence();
+	let hasEvent = false;
+	const stream = openStream(host!.callers, 's', hold);
+	const noteFirst = async (): Promise<void> => {
+		await stream.first;
+		hasEvent = true;
+	};
+
+	const noted = noteFirst();
+	t.true(await eventually(() => endpoints.some(({seen}) => seen.some(({id}) => id === 's'))));
+	// A whole request takes longer than an event that its endpoint has written.
+	await callHost(host!.callers, {path: '/stream', headers: {[headerNames.apiKey]: 'unknown'}});
+	await callHost(host!.callers, {path: '/stream', headers: {[headerNames.apiKey]: 'unknown'}});
+	t.false(hasEvent);
+	await relay.close();
+	await noted;
+	t.true(hasEvent);
+});
+
 test('a stream that is taken up goes on at another service of its route', async t => {
 	const {hosts, endpoints} = await startVersionedFleet(t, {halls: ['hall-a', 'hall-b'], versions: ['v1', 'v1']});
 	const names = ['s', 'other'];
