--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -69,14 +69,22 @@
 	}
 };
 
-/** Reports to the detector of poison requests, which make endpoints crash, whether a run was lost or got a response. Resolves once it is known whether the endpoint crashed. */
+/**
+Reports to the detector of poison requests, which make endpoints crash, whether a run was lost or got a response.
+
+After a run of a suspected request was lost, it resolves once it is known whether the endpoint crashed: the next attempt waits for that, so
+that it does not crash another endpoint that the first crash could have spared.
+*/
 const reportToPoisonDetector = async ({id, subjects}: RequestInputs, {end, endpoint, startedAt, isOver}: Omit<EndedAttempt, 'outputTokens'>, {poison}: HostContext): Promise<void> => {
 	if (hasEndpointResponded(end)) {
 		poison.noteCompletedRun(subjects, hasServed(end));
 	} else if (end.type === 'lost' && !isOver) {
-		await poison.noteLostRun({
+		const verdict = poison.noteLostRun({
 			...subjects, id, events: end.relayed?.count ?? 0, endpoint, sentAt: startedAt,
 		});
+		if (poison.isSuspected(subjects)) {
+			await verdict;
+		}
 	}
 };
 
@@ -171,13 +179,9 @@
 		reportAttemptEnd({
 			end, endpoint, startedAt, isOver, outputTokens: progress.relayedEvents * tokensPerEvent,
 		}, host);
-		const reported = reportToPoisonDetector(request, {
+		await reportToPoisonDetector(request, {
 			end, endpoint, startedAt, isOver,
 		}, host);
-		// The next attempt waits for what this one shows, so that it does not crash another endpoint that the first crash could have spared.
-		if (host.poison.isSuspected(request.subjects)) {
-			await reported;
-		}
 
 		return end;
 	};
