--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,8 @@
 export {assertInvariant} from './assert-invariant.js';
 export type {Clock} from './clock.js';
+export {chunksOf} from './chunks-of.js';
 export {createElapsedClock} from './create-elapsed-clock.js';
+export {digestName} from './digest-name.js';
 export {doublingDelay} from './doubling-delay.js';
 export {fail} from './fail.js';
 export type {ValidationIssue} from './validation-issue.js';
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -1,4 +1,4 @@
-import {groupBy, pickInEachHall} from '@deckwheel/core';
+import {chunksOf, groupBy, pickInEachHall} from '@deckwheel/core';
 import type {EventCounter} from '@deckwheel/host-kit';
 import {LRUCache} from 'lru-cache';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
@@ -116,9 +116,7 @@
 	const tell = async (told: readonly KeptOrigin[]): Promise<void> => {
 		const byKeeper = groupBy(told.flatMap(kept => peersFor(kept.key, keepersPerHall).map(({address}) => ({address, kept}))), ({address}) => address);
 		const messages = [...byKeeper].flatMap(([address, entries]) =>
-			Array.from({length: Math.ceil(entries.length / maxPerMessage)}, (_, index) => ({
-				address, told: entries.slice(index * maxPerMessage, (index + 1) * maxPerMessage).map(({kept}) => toWire(kept)),
-			})));
+			chunksOf(entries, maxPerMessage).map(chunk => ({address, told: chunk.map(({kept}) => toWire(kept))})));
 		counter.increment('told', messages.length);
 		const confirmations = messages.map(async ({address, told: origins}) => exchange(address, {told: origins, asked: []}));
 		await firstOf(confirmations);
--- a/packages/poison/src/lib/create-exchange.ts
+++ b/packages/poison/src/lib/create-exchange.ts
@@ -1,4 +1,4 @@
-import {groupBy} from '@deckwheel/core';
+import {chunksOf, groupBy} from '@deckwheel/core';
 import type {Peer} from '../peer.js';
 import type {PoisonDetector} from '../poison-detector.js';
 import type {SuspicionsRequest} from '../suspicions-request.js';
@@ -68,8 +68,8 @@
 	};
 
 	const send = (peer: Peer, subjects: readonly string[]): void => {
-		for (let start = 0; start < subjects.length; start += maxPerMessage) {
-			void exchangeWith(peer, {suspicions: toWire(subjects.slice(start, start + maxPerMessage)), wantsBlocked: false});
+		for (const chunk of chunksOf(subjects, maxPerMessage)) {
+			void exchangeWith(peer, {suspicions: toWire(chunk), wantsBlocked: false});
 		}
 	};
 
--- a/packages/poison/src/lib/part-subject-of.ts
+++ b/packages/poison/src/lib/part-subject-of.ts
@@ -1,4 +1,4 @@
-import {createHash} from 'node:crypto';
+import {digestName} from '@deckwheel/core';
 import {partPrefix} from './part-prefix.js';
 
 /** The longest id that stands in the subject as it is; longer ones are hashed, since messages bound the length of a subject. */
@@ -6,4 +6,4 @@
 
 /** Returns the subject of suspicions for a part of prompts. Pure. */
 export const partSubjectOf = (id: string): string =>
-	partPrefix + (id.length <= maxIdLength ? id : createHash('sha256').update(id).digest('base64url'));
+	partPrefix + (id.length <= maxIdLength ? id : digestName(id));
