--- a/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
@@ -1,19 +1,13 @@
 import {splitAddress} from '@deckwheel/core';
 import type {AcceptProbe} from './accept-probe.js';
 import type {AcceptQueueMonitor} from './accept-queue-monitor.js';
-import type {ConnectionRate} from './connection-rate.js';
-import {isConnectionSurge} from './is-connection-surge.js';
+import {createConnectionShedder} from './create-connection-shedder.js';
 import {isQueueLong} from './is-queue-long.js';
-import {isSheddingConnections} from './is-shedding-connections.js';
 import {startAcceptProbe} from './start-accept-probe.js';
-import {stepConnectionRate} from './step-connection-rate.js';
 
 /** How often the wait of new connections is measured while requests of callers are open, in ms. */
 const measureEveryMs = 200;
 
-/** How long other hosts should accept new connections after this one closed some unread, in ms: the balancer takes a host out that twice in a row, each second, is not ready. */
-const notReadyMs = 2500;
-
 type Options = {
 	/** Whether requests of callers are open at this host. */
 	readonly isBusy: () => boolean;
@@ -37,33 +31,22 @@
 	/** The ip of this host, from which only its measurements connect. */
 	let ownHost: string | undefined;
 	let isLong = false;
-	let isShedding = false;
-	let rate: ConnectionRate = {recent: 0, usual: 0};
-	let acceptedCount = 0;
-	let countedAt = now();
-	/** When this host last shed connections, in monotonic ms. */
-	let shedAt = Number.NEGATIVE_INFINITY;
+	const shedder = createConnectionShedder(now);
 
 	const waitedMs = (): number => probe ? Math.max(lastWaitMs, now() - probe.startedAt) : lastWaitMs;
 
-	const updateShedding = (): boolean => {
-		isShedding = isSheddingConnections({wasShedding: isShedding, waitedMs: waitedMs(), isSurge: isConnectionSurge(rate)});
-		shedAt = isShedding ? now() : shedAt;
-		return isShedding;
-	};
-
-	const reportWait = (): void => {
+	/** Reports the wait; returns whether new connections are closed unread because of it. */
+	const reportWait = (): boolean => {
 		isLong = isQueueLong(isLong, waitedMs());
-		updateShedding();
 		onMeasured(waitedMs());
+		return shedder.isShedding(waitedMs());
 	};
 
 	const endProbe = (address: string, finalWaitMs: number): void => {
 		probe = undefined;
 		lastWaitMs = finalWaitMs;
-		reportWait();
 		// The queue may be empty long before the next tick.
-		if (isShedding) {
+		if (reportWait()) {
 			measure(address);
 		}
 	};
@@ -78,14 +61,8 @@
 		});
 	};
 
-	const countConnections = (): void => {
-		rate = stepConnectionRate(rate, acceptedCount, now() - countedAt);
-		acceptedCount = 0;
-		countedAt = now();
-	};
-
 	const tick = (address: string): void => {
-		countConnections();
+		shedder.endInterval();
 		if (probe) {
 			reportWait();
 		} else if (isBusy()) {
@@ -110,11 +87,11 @@
 				return false;
 			}
 
-			acceptedCount++;
-			return updateShedding();
+			shedder.count();
+			return shedder.isShedding(waitedMs());
 		},
 		waitedMs,
-		isQueueLong: () => isLong || now() - shedAt < notReadyMs,
+		isQueueLong: () => isLong || shedder.hasShedRecently(),
 		close() {
 			clearInterval(timer);
 			probe?.close();
