--- /dev/null
+++ b/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
@@ -0,0 +1,92 @@
+import {chunksOf, groupBy, pickInEachHall} from '@deckwheel/core';
+import type {EventCounter} from '@deckwheel/host-kit';
+import type {ListedPeer} from '../../adapter/listed-peer.js';
+import type {KeptOrigin} from './kept-origin.js';
+import type {OriginTable} from './origin-table.js';
+import {toWireOrigin} from './to-wire-origin.js';
+import type {OriginsMessage} from './wire/origins-message.js';
+import type {OriginsReply} from './wire/origins-reply.js';
+
+/** The number of hosts in each hall that keep the origin of one stream: two, since one may be down, or restart without what it kept. */
+const keepersPerHall = 2;
+
+/** The number of hosts in each hall that are asked: one more, since a host that joins takes the place of one that was told. */
+const askedPerHall = keepersPerHall + 1;
+
+/** The most origins that are sent in one message. */
+const maxPerMessage = 100;
+
+type Options = {
+	/** This host, as it is listed in the directory. */
+	readonly self: () => ListedPeer;
+	/** All other listed hosts, of every hall. */
+	readonly others: () => readonly ListedPeer[];
+	/** Sends one peer a message and returns the peer's reply; `undefined` when no valid reply came in time. */
+	readonly sendOrigins: (address: string, message: Omit<OriginsMessage, 'type'>) => Promise<OriginsReply | undefined>;
+	readonly table: Pick<OriginTable, 'get'>;
+	/** Takes in what a peer replied. */
+	readonly onReply: (reply: OriginsReply) => void;
+	readonly counter: Pick<EventCounter, 'increment'>;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/** Tells peers where streams began, and asks them. */
+type OriginExchange = {
+	/** Tells the keepers of each stream its origin; resolves once one of them has taken some in, or none can. */
+	readonly tell: (told: readonly KeptOrigin[]) => Promise<void>;
+	/** Asks hosts of each hall, or of the own one, for an origin; resolves with the first that one knows, and with `undefined` once all have replied, or had the time to. */
+	readonly ask: (key: string, where: 'all_halls' | 'own_hall') => Promise<KeptOrigin | undefined>;
+};
+
+/** Resolves with the first of some values that comes, and with `undefined` once none can come any more. */
+const firstOf = async <T>(values: ReadonlyArray<Promise<T>>): Promise<T | undefined> => {
+	try {
+		return await Promise.any(values);
+	} catch {
+		// All were rejected, for want of a reply or of what was asked for; the counters tell how often.
+		return undefined;
+	}
+};
+
+/** Creates the exchange of a host with its peers. */
+export const createOriginExchange = ({self, others, sendOrigins, table, onReply, counter, now}: Options): OriginExchange => {
+	const peersFor = (key: string, perHall: number): readonly ListedPeer[] =>
+		pickInEachHall(key, [self(), ...others()], perHall).filter(({address}) => address !== self().address);
+
+	/** Sends a message to a peer and takes in the reply; rejects where none came. */
+	const exchange = async (address: string, message: Omit<OriginsMessage, 'type'>): Promise<void> => {
+		const reply = await sendOrigins(address, message);
+		if (!reply) {
+			counter.increment('unanswered');
+			throw new Error('no reply');
+		}
+
+		onReply(reply);
+	};
+
+	const askPeer = async (address: string, key: string): Promise<KeptOrigin> => {
+		await exchange(address, {told: [], asked: [key]});
+		const kept = table.get(key);
+		if (!kept) {
+			throw new Error('not known');
+		}
+
+		return kept;
+	};
+
+	return {
+		async tell(told) {
+			const copies = told.flatMap(kept => peersFor(kept.key, keepersPerHall).map(({address}) => ({address, kept})));
+			const messages = [...groupBy(copies, ({address}) => address)].flatMap(([address, entries]) =>
+				chunksOf(entries, maxPerMessage).map(chunk => ({address, told: chunk.map(({kept}) => toWireOrigin(kept, now()))})));
+			counter.increment('told', messages.length);
+			await firstOf(messages.map(async message => exchange(message.address, {told: message.told, asked: []})));
+		},
+		async ask(key, where) {
+			const peers = peersFor(key, askedPerHall).filter(({hall}) => where === 'all_halls' || hall === self().hall);
+			counter.increment('asked', peers.length);
+			return firstOf(peers.map(async ({address}) => askPeer(address, key)));
+		},
+	};
+};
