--- a/packages/entry/src/test/cut-from-endpoints.test.ts
+++ b/packages/entry/src/test/cut-from-endpoints.test.ts
@@ -1,9 +1,10 @@
 /** Guards against a host that refuses its callers because its own links to endpoints are cut, while its peers reach them. */
 import test, {type ExecutionContext} from 'ava';
-import {answerTogether, startRelay} from '@deckwheel/stand-ins';
+import {startRelay} from '@deckwheel/stand-ins';
 import type {ListedEndpoint} from '../adapter/listed-endpoint.js';
 import type {ListedPeer} from '../adapter/listed-peer.js';
 import type {Route} from '../config/route.js';
+import {answerAtTogether, togetherPath} from './lib/answer-at-together.js';
 import {callHost} from './lib/call-host.js';
 import {closedAddress} from './lib/closed-address.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
@@ -241,22 +242,11 @@
 
 test('guards against requests that wait on connections that a cut silenced: they are left for the way through a peer', async t => {
 	const links = await startLinks(t);
-	const respondTogether = answerTogether(2);
 	const fleet = await startFleet(t, [{...cutHost, isCut: false}, peer], {
-		answer(req, res) {
-			const respond = (): void => {
-				res.end('fine');
-			};
-
-			if (req.url === '/together') {
-				respondTogether(respond);
-			} else {
-				respond();
-			}
-		},
+		answer: answerAtTogether(2),
 		seenByFirst: links.through,
 	});
-	const warm = await Promise.all([1, 2].map(async () => callHost(fleet.callers, {path: '/together'})));
+	const warm = await Promise.all([1, 2].map(async () => callHost(fleet.callers, {path: togetherPath})));
 	t.deepEqual(warm.map(({status}) => status), [200, 200]);
 	for (const relay of links.relays) {
 		relay.silence();
--- a/packages/entry/src/test/silent-connections.test.ts
+++ b/packages/entry/src/test/silent-connections.test.ts
@@ -10,8 +10,9 @@
 */
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
-import {answerTogether, startRelay, type RunningRelay} from '@deckwheel/stand-ins';
+import {startRelay, type RunningRelay} from '@deckwheel/stand-ins';
 import type {ListedPeer} from '../adapter/listed-peer.js';
+import {answerAtTogether, togetherPath} from './lib/answer-at-together.js';
 import {callHost} from './lib/call-host.js';
 import {headerNames} from './lib/header-names.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
@@ -28,18 +29,7 @@
 };
 
 test('silent connections to an endpoint cost one request, however many connections were idle', async t => {
-	const respondTogether = answerTogether(3);
-	const endpoint = await startEndpoint('e0', (req, res) => {
-		const respond = (): void => {
-			res.end('fine');
-		};
-
-		if (req.url === '/together') {
-			respondTogether(respond);
-		} else {
-			respond();
-		}
-	});
+	const endpoint = await startEndpoint('e0', answerAtTogether(3));
 	const [relay, host] = await Promise.all([startRelay(), startHost(createMemoryRightsStore())]);
 	t.teardown(async () => {
 		await Promise.all([relay.close(), host.entry.kill()]);
@@ -47,7 +37,7 @@
 	});
 	host.entry.configure(makeConfig());
 	host.entry.listEndpoints([{...endpoint.listed, address: relayTo(relay, endpoint.listed.address)}]);
-	const responses = await Promise.all([1, 2, 3].map(async () => callHost(host.callers, {path: '/together', headers: longDeadline})));
+	const responses = await Promise.all([1, 2, 3].map(async () => callHost(host.callers, {path: togetherPath, headers: longDeadline})));
 	t.deepEqual(responses.map(({status}) => status), [200, 200, 200]);
 
 	relay.silence();
--- a/packages/poison/src/test/create-poison-detector.test.ts
+++ b/packages/poison/src/test/create-poison-detector.test.ts
@@ -114,12 +114,18 @@
 	t.is(fleet.blockingHostCount('r'), 3);
 });
 
-test('after a block, all hosts send the request at once', async t => {
+/** Creates seven hosts that block a request, after each of three of them lost a run of it. */
+const createBlockingFleet = async () => {
 	const fleet = createFleet(7);
 	for (const [index, endpoint] of ['e1', 'e2', 'e3'].entries()) {
 		await fleet.loseRun(fleet.members[index]!, 'r', endpoint);
 	}
 
+	return fleet;
+};
+
+test('after a block, all hosts send the request at once', async t => {
+	const fleet = await createBlockingFleet();
 	t.is(fleet.blockingHostCount('r'), 7);
 	fleet.pass(121_000);
 	const free = fleet.members.filter(member => !fleet.isBlockedAt(member, 'r'));
@@ -132,11 +138,7 @@
 });
 
 test('after a block, a request that no host gets but one is never tested', async t => {
-	const fleet = createFleet(7);
-	for (const [index, endpoint] of ['e1', 'e2', 'e3'].entries()) {
-		await fleet.loseRun(fleet.members[index]!, 'r', endpoint);
-	}
-
+	const fleet = await createBlockingFleet();
 	fleet.pass(121_000 + (7 * 2000));
 	t.is(fleet.blockingHostCount('r'), 0);
 });
