--- a/packages/poison/src/create-poison-detector.ts
+++ b/packages/poison/src/create-poison-detector.ts
@@ -1,9 +1,9 @@
 import type {LogFields} from '@deckwheel/host-kit';
 import {rankByRendezvous} from '@deckwheel/core';
-import {LRUCache} from 'lru-cache';
 import type {CrashDetector} from './crash-detector.js';
-import {createBlockList} from './lib/create-block-list.js';
+import {createBlockList} from './lib/blocking/create-block-list.js';
 import {createExchange} from './lib/create-exchange.js';
+import {createGoodEnds} from './lib/create-good-ends.js';
 import {createSuspicionRecorder} from './lib/create-suspicion-recorder.js';
 import {createSuspicionTable} from './lib/create-suspicion-table.js';
 import {partSubjectsOf} from './lib/part-subjects-of.js';
@@ -21,9 +21,6 @@
 */
 const gossipIntervalMs = 1000;
 
-/** The most subjects of which a good end is remembered: a bound on memory. The parts that many requests share stay among them. */
-const maxGoodEnds = 1000;
-
 type Options = {
 	/** This host, as it stands in the peer list. */
 	readonly self: () => Peer;
@@ -57,12 +54,11 @@
 */
 export const createPoisonDetector = ({self, peers, sendRequest, crashDetector, onCrashed = () => undefined, log, random, every, now}: Options): PoisonDetector => {
 	const table = createSuspicionTable(now);
-	/** When a run of each subject last came to a good end, in monotonic ms. */
-	const goodEndAt = new LRUCache<string, number>({max: maxGoodEnds});
+	const goodEnds = createGoodEnds(now);
 	let pendingVerdicts = 0;
 	const blockList = createBlockList({
 		table,
-		isProven: subject => goodEndAt.has(subject),
+		isProven: goodEnds.has,
 		rankOf: subject => rankByRendezvous(subject, [self(), ...peers()].map(({address}) => address)).indexOf(self().address),
 		log,
 		now,
@@ -91,8 +87,7 @@
 
 			onCrashed(endpoint.id);
 			const crashes = new Map([[endpoint.id, {sentAt, endedAt}]]);
-			const suspicionOf = (subject: string): Suspicion =>
-				({crashes, cleared: new Set((goodEndAt.get(subject) ?? Number.NEGATIVE_INFINITY) > endedAt ? crashes.keys() : [])});
+			const suspicionOf = (subject: string): Suspicion => ({crashes, cleared: new Set(goodEnds.hasAfter(subject, endedAt) ? crashes.keys() : [])});
 			// Of a part that many requests share, one of those that were under way at the endpoint is enough.
 			const news = subjectsOf(request).filter(subject => !table.get(subject)?.crashes.has(endpoint.id));
 			if (news.length > 0) {
@@ -103,10 +98,7 @@
 			const parts = isGoodEnd ? partSubjectsOf(request.parts) : [];
 			// Without a crash, nobody asks for the fingerprint, which takes a hash to compute.
 			const subjects = table.isEmpty() && pendingVerdicts === 0 ? parts : [request.fingerprint(), ...parts];
-			for (const subject of subjects) {
-				goodEndAt.set(subject, now());
-			}
-
+			goodEnds.note(subjects);
 			const cleared = subjects.filter(subject => isHeldAgainst(subject));
 			if (cleared.length === 0) {
 				return;
--- a/packages/poison/src/lib/blamed-subjects.ts
+++ b/packages/poison/src/lib/blocking/blamed-subjects.ts
@@ -1,7 +1,7 @@
+import {partPrefix} from '../part-prefix.js';
+import {successiveCrashes} from '../successive-crashes.js';
+import type {Suspicion} from '../suspicion.js';
 import {crashesToBlock} from './crashes-to-block.js';
-import {partPrefix} from './part-prefix.js';
-import {successiveCrashes} from './successive-crashes.js';
-import type {Suspicion} from './suspicion.js';
 
 type Accused = {readonly subject: string; readonly suspicion: Suspicion; readonly crashCount: number; readonly isProven: boolean; readonly isPart: boolean};
 
--- a/packages/poison/src/lib/blocked-until.ts
+++ b/packages/poison/src/lib/blocking/blocked-until.ts
@@ -1,6 +1,6 @@
+import {successiveCrashes} from '../successive-crashes.js';
+import type {Suspicion} from '../suspicion.js';
 import {crashesToBlock} from './crashes-to-block.js';
-import {successiveCrashes} from './successive-crashes.js';
-import type {Suspicion} from './suspicion.js';
 
 /**
 The length of a first block, in ms, which doubles with each further crash. After the block the subject is tested
--- a/packages/poison/src/lib/create-block-list.ts
+++ b/packages/poison/src/lib/blocking/create-block-list.ts
@@ -1,10 +1,10 @@
 import type {LogFields} from '@deckwheel/host-kit';
 import {LRUCache} from 'lru-cache';
+import {partPrefix} from '../part-prefix.js';
+import type {SuspicionTable} from '../suspicion-table.js';
 import {blamedSubjects} from './blamed-subjects.js';
 import type {BlockList} from './block-list.js';
 import {blockedUntil} from './blocked-until.js';
-import {partPrefix} from './part-prefix.js';
-import type {SuspicionTable} from './suspicion-table.js';
 
 /** The time between two tests of a subject after its block, in ms: longer than a run takes to begin, and to crash its endpoint. */
 const testIntervalMs = 2000;
--- a/packages/poison/src/lib/create-exchange.ts
+++ b/packages/poison/src/lib/create-exchange.ts
@@ -1,15 +1,15 @@
-import {chunksOf, groupBy} from '@deckwheel/core';
+import {chunksOf} from '@deckwheel/core';
 import type {Peer} from '../peer.js';
 import type {PoisonDetector} from '../poison-detector.js';
 import type {SuspicionsRequest} from '../suspicions-request.js';
 import type {SuspicionsReply} from '../suspicions-reply.js';
-import {collectorsOf} from './collectors-of.js';
-import type {BlockList} from './block-list.js';
-import {blockPhaseAt} from './block-phase-at.js';
+import type {BlockList} from './blocking/block-list.js';
+import {blockPhaseAt} from './blocking/block-phase-at.js';
 import type {RecordSuspicions} from './create-suspicion-recorder.js';
 import {fromWireSuspicion} from './from-wire-suspicion.js';
 import {noSuspicion} from './no-suspicion.js';
 import {pickGossipPeers} from './pick-gossip-peers.js';
+import {subjectsByCollector} from './subjects-by-collector.js';
 import type {SuspicionTable} from './suspicion-table.js';
 import type {Suspicion} from './suspicion.js';
 import {toWireSuspicion} from './to-wire-suspicion.js';
@@ -80,11 +80,9 @@
 	};
 
 	const sendToCollectors = (subjects: readonly string[]): void => {
-		const hosts = [self(), ...peers()];
-		const copies = subjects.flatMap(subject => collectorsOf(subject, hosts).map(collector => ({collector, subject})));
-		for (const [address, entries] of groupBy(copies, ({collector}) => collector.address)) {
-			if (address !== self().address) {
-				send(entries[0]!.collector, entries.map(({subject}) => subject));
+		for (const share of subjectsByCollector(subjects, [self(), ...peers()])) {
+			if (share.collector.address !== self().address) {
+				send(share.collector, share.subjects);
 			}
 		}
 	};
--- a/packages/poison/src/lib/create-suspicion-recorder.ts
+++ b/packages/poison/src/lib/create-suspicion-recorder.ts
@@ -1,5 +1,5 @@
-import type {BlockList} from './block-list.js';
-import {blockPhaseAt} from './block-phase-at.js';
+import type {BlockList} from './blocking/block-list.js';
+import {blockPhaseAt} from './blocking/block-phase-at.js';
 import type {SuspicionTable} from './suspicion-table.js';
 import type {Suspicion} from './suspicion.js';
 
--- a/packages/poison/src/lib/create-suspicion-table.ts
+++ b/packages/poison/src/lib/create-suspicion-table.ts
@@ -1,5 +1,5 @@
 import {LRUCache} from 'lru-cache';
-import {blockedUntil} from './blocked-until.js';
+import {blockedUntil} from './blocking/blocked-until.js';
 import {mergeSuspicions} from './merge-suspicions.js';
 import {noSuspicion} from './no-suspicion.js';
 import type {SuspicionTable} from './suspicion-table.js';
--- a/packages/poison/src/test/blamed-subjects.test.ts
+++ b/packages/poison/src/test/blamed-subjects.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {blamedSubjects} from '../lib/blamed-subjects.js';
+import {blamedSubjects} from '../lib/blocking/blamed-subjects.js';
 import type {Suspicion} from '../lib/suspicion.js';
 
 /** A suspicion with one crash for each endpoint: the runs of endpoint 1, 2 and so on followed one after the other. */
