--- a/packages/poison/src/test/create-poison-detector.test.ts
+++ b/packages/poison/src/test/create-poison-detector.test.ts
@@ -114,6 +114,19 @@
 	t.is(fleet.blockingHostCount('r'), 3);
 });
 
+test('different requests with one part in common crash endpoints at hosts of several halls, and another one with it is sent', async t => {
+	const fleet = createFleet(7);
+	for (const [index, endpoint] of ['e1', 'e2', 'e3'].entries()) {
+		await fleet.loseRun(fleet.members[index]!, `r${index}`, endpoint, ['bad', `beside-${index}`]);
+	}
+
+	const blocks = (fingerprint: string, parts: readonly string[]): number =>
+		fleet.members.filter(({incarnation}) => incarnation.detector.blockedUntil(requestOf(fingerprint, parts)) !== undefined).length;
+	t.is(blocks('r4', ['bad']), 7);
+	t.is(blocks('r4', ['beside-0', 'beside-1']), 0);
+	t.is(blocks('r0', ['beside-0']), 0);
+});
+
 /** Creates seven hosts that block a request, after each of three of them lost a run of it. */
 const createBlockingFleet = async () => {
 	const fleet = createFleet(7);
--- a/packages/poison/src/test/lib/create-fleet.ts
+++ b/packages/poison/src/test/lib/create-fleet.ts
@@ -15,8 +15,8 @@
 	};
 };
 
-/** A request whose prompt has no parts. */
-export const requestOf = (fingerprint: string): RequestSubjects => ({fingerprint: () => fingerprint, parts: []});
+/** A request whose prompt shares these parts with others, by default none. */
+export const requestOf = (fingerprint: string, parts: readonly string[] = []): RequestSubjects => ({fingerprint: () => fingerprint, parts});
 
 /** One process lifetime of a host. */
 type Incarnation = {readonly detector: PoisonDetector; readonly tick: () => void};
@@ -100,11 +100,11 @@
 			await settle();
 		},
 		/** Has a host send the request to an endpoint that crashes 100 ms later. */
-		async loseRun(member: Member, request: string, endpoint: string) {
+		async loseRun(member: Member, request: string, endpoint: string, parts: readonly string[] = []) {
 			const sentAt = clockOf(members.indexOf(member));
 			timeMs += 100;
 			void member.incarnation.detector.noteLostRun({
-				...requestOf(request),
+				...requestOf(request, parts),
 				id: 'id',
 				endpoint: {id: endpoint, address: ''},
 				sentAt,
