Hosts of a hall send each other what changed in the store

What callers saw: a request handled by a configuration that was replaced more than 3 s before.

Cause: each host read the whole configuration from the store after each change, over a link that its callers use too. With 1,400 more routes that is 315 KB for a key or a limit; changes come faster than one read takes, and the part of the link that callers leave decides how late a host is. Nothing bounded it. Ruled out in the model: the word of the follower (the hall is in time, the host is not).

A peer that hears of a change requests the changes after its position; where its position is none of the ones that the other host has read, it sends an outline of its objects (keys of 1,640 items, about 20 KB) and gets what differs. While the store keeps a host waiting, it asks any peer. This holds for all watched kinds: endpoints and evacuations too.

--- a/packages/entry/src/adapter/store-changes.ts
+++ b/packages/entry/src/adapter/store-changes.ts
@@ -1,11 +1,12 @@
 import type {ChangeStatus} from './change-status.js';
+import type {TopicPatch} from './topic-patch.js';
 
 /**
-Change notifications between the hosts of a hall: whether something changed in the store.
+Changes in the store that the hosts of a hall tell each other of.
 
-In a large hall, one host follows each topic in the store, and the other hosts ask that host for changes. No data passes between
-hosts: a host that learns of a change reads the changed objects from the store. So a host that is wrong or cut off delays its
-peers, but never gives them a false state.
+In a large hall, one host follows each topic in the store, and the other hosts ask that host for changes. A small change passes between
+hosts, as the difference from a revision that the other host has; larger ones, and those after an unknown revision, each host reads from the
+store. So a host that is cut off delays its peers, but never gives them a state that the store did not have.
 */
 export type StoreChanges = {
 	/** Whether this host has to follow a topic in the store: for its hall, or for itself in a hall so small that each host follows every topic. */
@@ -30,4 +31,13 @@
 	@param freshMs How long ago the peer may have reached the store for its reply to count, in ms.
 	*/
 	readonly waitForChange: (topic: string, after: number, holdMs: number, freshMs: number) => Promise<ChangeStatus>;
+	/** Sets how this host replies to peers that request the changes of a topic after a revision, or from a base of theirs. */
+	readonly offer: (topic: string, patchAfter: (after: number, base: unknown) => Omit<TopicPatch, 'confirmedBeforeMs'>) => void;
+	/**
+	Requests the changes of a topic after a revision from the peer that follows it, or from any peer, one of the own hall if there is one.
+	Resolves with `undefined` where the peer does not reply.
+
+	@param base What this host knows of the topic, in the form of the adapter, for a peer that does not have the changes after the revision.
+	*/
+	readonly requestPatch: (from: 'follower' | 'any', topic: string, after: number, base?: unknown) => Promise<TopicPatch | undefined>;
 };
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,6 +7,7 @@
 export type {ListedEndpoint} from './adapter/listed-endpoint.js';
 export type {ListedPeer} from './adapter/listed-peer.js';
 export type {Log} from './adapter/log.js';
+export type {TopicPatch} from './adapter/topic-patch.js';
 export type {StoreChanges} from './adapter/store-changes.js';
 export type {Organisation} from './config/organisation.js';
 export type {PeerDirectory} from './adapter/peer-directory.js';
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -200,6 +200,7 @@
 			rights.takeBack(budget, from, total);
 		},
 		answerChanges: registry.answer,
+		answerPatch: registry.answerPatch,
 		answerSuspicions: poison.answer,
 		answerPermit: limits.answerPermit,
 		answerLimits: limits.answerLimits,
@@ -223,7 +224,7 @@
 		tunnels,
 		servedTunnels: () => links.tunnels()?.served() ?? 0,
 		storeChanges: createStoreChanges({
-			holder, registry, links: () => links, log,
+			holder, registry, links: () => links, random: Math.random, log,
 		}),
 		hostNames: () => links.hostNames(),
 		hostCount: () => links.others().length + 1,
--- a/packages/entry/src/lib/peers/create-peer-request-handler.ts
+++ b/packages/entry/src/lib/peers/create-peer-request-handler.ts
@@ -17,7 +17,7 @@
 with `undefined` for a malformed request, which is logged.
 */
 export const createPeerRequestHandler = ({
-	lend, takeBack, answerChanges, answerSuspicions, answerPermit, answerLimits, answerLoad, answerOrigins, answerTunnel, answerReach, holder, log, now,
+	lend, takeBack, answerChanges, answerPatch, answerSuspicions, answerPermit, answerLimits, answerLoad, answerOrigins, answerTunnel, answerReach, holder, log, now,
 }: Options) => {
 	const sparseLog = createSparseLog(log, now);
 	return async (from: Identity, body: unknown): Promise<unknown> => {
@@ -47,6 +47,10 @@
 				return answerChanges(data.topic, data.after, data.holdMs);
 			}
 
+			case 'patch': {
+				return answerPatch(data.topic, data.after, data.base);
+			}
+
 			case 'suspicions': {
 				return answerSuspicions(from.hall, data);
 			}
--- a/packages/entry/src/lib/peers/peer-handlers.ts
+++ b/packages/entry/src/lib/peers/peer-handlers.ts
@@ -5,6 +5,7 @@
 import type {EndpointLimits} from '../request-limits/endpoint-limits.js';
 import type {StreamOrigins} from '../stream-origins/stream-origins.js';
 import type {TunnelServer} from '../tunnels/tunnel-server.js';
+import type {ChangeRegistry} from '../store-changes/change-registry.js';
 import type {ChangeReply} from '../store-changes/change-reply.js';
 
 /** The handlers of peers' requests, one for each type of message. `from` and `to` are names of holders. */
@@ -15,6 +16,8 @@
 	readonly takeBack: (from: string, budget: string, total: number) => void;
 	/** Replies to a peer that asks whether a topic of the store changed after the revision `after`; the reply may be held for `holdMs`. */
 	readonly answerChanges: (topic: string, after: number, holdMs: number) => Promise<ChangeReply>;
+	/** Replies to a peer that requests the changes of a topic after a revision, or from the base that it sends. */
+	readonly answerPatch: ChangeRegistry['answerPatch'];
 	/** Replies to a peer of the hall `hall` that reports requests suspected of crashing endpoints. */
 	readonly answerSuspicions: (hall: string, request: SuspicionsRequest) => SuspicionsReply;
 	/** Replies to a peer that asks for a permit for a request to an endpoint. */
--- a/packages/entry/src/lib/peers/peer-message-schema.ts
+++ b/packages/entry/src/lib/peers/peer-message-schema.ts
@@ -25,6 +25,10 @@
 	z.object({
 		type: z.literal('news'), topic: z.string().max(100), after: z.number().nonnegative(), holdMs: z.number().nonnegative().max(5000),
 	}),
+	/** A request for the changes of a topic of the store after the revision `after`, or from what the peer knows of it, `base`. */
+	z.object({
+		type: z.literal('patch'), topic: z.string().max(100), after: z.number().nonnegative(), base: z.unknown().optional(),
+	}),
 	/** A return of rights. `to`: the incarnation of the host that it is meant for; `total`: all tokens of this budget that the sender ever gave to that incarnation. */
 	z.object({
 		type: z.literal('hand_back'), to: z.string(), budget: z.string(), total: z.number().nonnegative(),
--- a/packages/entry/src/lib/store-changes/create-change-registry.ts
+++ b/packages/entry/src/lib/store-changes/create-change-registry.ts
@@ -15,6 +15,7 @@
 */
 export const createChangeRegistry = (elapsed: () => number): ChangeRegistry => {
 	const topics = new Map<string, TopicState>();
+	const offers = new Map<string, Parameters<ChangeRegistry['offer']>[1]>();
 	let waiters: readonly Waiter[] = [];
 	let storeAnsweredAt = Number.NEGATIVE_INFINITY;
 	let lastRequestAt = Number.NEGATIVE_INFINITY;
@@ -27,6 +28,12 @@
 		}
 	};
 
+	/** What this host published of a topic, while that is valid. */
+	const publishedState = (topic: string): TopicState | undefined => {
+		const state = topics.get(topic);
+		return state && (state.validUntil ?? Number.POSITIVE_INFINITY) > elapsed() ? state : undefined;
+	};
+
 	const untilChange = async (topic: string, after: number, holdMs: number): Promise<void> => new Promise(resolve => {
 		const waiter: Waiter = {
 			topic,
@@ -65,8 +72,8 @@
 				await untilChange(topic, after, holdMs);
 			}
 
-			const current = topics.get(topic);
-			if (!current || (current.validUntil ?? Number.POSITIVE_INFINITY) <= elapsed()) {
+			const current = publishedState(topic);
+			if (!current) {
 				return {at: 0, changedAt: 0, ageMs: Number.MAX_SAFE_INTEGER};
 			}
 
@@ -76,5 +83,13 @@
 				at, changedAt, ageMs: Math.min(Number.MAX_SAFE_INTEGER, elapsed() - storeAnsweredAt), ...confirmed,
 			};
 		},
+		offer(topic, patchAfter) {
+			offers.set(topic, patchAfter);
+		},
+		answerPatch(topic, after, base) {
+			const patch = offers.get(topic)?.(after, base) ?? {changedAt: 0};
+			const confirmedAt = publishedState(topic)?.confirmedAt;
+			return confirmedAt === undefined ? patch : {...patch, confirmedBeforeMs: elapsed() - confirmedAt};
+		},
 	};
 };
--- a/packages/entry/src/test/create-store-changes.test.ts
+++ b/packages/entry/src/test/create-store-changes.test.ts
@@ -13,6 +13,7 @@
 	const changes = createStoreChanges({
 		holder,
 		registry: createChangeRegistry(() => 0),
+		random: () => 0,
 		log: () => undefined,
 		links: () => ({
 			mesh: () => ({
@@ -25,6 +26,7 @@
 				close: async () => undefined,
 			}),
 			hallPeers: () => hall,
+			others: () => hall.filter(peer => peer.holder !== holder),
 			hallSize: () => hall.length,
 			suspect(address: string) {
 				suspected.push(address);
--- a/packages/entry/src/test/hand-back.test.ts
+++ b/packages/entry/src/test/hand-back.test.ts
@@ -26,6 +26,7 @@
 		log: () => undefined,
 		lend: async () => ({total: 0, reachesStore: true}),
 		answerChanges: async () => ({at: 0, changedAt: 0, ageMs: 0}),
+		answerPatch: () => ({changedAt: 0}),
 		answerSuspicions: () => ({suspicions: []}),
 		answerPermit() {
 			throw new Error('not asked');
--- a/packages/entry/src/test/load-messages.test.ts
+++ b/packages/entry/src/test/load-messages.test.ts
@@ -77,6 +77,7 @@
 		lend: unasked,
 		takeBack: unasked,
 		answerChanges: unasked,
+		answerPatch: unasked,
 		answerSuspicions: unasked,
 		answerPermit: unasked,
 		answerLimits: unasked,
