--- a/packages/entry/src/test/create-change-registry.test.ts
+++ b/packages/entry/src/test/create-change-registry.test.ts
@@ -78,3 +78,17 @@
 	registry.noteStoreAnswer(clock.now);
 	t.deepEqual(interpretChangeReply(await registry.answer('config', 10, 0), 10, 1000), {type: 'unknown'});
 });
+
+// Without a valid publication, a host does not know whether its changes lead to the newest state.
+test('changes count as the newest state although the host that sends them does not follow the topic, or no longer', t => {
+	const {registry, clock} = createRegistry();
+	t.deepEqual(registry.answerPatch('config', 5, undefined), {changedAt: 0});
+	registry.offer('config', (after, base) => ({changedAt: 8, changes: {after, base}}));
+	t.deepEqual(registry.answerPatch('config', 5, 'b'), {changedAt: 8, changes: {after: 5, base: 'b'}});
+	registry.publish('config', {
+		at: 10, changedAt: 8, confirmedAt: 400, validUntil: 2300,
+	});
+	t.is(registry.answerPatch('config', 5, undefined).confirmedBeforeMs, 600);
+	clock.now += 5000;
+	t.is(registry.answerPatch('config', 5, undefined).confirmedBeforeMs, undefined);
+});
--- a/packages/entry/src/test/create-store-changes.test.ts
+++ b/packages/entry/src/test/create-store-changes.test.ts
@@ -69,3 +69,23 @@
 	t.deepEqual(await changes.waitForChange('config', 5, 0, 300), {type: 'unknown'});
 	t.is(requested.length, 0);
 });
+
+test('changes are requested from another host than the one that follows the topic, or by the follower from itself', async t => {
+	const {changes, requested} = createChanges(requester.holder, succeed({changedAt: 9, changes: 'c', confirmedBeforeMs: 20}));
+	t.deepEqual(await changes.requestPatch('follower', 'config', 5, {timeoutMs: 300}), {changedAt: 9, changes: 'c', confirmedBeforeMs: 20});
+	t.deepEqual(requested, [follower.address]);
+	const own = createChanges(follower.holder, succeed({changedAt: 9}));
+	t.is(await own.changes.requestPatch('follower', 'config', 5, {timeoutMs: 300}), undefined);
+	t.deepEqual(await own.changes.requestPatch('any', 'config', 5, {timeoutMs: 300}), {changedAt: 9});
+	t.is(own.requested.length, 1);
+	t.not(own.requested[0], follower.address);
+});
+
+test('a peer of an earlier release, or one that does not reply, counts as one that knows of no change', async t => {
+	const replies: ReadonlyArray<Result<unknown, LinkError>> = [succeed(undefined), fail('unknown'), succeed({changedAt: 'now'})];
+	for (const reply of replies) {
+		const {changes, suspected} = createChanges(requester.holder, reply);
+		t.is(await changes.requestPatch('follower', 'config', 5, {timeoutMs: 300}), undefined);
+		t.is(suspected.length, 0);
+	}
+});
