A host whose callers use its link up knows it by late replies, not by an overload

And a host that gets no reply in time for half of the bound, while something arrives over the links on which it asks, takes its link to be used up; where it is cut off nothing arrives. An overload is no condition any more, nor is the size of the hall.

--- a/packages/entry/src/lib/admission/is-config-outdated.ts
+++ b/packages/entry/src/lib/admission/is-config-outdated.ts
@@ -4,16 +4,19 @@
 type ConfigDoubt = {
 	/** How long ago a peer last told of a newer configuration that this host has not read, in ms; infinite where none did. */
 	readonly newerAgeMs: number;
-	/** Whether this host cannot keep up with its callers, and has heard from no peer for longer than the bound. */
-	readonly isCutOffByLoad: boolean;
+	/** For how long no reply of a peer has come in time although peers are in reach, in ms. */
+	readonly repliesLateMs: number;
 };
 
+/** The part of the bound on changes after which a host without replies in time takes its link to be used up: many requests to peers end in it. */
+const lateRepliesShare = 0.5;
+
 /**
 Decides whether this host serves no requests because its configuration is outdated. Pure.
 
 A host that is cut off serves by the configuration that it has: nobody there knows a newer one. One that is told of a newer configuration by its
-peers is not cut off, and neither is one that gets no answers because callers use its link up: other hosts take the requests of both. The rest of
-a proof's time is given to read the newer configuration.
+peers is not cut off, and neither is one whose peers are in reach while all replies, of the store too, are late, because callers use its link up.
+Other hosts take the requests of both.
 */
-export const isConfigOutdated = ({ageMs, applyMs}: ConfigProof, {newerAgeMs, isCutOffByLoad}: ConfigDoubt): boolean =>
-	applyMs !== undefined && ageMs > applyMs && (newerAgeMs <= applyMs || isCutOffByLoad);
+export const isConfigOutdated = ({ageMs, applyMs}: ConfigProof, {newerAgeMs, repliesLateMs}: ConfigDoubt): boolean =>
+	applyMs !== undefined && ageMs > applyMs && (newerAgeMs <= applyMs || repliesLateMs > applyMs * lateRepliesShare);
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -13,6 +13,7 @@
 import {createLoanClient} from '../lending/create-loan-client.js';
 import {createLoadSharing} from '../load-sharing/create-load-sharing.js';
 import type {LoadSharing} from '../load-sharing/load-sharing.js';
+import {createReplyTracker} from '../peers/create-reply-tracker.js';
 import {startPeerLinks} from '../peers/start-peer-links.js';
 import {readPeerReply} from '../peers/read-peer-reply.js';
 import {createEndpointLimits} from '../request-limits/create-endpoint-limits.js';
@@ -79,8 +80,8 @@
 	readonly hostCount: () => number;
 	/** As `hallSize` of `PeerLinks`. */
 	readonly hallSize: () => number;
-	/** The shortest time since anything came from a peer, in ms; infinite where nothing did. */
-	readonly peersQuietMs: () => number;
+	/** As `lateMs` of `ReplyTracker`. */
+	readonly repliesLateMs: () => number;
 	/** How many hosts of the hall are reachable, this host included. */
 	readonly reachableHallHosts: () => number;
 	/** As `register` of `PeerLinks`. */
@@ -194,6 +195,7 @@
 		now,
 	});
 	const registry = createChangeRegistry(elapsed);
+	const replies = createReplyTracker(now);
 	const links = startPeerLinks({
 		self: {holder, address, hall},
 		directory,
@@ -215,6 +217,7 @@
 		},
 		log,
 		onLinkReplaced,
+		replies,
 		now,
 	});
 	return {
@@ -231,7 +234,7 @@
 		hostNames: () => links.hostNames(),
 		hostCount: () => links.others().length + 1,
 		hallSize: () => links.hallSize(),
-		peersQuietMs: () => Math.min(Number.POSITIVE_INFINITY, ...links.others().map(peer => links.mesh()?.quietMs(peer.address) ?? Number.POSITIVE_INFINITY)),
+		repliesLateMs: replies.lateMs,
 		reachableHallHosts: () => links.hallPeers().length,
 		register() {
 			links.register();
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -10,6 +10,7 @@
 import {createRegistration} from './create-registration.js';
 import type {PeerHandlers} from './peer-handlers.js';
 import type {PeerLinks} from './peer-links.js';
+import type {ReplyTracker} from './reply-tracker.js';
 
 /**
 The shortest time between two reads of the directory for unlisted holders and for peers that do not reply, in ms: a crash of many hosts
@@ -25,6 +26,7 @@
 	readonly onListed: () => void;
 	/** Called when a link over which nothing arrived any more was replaced by a new one. */
 	readonly onLinkReplaced: () => void;
+	readonly replies: ReplyTracker;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -34,7 +36,7 @@
 
 It owns the links (by `mesh`) and the peer list; which hosts of the hall count as reachable is decided by `viewHall`.
 */
-export const startPeerLinks = ({self, directory, log, onListed, onLinkReplaced, now, ...handlers}: Options): PeerLinks => {
+export const startPeerLinks = ({self, directory, log, onListed, onLinkReplaced, replies, now, ...handlers}: Options): PeerLinks => {
 	const peers = createPeerList(self, now);
 	const handleRequest = createPeerRequestHandler({
 		...handlers, holder: self.holder, log, now,
@@ -76,7 +78,7 @@
 			handlers: {onRequest: handleRequest, onMessage: () => undefined, onLinkReplaced: noteLinkReplaced},
 		});
 		tunnels = opened.tunnels;
-		mesh = countPeerRequests(opened, createEventCounter('peer_questions', log));
+		mesh = countPeerRequests(opened, createEventCounter('peer_questions', log), replies);
 		peers.setSelf({...self, address: `${host}:${mesh.port}`});
 	};
 
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -96,7 +96,7 @@
 	let config: FleetConfig | undefined;
 	const isLoadShared = (): boolean => peerTasks.hallSize() > smallHall;
 	const configMonitor = createConfigMonitor({
-		applyMs: bounds.configApplyMs, isOverloaded: overload.isOverloaded, hallSize: peerTasks.hallSize, peersQuietMs: peerTasks.peersQuietMs, elapsed,
+		applyMs: bounds.configApplyMs, repliesLateMs: peerTasks.repliesLateMs, elapsed,
 	});
 	const chooser = createEndpointChooser({
 		hall,
--- a/packages/entry/src/test/count-peer-requests.test.ts
+++ b/packages/entry/src/test/count-peer-requests.test.ts
@@ -7,6 +7,7 @@
 	const results: Array<Result<unknown, LinkError>> = [succeed({}), fail('unknown'), fail('unreachable')];
 	const quietTimesMs = [90_000, 300.4, undefined];
 	const counts: Record<string, number> = {};
+	const noted: unknown[] = [];
 	const mesh = countPeerRequests({
 		port: 0, request: async () => results.shift()!, send: () => undefined, quietMs: () => quietTimesMs.shift(), close: async () => undefined,
 	}, {
@@ -16,6 +17,13 @@
 		recordMax(name, value) {
 			counts[name] = Math.max(counts[name] ?? 0, value);
 		},
+	}, {
+		noteAnswered() {
+			noted.push('answered');
+		},
+		noteUnanswered(quietMs) {
+			noted.push(quietMs);
+		},
 	});
 	for (const type of ['lend', 'lend', 'news']) {
 		await mesh.request('10.0.0.1:1', {type}, 100);
@@ -24,4 +32,5 @@
 	t.deepEqual(counts, {
 		'lend:answered': 1, 'lend:unknown': 1, 'news:unreachable': 1, quietest_ms: 300,
 	});
+	t.deepEqual(noted, ['answered', 300.4, undefined]);
 });
--- a/packages/entry/src/test/outdated-configuration.test.ts
+++ b/packages/entry/src/test/outdated-configuration.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {createConfigMonitor} from '../lib/admission/create-config-monitor.js';
 import {isConfigOutdated} from '../lib/admission/is-config-outdated.js';
+import {createReplyTracker} from '../lib/peers/create-reply-tracker.js';
 import {callHost} from './lib/call-host.js';
 import {createManualClock} from './lib/create-manual-clock.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
@@ -11,23 +11,37 @@
 const never = Number.POSITIVE_INFINITY;
 
 test('a host that is cut off refuses what its configuration allows, or one that peers tell of a newer one does not', t => {
-	t.false(isConfigOutdated({ageMs: never, applyMs}, {newerAgeMs: never, isCutOffByLoad: false}), 'cut off');
-	t.false(isConfigOutdated({ageMs: never, applyMs}, {newerAgeMs: applyMs + 1, isCutOffByLoad: false}), 'cut off since a peer told of it');
-	t.true(isConfigOutdated({ageMs: applyMs + 1, applyMs}, {newerAgeMs: 0, isCutOffByLoad: false}), 'told by peers');
-	t.true(isConfigOutdated({ageMs: applyMs + 1, applyMs}, {newerAgeMs: never, isCutOffByLoad: true}), 'callers use its link up');
-	t.false(isConfigOutdated({ageMs: applyMs, applyMs}, {newerAgeMs: 0, isCutOffByLoad: true}), 'confirmed within the bound');
-	t.false(isConfigOutdated({ageMs: never, applyMs: undefined}, {newerAgeMs: 0, isCutOffByLoad: true}), 'no bound');
+	t.false(isConfigOutdated({ageMs: never, applyMs}, {newerAgeMs: never, repliesLateMs: 0}), 'cut off');
+	t.false(isConfigOutdated({ageMs: never, applyMs}, {newerAgeMs: applyMs + 1, repliesLateMs: 0}), 'cut off since a peer told of it');
+	t.true(isConfigOutdated({ageMs: applyMs + 1, applyMs}, {newerAgeMs: 0, repliesLateMs: 0}), 'told by peers');
+	t.true(isConfigOutdated({ageMs: applyMs + 1, applyMs}, {newerAgeMs: never, repliesLateMs: applyMs}), 'callers use its link up');
+	t.false(isConfigOutdated({ageMs: applyMs, applyMs}, {newerAgeMs: 0, repliesLateMs: never}), 'confirmed within the bound');
+	t.false(isConfigOutdated({ageMs: never, applyMs: undefined}, {newerAgeMs: 0, repliesLateMs: never}), 'no bound');
 });
 
-test('a host serves by an outdated configuration because callers use its link up, or does not serve although it is cut off', t => {
-	const inputs = {isOverloaded: true, hallSize: 2, quietMs: applyMs + 1};
-	const isOutdated = ({isOverloaded, hallSize, quietMs}: typeof inputs): boolean => createConfigMonitor({
-		applyMs, isOverloaded: () => isOverloaded, hallSize: () => hallSize, peersQuietMs: () => quietMs, elapsed: () => 0,
-	}).isOutdated();
-	t.true(isOutdated(inputs));
-	t.false(isOutdated({...inputs, isOverloaded: false}), 'a cut');
-	t.false(isOutdated({...inputs, quietMs: applyMs}), 'a cut hall, whose hosts hear each other');
-	t.false(isOutdated({...inputs, hallSize: 1}), 'the only host of a hall');
+test('a host whose callers use its link up is taken for one that is cut off, or the other way round', t => {
+	const clock = createManualClock();
+	const tracker = createReplyTracker(clock.now);
+	const askInVain = (ms: number, quietMs: number | undefined): void => {
+		for (let passed = 0; passed < ms; passed += 300) {
+			clock.advance(300);
+			tracker.noteUnanswered(quietMs);
+		}
+	};
+
+	t.is(tracker.lateMs(), 0, 'nothing asked');
+	askInVain(3000, undefined);
+	t.is(tracker.lateMs(), 0, 'no link to any peer');
+	askInVain(3000, 8000);
+	t.is(tracker.lateMs(), 0, 'silent links');
+	tracker.noteAnswered();
+	askInVain(3000, 200);
+	t.is(tracker.lateMs(), 2700, 'late replies');
+	tracker.noteAnswered();
+	t.is(tracker.lateMs(), 0, 'a reply in time');
+	askInVain(3000, 200);
+	clock.advance(2000);
+	t.is(tracker.lateMs(), 0, 'nothing asked any more');
 });
 
 test('a host that peers tell of a newer configuration serves by its own for longer than a change may take, or stays away once it has read it', async t => {
