--- a/packages/entry/src/lib/store-changes/create-change-registry.ts
+++ b/packages/entry/src/lib/store-changes/create-change-registry.ts
@@ -1,12 +1,11 @@
 import type {ChangeRegistry} from './change-registry.js';
+import {createTopicWaiters} from './create-topic-waiters.js';
 
 /** For how long after a peer's request this host has subscribers, in ms. Must not be shorter than a request may be held (`holdMs` of `peerMessageSchema`). */
 const subscriberTimeoutMs = 5000;
 
 /** What this host knows of a topic; the fields are those of `StoreChanges.publish`. */
 type TopicState = {readonly at: number; readonly changedAt: number; readonly confirmedAt?: number; readonly validUntil?: number};
-/** A held request: `resolve` ends the hold, and `after` is the revision up to which the peer knows the topic. */
-type Waiter = {readonly topic: string; readonly after: number; readonly resolve: () => void};
 
 /**
 Creates a registry that knows no topic.
@@ -16,49 +15,26 @@
 export const createChangeRegistry = (elapsed: () => number): ChangeRegistry => {
 	const topics = new Map<string, TopicState>();
 	const offers = new Map<string, Parameters<ChangeRegistry['offer']>[1]>();
-	let waiters: readonly Waiter[] = [];
+	const waiters = createTopicWaiters();
 	let storeAnsweredAt = Number.NEGATIVE_INFINITY;
 	let lastRequestAt = Number.NEGATIVE_INFINITY;
 
-	const resolveWaiters = (isAffected: (waiter: Waiter) => boolean): void => {
-		const affected = waiters.filter(waiter => isAffected(waiter));
-		waiters = waiters.filter(waiter => !affected.includes(waiter));
-		for (const waiter of affected) {
-			waiter.resolve();
-		}
-	};
-
 	/** What this host published of a topic, while that is valid. */
 	const publishedState = (topic: string): TopicState | undefined => {
 		const state = topics.get(topic);
 		return state && (state.validUntil ?? Number.POSITIVE_INFINITY) > elapsed() ? state : undefined;
 	};
 
-	const untilChange = async (topic: string, after: number, holdMs: number): Promise<void> => new Promise(resolve => {
-		const waiter: Waiter = {
-			topic,
-			after,
-			resolve() {
-				clearTimeout(timer);
-				resolve();
-			},
-		};
-		const timer = setTimeout(() => {
-			resolveWaiters(entry => entry === waiter);
-		}, holdMs);
-		waiters = [...waiters, waiter];
-	});
-
 	return {
 		publish(topic, state) {
 			if (!state) {
 				topics.delete(topic);
-				resolveWaiters(waiter => waiter.topic === topic);
+				waiters.wake(topic, Number.POSITIVE_INFINITY);
 				return;
 			}
 
 			topics.set(topic, state);
-			resolveWaiters(waiter => waiter.topic === topic && waiter.after < state.changedAt);
+			waiters.wake(topic, state.changedAt);
 		},
 		noteStoreAnswer(at) {
 			storeAnsweredAt = Math.max(storeAnsweredAt, at);
@@ -69,7 +45,7 @@
 			lastRequestAt = requestedAt;
 			const initial = topics.get(topic);
 			if (initial && initial.changedAt <= after) {
-				await untilChange(topic, after, holdMs);
+				await waiters.wait(topic, after, holdMs);
 			}
 
 			const current = publishedState(topic);
