--- a/packages/entry/src/test/unread-request.test.ts
+++ b/packages/entry/src/test/unread-request.test.ts
@@ -23,6 +23,7 @@
 	const host = {
 		config: () => config,
 		configProof: () => ({ageMs: 0, applyMs: undefined}),
+		isConfigOutdated: () => false,
 		headerNames,
 		random: () => 0,
 		now: () => 10_000,
