--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -96,6 +96,10 @@
 	}, host.pool, host.headerNames);
 };
 
+const logInvalidResponse = (reason: string, {request, endpoint}: RunningAttempt, {log}: HostContext): void => {
+	log('response_invalid', {id: request.id, endpoint: endpoint.id, reason});
+};
+
 const relayToCaller = async (response: IncomingMessage, {request, writer, originTold, lastEventId, onEvents, run, tracked}: RunningAttempt): Promise<AttemptEnd> => {
 	// Should this host end right after the first event, its caller takes the stream up at a host that has to find where it began.
 	await originTold;
@@ -148,6 +152,10 @@
 	}
 
 	if (result.type === 'lost') {
+		if (result.isInvalid) {
+			logInvalidResponse(result.reason, options, host);
+		}
+
 		return {type: 'lost', reason: 'lost'};
 	}
 
--- a/packages/entry/src/lib/sending/attempt-result.ts
+++ b/packages/entry/src/lib/sending/attempt-result.ts
@@ -10,5 +10,8 @@
 	| {readonly type: 'misdirected'}
 	/** No connection came up, so no byte of the request reached the endpoint. `reason`: the code or message of the error. */
 	| {readonly type: 'unsent'; readonly reason: string}
-	/** The connection was up, and no usable response came: the endpoint may have run the request. `reason`: the code or message of the error, or what was wrong with the response. */
-	| {readonly type: 'lost'; readonly reason: string};
+	/**
+	The connection was up, and no usable response came: the endpoint may have run the request. `reason`: the code or message of the error, or what was
+	wrong with the response. `isInvalid`: bytes came, and they are no response to this request.
+	*/
+	| {readonly type: 'lost'; readonly reason: string; readonly isInvalid: boolean};
--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -5,6 +5,7 @@
 import type {AttemptResult} from './attempt-result.js';
 import type {Attempt} from './attempt.js';
 import type {ConnectionPool} from './connection-pool.js';
+import {isValidHead} from './is-valid-head.js';
 
 /**
 When a request on a reused connection ends without a response head after at least this time, in ms, the idle connections to its endpoint
@@ -13,12 +14,20 @@
 */
 const silentAfterMs = 1000;
 
+/** How the codes of errors begin by which node:http says that bytes are no response of HTTP. */
+const parseErrorPrefix = 'HPE_';
+
 /** Tells from the head of a response who sent it and whether the request was run. Other responses than `answered` are discarded. */
 const classifyResponse = (response: IncomingMessage, id: string, headerNames: HeaderNames): AttemptResult => {
 	const {headers, statusCode} = response;
+	if (!isValidHead(response)) {
+		response.destroy();
+		return {type: 'lost', reason: 'status_line', isInvalid: true};
+	}
+
 	if (headers[headerNames.requestId] !== id && headers[headerNames.requestId] !== undefined) {
 		response.destroy();
-		return {type: 'lost', reason: 'answer_of_another_request'};
+		return {type: 'lost', reason: 'answer_of_another_request', isInvalid: true};
 	}
 
 	if (statusCode === httpStatus.misdirectedRequest) {
@@ -76,14 +85,14 @@
 		// After a reset of the connection, node:http would end a response without a length as if it were complete.
 		receivedResponse?.destroy(error);
 		const reason = (error as NodeJS.ErrnoException).code ?? error.message;
-		resolve(isConnected ? {type: 'lost', reason} : {type: 'unsent', reason});
+		resolve(isConnected ? {type: 'lost', reason, isInvalid: reason.startsWith(parseErrorPrefix)} : {type: 'unsent', reason});
 	});
 	req.on('close', () => {
 		if (!receivedResponse && req.reusedSocket && performance.now() - sentAt >= silentAfterMs) {
 			pool.closeIdle(endpoint.id);
 		}
 
-		resolve({type: 'lost', reason: 'closed'});
+		resolve({type: 'lost', reason: 'closed', isInvalid: false});
 	});
 	req.end(body);
 });
--- a/packages/entry/src/test/send-attempt.test.ts
+++ b/packages/entry/src/test/send-attempt.test.ts
@@ -1,47 +1,20 @@
 import {once} from 'node:events';
-import {createServer, type AddressInfo, type Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import test from 'ava';
-import {createConnectionPool} from '../lib/sending/create-connection-pool.js';
 import {readResponseBody} from '../lib/relaying/read-response-body.js';
-import {sendAttempt} from '../lib/sending/send-attempt.js';
 import {judgeEndpoint} from '../lib/request/judge-endpoint.js';
-import {createDirectConnector} from './lib/create-direct-connector.js';
-import {headerNames} from './lib/header-names.js';
-
-const startServer = async (respond: (socket: Socket) => void) => {
-	const server = createServer(socket => {
-		socket.on('error', () => undefined);
-		socket.once('data', () => {
-			respond(socket);
-		});
-	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return server;
-};
-
-const send = async (address: string) => sendAttempt({
-	endpoint: {
-		id: 'e1', instance: 'e1', address, hall: 'a', serves: ['s'], slots: 1, isLeaving: false,
-	},
-	id: 'r1',
-	method: 'GET',
-	path: '/',
-	headers: [headerNames.requestId, 'r1'],
-	body: new Uint8Array(),
-	signal: new AbortController().signal,
-	onHead: () => undefined,
-}, createConnectionPool(() => performance.now(), createDirectConnector(60_000)), headerNames);
+import {sendOneAttempt} from './lib/send-one-attempt.js';
+import {startRawServer} from './lib/start-raw-server.js';
 
 test('a response without a length whose connection is reset is not complete', async t => {
 	let reset: () => void = () => undefined;
-	const server = await startServer(socket => {
+	const server = await startRawServer(socket => {
 		socket.write('HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\npart');
 		reset = () => {
 			socket.resetAndDestroy();
 		};
 	});
-	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const result = await sendOneAttempt(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	server.close();
 	t.is(result.type, 'answered');
 	if (result.type === 'answered') {
@@ -53,21 +26,21 @@
 });
 
 test('a response without a length whose connection is reset together with its last bytes is not complete', async t => {
-	const server = await startServer(socket => {
+	const server = await startRawServer(socket => {
 		socket.write('HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\npart', () => {
 			socket.resetAndDestroy();
 		});
 	});
-	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const result = await sendOneAttempt(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	server.close();
 	t.is(result.type === 'answered' ? await readResponseBody(result.response) : undefined, undefined);
 });
 
 test('a response without a length is complete when its connection ends normally', async t => {
-	const server = await startServer(socket => {
+	const server = await startRawServer(socket => {
 		socket.end('HTTP/1.1 200 OK\r\nx-id: r1\r\nx-stamp: s\r\n\r\nall');
 	});
-	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const result = await sendOneAttempt(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	server.close();
 	t.is(result.type, 'answered');
 	if (result.type === 'answered') {
@@ -77,28 +50,28 @@
 });
 
 test('a response that names another request is not taken for the response to this one', async t => {
-	const server = await startServer(socket => {
+	const server = await startRawServer(socket => {
 		socket.end('HTTP/1.1 200 OK\r\nx-id: other\r\nx-stamp: s\r\ncontent-length: 2\r\n\r\nno');
 	});
-	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const result = await sendOneAttempt(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	server.close();
 	t.is(result.type, 'lost');
 });
 
 test('a refused connection means that the request was not sent', async t => {
-	const server = await startServer(() => undefined);
+	const server = await startRawServer(() => undefined);
 	const {port} = server.address() as AddressInfo;
 	server.close();
 	await once(server, 'close');
-	const {type} = await send(`127.0.0.1:${port}`);
+	const {type} = await sendOneAttempt(`127.0.0.1:${port}`);
 	t.is(type, 'unsent');
 });
 
 test('a 421 from another process at the address means that the endpoint is gone, not that it refuses the request', async t => {
-	const server = await startServer(socket => {
+	const server = await startRawServer(socket => {
 		socket.end('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n');
 	});
-	const result = await send(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const result = await sendOneAttempt(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	server.close();
 	t.is(result.type, 'misdirected');
 	const judged = judgeEndpoint({end: 'misdirected', isOver: false, isOverloaded: true});
