--- a/packages/entry/src/lib/relaying/relay-stream.ts
+++ b/packages/entry/src/lib/relaying/relay-stream.ts
@@ -11,6 +11,8 @@
 	readonly onChunk: () => void;
 	/** Called each time before events are written to the caller, with their number. */
 	readonly beforeWrite: (events: number) => void;
+	/** Called when an event came that cannot be one of the stream. Neither it nor anything after it is relayed, and the stream counts as broken. */
+	readonly onInvalid: () => void;
 };
 
 /**
@@ -20,7 +22,7 @@
 The response to the caller is left open, so that another run of the request can continue the stream.
 
 */
-export const relayStream = async (response: IncomingMessage, res: ServerResponse, {lastId, onChunk, beforeWrite}: RelayOptions): Promise<RelayEnd> => new Promise(resolve => {
+export const relayStream = async (response: IncomingMessage, res: ServerResponse, {lastId, onChunk, beforeWrite, onInvalid}: RelayOptions): Promise<RelayEnd> => new Promise(resolve => {
 	let state: ScanState = {remainder: Buffer.alloc(0), lastId, count: 0};
 	const finish = (type: RelayEnd['type']): void => {
 		resolve({type, lastId: state.lastId, count: state.count});
@@ -49,6 +51,12 @@
 				res.once('drain', resume);
 			}
 		}
+
+		if (scan.isInvalid) {
+			onInvalid();
+			finish('broken');
+			response.destroy();
+		}
 	});
 	response.on('end', () => {
 		finish(response.complete && state.remainder.length === 0 ? 'whole' : 'broken');
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -100,7 +100,8 @@
 	log('response_invalid', {id: request.id, endpoint: endpoint.id, reason});
 };
 
-const relayToCaller = async (response: IncomingMessage, {request, writer, originTold, lastEventId, onEvents, run, tracked}: RunningAttempt): Promise<AttemptEnd> => {
+const relayToCaller = async (response: IncomingMessage, options: RunningAttempt, host: HostContext): Promise<AttemptEnd> => {
+	const {request, writer, originTold, lastEventId, onEvents, run, tracked} = options;
 	// Should this host end right after the first event, its caller takes the stream up at a host that has to find where it began.
 	await originTold;
 	const relayed = await relayStream(response, request.res, {
@@ -114,6 +115,9 @@
 
 			writer.beginStream(response);
 		},
+		onInvalid() {
+			logInvalidResponse('event_id', options, host);
+		},
 	});
 	if (relayed.type !== 'whole') {
 		return {type: 'lost', reason: 'broken', relayed};
@@ -134,7 +138,7 @@
 	}
 
 	if (isSuccess && options.request.admitted.route.kind === 'stream') {
-		return relayToCaller(response, options);
+		return relayToCaller(response, options, host);
 	}
 
 	const body = await readResponseBody(response);
--- a/packages/entry/src/test/scan-events.test.ts
+++ b/packages/entry/src/test/scan-events.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {scanEvents} from '../lib/relaying/scan-events.js';
+import {isHeaderValue} from '../lib/sending/is-header-value.js';
 
 const initialState = {remainder: Buffer.alloc(0), lastId: undefined, count: 0};
 
@@ -30,3 +31,15 @@
 	}));
 	t.pass();
 });
+
+test('the id after which a stream is resumed is one that no header holds', t => {
+	const piece = fc.oneof(fc.constantFrom('id: ', 'id:', 'data: ', '\n', '\n\n', '\r\n'), fc.uint8Array({maxLength: 4}).map(bytes => Buffer.from(bytes).toString('latin1')));
+	fc.assert(fc.property(fc.array(piece, {maxLength: 20}), pieces => {
+		const bytes = Buffer.from(pieces.join(''), 'latin1');
+		const {state, completeBytes, isInvalid} = scanEvents(initialState, bytes);
+		const isPrefix = bytes.subarray(0, completeBytes.length).equals(completeBytes);
+		const isAllScanned = isInvalid || completeBytes.length + state.remainder.length === bytes.length;
+		return isHeaderValue(state.lastId ?? '') && isPrefix && isAllScanned;
+	}));
+	t.pass();
+});
