--- a/packages/entry/src/lib/relaying/create-response-writer.ts
+++ b/packages/entry/src/lib/relaying/create-response-writer.ts
@@ -2,8 +2,8 @@
 import {copyHeaders} from '../sending/copy-headers.js';
 import type {ResponseWriter} from './response-writer.js';
 
-const noHeaders: ReadonlySet<string> = new Set();
-const contentLengthName: ReadonlySet<string> = new Set(['content-length']);
+/** The header that this host writes itself, in lower case. */
+const droppedNames: ReadonlySet<string> = new Set(['content-length']);
 
 /**
 Creates the writer of one response to a caller.
@@ -12,7 +12,7 @@
 @param isClosing Whether the caller's connection is to be closed after the response; read when the head is written.
 */
 export const createResponseWriter = (res: ServerResponse, isHead: boolean, isClosing: () => boolean): ResponseWriter => {
-	const writeHead = (response: IncomingMessage, droppedNames: ReadonlySet<string>, addedHeaders: readonly string[] = []): void => {
+	const writeHead = (response: IncomingMessage, addedHeaders: readonly string[] = []): void => {
 		res.sendDate = false;
 		const connectionHeaders = isClosing() ? ['Connection', 'close'] : [];
 		res.writeHead(response.statusCode!, response.statusMessage, [...copyHeaders(response.rawHeaders, droppedNames), ...addedHeaders, ...connectionHeaders]);
@@ -22,14 +22,16 @@
 		hasBegun: () => res.headersSent,
 		beginStream(response) {
 			if (!res.headersSent) {
-				writeHead(response, contentLengthName);
+				writeHead(response);
 			}
 		},
 		endStream() {
 			res.end();
 		},
 		writeWhole(response, body) {
-			writeHead(response, isHead ? noHeaders : contentLengthName, isHead ? [] : ['Content-Length', String(body.length)]);
+			const length = isHead ? response.headers['content-length'] : String(body.length);
+			// After a length, node:http throws on a `Content-Disposition` with a file name beyond ASCII, so the length comes last.
+			writeHead(response, length === undefined ? [] : ['Content-Length', length]);
 			res.end(body);
 		},
 	};
