Bytes beside a response's head left its caller waiting, or took a whole answer from it

What callers saw: where a faulty endpoint spoiled the body in the packet that also held the head (a chunk size that is no number), the request hung until its deadline and ended with 504, and was not sent on even where it may run again. Where an endpoint sent more right after a whole answer, the caller did not get that answer: it hung until the deadline as well, or a stream was broken off.

Cause, two of one kind: (1) readResponseBody listened for the end of a response that had closed before it was called, in the time that a promise takes; relayStream checks for that since long. (2) On any error of the request the response was destroyed, a complete one too, so what the parser says of bytes after an answer destroyed the answer.

Ruled out: the connection is not used again (node:http destroys it with the parser's error); a second whole answer in the same packet raises no error and was passed on before.

Change: a closed response has no body; an error after a complete response does not concern it.

--- a/packages/entry/src/lib/relaying/read-response-body.ts
+++ b/packages/entry/src/lib/relaying/read-response-body.ts
@@ -3,6 +3,12 @@
 
 /** Reads the body of a response; `undefined` if the connection broke before the body was complete. */
 export const readResponseBody = async (response: IncomingMessage): Promise<Uint8Array | undefined> => new Promise(resolve => {
+	// It may have closed before this function was called, and then emits no further event.
+	if (response.closed) {
+		resolve(undefined);
+		return;
+	}
+
 	const chunks: Uint8Array[] = [];
 	response.on('data', (chunk: Uint8Array) => {
 		chunks.push(chunk);
--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -82,8 +82,12 @@
 		resolve(result);
 	});
 	req.on('error', error => {
-		// After a reset of the connection, node:http would end a response without a length as if it were complete.
-		receivedResponse?.destroy(error);
+		// After a reset of the connection, node:http would end a response without a length as if it were complete. What goes wrong after a whole
+		// response, such as bytes that belong to none, does not concern it.
+		if (!receivedResponse?.complete) {
+			receivedResponse?.destroy(error);
+		}
+
 		const reason = (error as NodeJS.ErrnoException).code ?? error.message;
 		resolve(isConnected ? {type: 'lost', reason, isInvalid: reason.startsWith(parseErrorPrefix)} : {type: 'unsent', reason});
 	});
