--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,6 +5,7 @@
 export type {FleetConfig} from './config/fleet-config.js';
 export type {HeaderNames} from './adapter/header-names.js';
 export type {ListedEndpoint} from './adapter/listed-endpoint.js';
+export {isSendableName} from './adapter/is-sendable-name.js';
 export type {ListedPeer} from './adapter/listed-peer.js';
 export type {Log} from './adapter/log.js';
 export type {TopicPatch} from './adapter/topic-patch.js';
--- a/packages/entry/src/lib/sending/forwarded-headers.ts
+++ b/packages/entry/src/lib/sending/forwarded-headers.ts
@@ -1,6 +1,7 @@
 import type {HeaderNames} from '../../adapter/header-names.js';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import {copyHeaders} from './copy-headers.js';
+import {toHeaderValue} from './to-header-value.js';
 
 type Inputs = {
 	/** The headers of the caller's request: names and values in turn, as node:http has them in `rawHeaders`. */
@@ -36,9 +37,9 @@
 		...(lastEventId === undefined ? [] : [headerNames.lastEventId]),
 	]);
 	const headers = copyHeaders(raw, droppedNames);
-	headers.push(headerNames.deadline, String(Math.max(1, Math.floor(timeLeftMs))), headerNames.expectedEndpoint, endpoint.instance);
+	headers.push(headerNames.deadline, String(Math.max(1, Math.floor(timeLeftMs))), headerNames.expectedEndpoint, toHeaderValue(endpoint.instance));
 	if (organisation !== undefined) {
-		headers.push(headerNames.organisation, organisation);
+		headers.push(headerNames.organisation, toHeaderValue(organisation));
 	}
 
 	if (urgency !== undefined) {
