--- a/packages/entry/src/lib/rights-store/create-slot-writer.ts
+++ b/packages/entry/src/lib/rights-store/create-slot-writer.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {ownValue} from '@deckwheel/core';
 import {slotOfBudget, type BudgetRights, type StoreView} from '@deckwheel/ledger';
 import type {Log} from '../../adapter/log.js';
 import type {RightsStore} from '../../adapter/rights-store.js';
@@ -117,7 +118,7 @@
 	return {
 		slotOf,
 		rightsOf(budget) {
-			const rights = cache.get(slotOf(budget))?.rights.budgets[budget];
+			const rights = ownValue(cache.get(slotOf(budget))?.rights.budgets ?? {}, budget);
 			const {byBudget, version} = limits();
 			const limit = byBudget.get(budget);
 			return rights && limit !== undefined && version >= (rights.limitVersion ?? 0) ? {...rights, limit} : rights;
--- a/packages/entry/src/lib/rights-store/find-stranded-rights.ts
+++ b/packages/entry/src/lib/rights-store/find-stranded-rights.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import type {RightsObject} from '@deckwheel/ledger';
 
 /** Rights on a budget that an ended incarnation of a host held and that no host can use any more, in tokens, as of the incarnation's last write. */
@@ -14,7 +15,7 @@
 /** Finds the rights that a write strands: those of the ended incarnations that the write folds into the retired holder's entry. Pure. */
 export const findStrandedRights = (before: RightsObject, after: RightsObject): readonly StrandedRights[] =>
 	Object.entries(before.budgets).flatMap(([budget, {holders}]) => Object.entries(holders)
-		.filter(([holder]) => after.budgets[budget]?.holders[holder] === undefined)
+		.filter(([holder]) => !Object.hasOwn(ownValue(after.budgets, budget)?.holders ?? {}, holder))
 		.map(([holder, {granted, transferred, settled, reserved: open = 0}]) => ({
 			budget, holder, open, held: Math.max(0, granted + transferred - settled - open),
 		}))
--- a/packages/entry/src/lib/rights-store/merge-restored.ts
+++ b/packages/entry/src/lib/rights-store/merge-restored.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import type {BudgetRights, HolderRights, RightsObject} from '@deckwheel/ledger';
 import {retiredHolder} from './retired-holder.js';
 
@@ -38,36 +39,38 @@
 
 // The entry was folded after the restore, in the earlier state that the copy had of it. Charges the retired holder with what the entry holds beyond that state.
 const addFolded = (retired: HolderRights, name: string, entry: HolderRights): HolderRights => {
-	const missing = Math.max(0, entry.granted + entry.transferred - retired.folded![name]!);
+	const charged = ownValue(retired.folded!, name)!;
+	const missing = Math.max(0, entry.granted + entry.transferred - charged);
 	return {
 		...retired,
 		granted: retired.granted + missing,
 		settled: retired.settled + missing,
-		folded: {...retired.folded, [name]: retired.folded![name]! + missing},
+		folded: {...retired.folded, [name]: charged + missing},
 	};
 };
 
 const mergeHolders = (before: Holders, found: Holders, era: number): Holders => {
 	const laterFold = findLaterFold(before[retiredHolder], found[retiredHolder], era);
 	let retired = pickRetired(before[retiredHolder], found[retiredHolder], era);
-	const merged: Record<string, HolderRights> = {};
+	const merged = new Map<string, HolderRights>();
 	for (const [name, entry] of Object.entries(found)) {
-		const isFolded = before[name] === undefined && laterFold === 'before' && !isWrittenIn(entry, era);
+		const earlier = ownValue(before, name);
+		const isFolded = earlier === undefined && laterFold === 'before' && !isWrittenIn(entry, era);
 		if (name !== retiredHolder && !isFolded) {
-			merged[name] = before[name] ? pickNewer(before[name], entry) : entry;
+			merged.set(name, earlier ? pickNewer(earlier, entry) : entry);
 		}
 	}
 
-	const missing = Object.entries(before).filter(([name]) => name !== retiredHolder && found[name] === undefined && laterFold !== 'found');
+	const missing = Object.entries(before).filter(([name]) => name !== retiredHolder && !Object.hasOwn(found, name) && laterFold !== 'found');
 	for (const [name, entry] of missing) {
-		if (retired?.folded?.[name] === undefined) {
-			merged[name] = entry;
-		} else {
+		if (retired?.folded && Object.hasOwn(retired.folded, name)) {
 			retired = addFolded(retired, name, entry);
+		} else {
+			merged.set(name, entry);
 		}
 	}
 
-	return retired ? {...merged, [retiredHolder]: retired} : merged;
+	return Object.fromEntries(retired ? merged.set(retiredHolder, retired) : merged);
 };
 
 const mergeBudget = (before: BudgetRights, found: BudgetRights, era: number): BudgetRights => {
@@ -90,6 +93,9 @@
 export const mergeRestored = (before: RightsObject, found: RightsObject, era: number): RightsObject => {
 	const budgets = Object.entries(before.budgets)
 		.filter(([name]) => !Object.hasOwn(found.unreadable ?? {}, name))
-		.map(([name, rights]) => [name, found.budgets[name] ? mergeBudget(rights, found.budgets[name], era) : rights] as const);
+		.map(([name, rights]) => {
+			const restored = ownValue(found.budgets, name);
+			return [name, restored ? mergeBudget(rights, restored, era) : rights] as const;
+		});
 	return {...found, budgets: {...found.budgets, ...Object.fromEntries(budgets)}};
 };
--- a/packages/entry/src/lib/rights-store/plan-slot-write.ts
+++ b/packages/entry/src/lib/rights-store/plan-slot-write.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import {
 	planDraw, type BudgetRights, type DrawPlan, type DrawRequest, type RightsObject, type StoreView, transferred,
 } from '@deckwheel/ledger';
@@ -38,7 +39,7 @@
 		rate: demandRate(account),
 		billed: account.settled,
 		reserved: account.reserved,
-		written: {era, sequence: (rights.holders[holder]?.written?.sequence ?? 0) + 1},
+		written: {era, sequence: (ownValue(rights.holders, holder)?.written?.sequence ?? 0) + 1},
 		wants: view => drawAmountOf(budget)(view, rights),
 	};
 };
@@ -49,8 +50,9 @@
 	const prepared = prepareRights(inputs.rights, {
 		host, holder, limits, version, era,
 	});
-	const requests = [...limits.keys()]
-		.filter(budget => prepared.budgets[budget] !== undefined && isEntryNeeded(budget))
-		.map(budget => createDrawRequest(budget, prepared.budgets[budget]!, inputs));
+	const requests = [...limits.keys()].filter(budget => isEntryNeeded(budget)).flatMap(budget => {
+		const rights = ownValue(prepared.budgets, budget);
+		return rights ? [createDrawRequest(budget, rights, inputs)] : [];
+	});
 	return planDraw(prepared, holder, noEpoch, requests);
 };
--- a/packages/entry/src/lib/rights-store/prepare-rights.ts
+++ b/packages/entry/src/lib/rights-store/prepare-rights.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import type {BudgetRights, HolderRights, RightsObject} from '@deckwheel/ledger';
 import {retiredHolder} from './retired-holder.js';
 
@@ -42,15 +43,16 @@
 	written && written.era < era ? {...retired, folded: {...retired.folded, [name]: granted + transferred}} : retired;
 
 const retirePredecessors = (holders: BudgetRights['holders'], {host, holder, era = 0}: Inputs): BudgetRights['holders'] => {
-	const ended = Object.keys(holders).filter(name => name.startsWith(`${host}#`) && name !== holder);
+	const isEnded = (name: string): boolean => name.startsWith(`${host}#`) && name !== holder;
+	const ended = Object.entries(holders).filter(([name]) => isEnded(name));
 	if (ended.length === 0) {
 		return holders;
 	}
 
-	const kept = Object.entries(holders).filter(([name]) => !ended.includes(name) && name !== retiredHolder);
+	const kept = Object.entries(holders).filter(([name]) => !isEnded(name) && name !== retiredHolder);
 	let retired = holders[retiredHolder] ?? noRights;
-	for (const name of ended) {
-		retired = noteFolded(addAsSpent(retired, holders[name]!), name, holders[name]!, era);
+	for (const [name, entry] of ended) {
+		retired = noteFolded(addAsSpent(retired, entry), name, entry, era);
 	}
 
 	const written = {era, sequence: (holders[retiredHolder]?.written?.sequence ?? 0) + 1};
@@ -72,6 +74,6 @@
 export const prepareRights = (rights: RightsObject, inputs: Inputs): RightsObject => {
 	const prepared = [...inputs.limits]
 		.filter(([budget]) => !Object.hasOwn(rights.unreadable ?? {}, budget))
-		.map(([budget, limit]) => [budget, prepareBudget(rights.budgets[budget] ?? emptyBudget(budget), limit, inputs)] as const);
+		.map(([budget, limit]) => [budget, prepareBudget(ownValue(rights.budgets, budget) ?? emptyBudget(budget), limit, inputs)] as const);
 	return {...rights, budgets: {...rights.budgets, ...Object.fromEntries(prepared)}};
 };
--- a/packages/entry/src/lib/rights-store/remaining-tokens.ts
+++ b/packages/entry/src/lib/rights-store/remaining-tokens.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import type {BudgetRights} from '@deckwheel/ledger';
 import type {HostAccount} from '../rights/host-account.js';
 import {viewRights} from './view-rights.js';
@@ -11,6 +12,6 @@
 @param holder The name of this incarnation of the host as a holder of rights.
 */
 export const remainingTokens = (rights: BudgetRights, holder: string, {settled}: Pick<HostAccount, 'settled'>): number => {
-	const unreported = settled - (rights.holders[holder]?.settled ?? 0);
+	const unreported = settled - (ownValue(rights.holders, holder)?.settled ?? 0);
 	return Math.max(0, viewRights(rights, holder, 0).remaining - unreported);
 };
--- a/packages/entry/src/lib/rights/most-tokens-left.ts
+++ b/packages/entry/src/lib/rights/most-tokens-left.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import {openReservations, viewStore, type BudgetRights} from '@deckwheel/ledger';
 import {maxKeptSeconds} from '../lending/max-kept-seconds.js';
 import {viewRights} from '../rights-store/view-rights.js';
@@ -25,7 +26,7 @@
 */
 export const mostTokensLeft = ({rights: recorded, holder, account, hasClients}: Inputs): number => {
 	const rights = putOwnEntry(recorded, holder, account);
-	const {remaining, fleetTokensPerSecond} = viewStore(rights, holder, rights.holders[holder]?.rate ?? 0);
+	const {remaining, fleetTokensPerSecond} = viewStore(rights, holder, ownValue(rights.holders, holder)?.rate ?? 0);
 	const withoutLoans = viewRights(rights, holder, 0).remaining + (fleetTokensPerSecond * maxKeptSeconds);
 	return Math.max(0, (hasClients ? Math.min(remaining, withoutLoans) : remaining) - openReservations(rights));
 };
--- a/packages/entry/src/lib/rights/put-own-entry.ts
+++ b/packages/entry/src/lib/rights/put-own-entry.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import {transferred, type BudgetRights} from '@deckwheel/ledger';
 import type {HostAccount} from './host-account.js';
 
@@ -8,7 +9,7 @@
 */
 export const putOwnEntry = (rights: BudgetRights, holder: string, account: HostAccount): BudgetRights => {
 	const {granted, settled, reserved} = account;
-	const recorded = rights.holders[holder] ?? {epoch: 0, rate: 0};
+	const recorded = ownValue(rights.holders, holder) ?? {epoch: 0, rate: 0};
 	const entry = {
 		...recorded, granted, transferred: transferred(account), settled, billed: settled, reserved,
 	};
--- a/packages/ledger/src/store/plan-draw.ts
+++ b/packages/ledger/src/store/plan-draw.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import {coarseRate} from '../lib/coarse-rate.js';
 import type {BudgetRights} from './budget-rights.js';
 import type {DrawPlan} from './draw-plan.js';
@@ -7,7 +8,7 @@
 import {viewStore} from './view-store.js';
 
 const isDeposed = (rights: RightsObject, holder: string, epoch: number): boolean =>
-	Object.values(rights.budgets).some(({holders}) => (holders[holder]?.epoch ?? 0) > epoch);
+	Object.values(rights.budgets).some(({holders}) => (ownValue(holders, holder)?.epoch ?? 0) > epoch);
 
 const drawFromBudget = (rights: BudgetRights, holder: string, epoch: number, request: DrawRequest): BudgetRights => {
 	const {granted, transferred, rate, settled, billed, reserved, written} = request;
@@ -35,14 +36,15 @@
 		return {type: 'deposed'};
 	}
 
-	const knownRequests = requests.filter(({budget}) => rights.budgets[budget] !== undefined);
-	const unknown = requests.map(({budget}) => budget).filter(budget => rights.budgets[budget] === undefined);
-	const changedBudgets = Object.fromEntries(knownRequests.map(request => [request.budget, drawFromBudget(rights.budgets[request.budget]!, holder, epoch, request)]));
+	const changedBudgets = requests.flatMap(request => {
+		const budgetRights = ownValue(rights.budgets, request.budget);
+		return budgetRights ? [[request.budget, drawFromBudget(budgetRights, holder, epoch, request)] as const] : [];
+	});
 	return {
 		type: 'write',
-		rights: {...rights, budgets: {...rights.budgets, ...changedBudgets}},
-		grants: knownRequests.map(({budget}) => ({budget, granted: changedBudgets[budget]!.holders[holder]!.granted})),
-		unknown,
-		rest: new Map(knownRequests.map(({budget}) => [budget, unallocated(changedBudgets[budget]!)])),
+		rights: {...rights, budgets: {...rights.budgets, ...Object.fromEntries(changedBudgets)}},
+		grants: changedBudgets.map(([budget, {holders}]) => ({budget, granted: ownValue(holders, holder)!.granted})),
+		unknown: requests.map(({budget}) => budget).filter(budget => !Object.hasOwn(rights.budgets, budget)),
+		rest: new Map(changedBudgets.map(([budget, changed]) => [budget, unallocated(changed)])),
 	};
 };
