--- a/packages/cli/src/commands/budget-show.ts
+++ b/packages/cli/src/commands/budget-show.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import {Args} from '@oclif/core';
 import {slotOfBudget, unallocated, type RightsObject} from '@deckwheel/ledger';
 import {askHost} from '../lib/ask-host.js';
@@ -27,7 +28,7 @@
 			return {ok: false, error: storeProblem[object.error]};
 		}
 
-		const rights = (object.value.value as RightsObject).budgets[budget];
+		const rights = ownValue((object.value.value as RightsObject).budgets, budget);
 		if (!rights) {
 			return {ok: false, error: `There is no budget "${budget}".`};
 		}
--- a/packages/cli/src/top-up-budget.ts
+++ b/packages/cli/src/top-up-budget.ts
@@ -1,4 +1,6 @@
-import {fail, succeed, type Result} from '@deckwheel/core';
+import {
+	fail, ownValue, succeed, type Result,
+} from '@deckwheel/core';
 import {
 	slotOfBudget, topUp, type BudgetRights, type RightsObject,
 } from '@deckwheel/ledger';
@@ -32,7 +34,7 @@
 		}
 
 		const rights = object.ok ? object.value.value as RightsObject : {budgets: {}};
-		const before = rights.budgets[budget] ?? (organisation === undefined ? undefined : newBudget(organisation));
+		const before = ownValue(rights.budgets, budget) ?? (organisation === undefined ? undefined : newBudget(organisation));
 		if (!before) {
 			return fail(`There is no budget "${budget}". Create it with: deckwheel budget create`);
 		}
--- a/packages/daemon/src/lib/draws/rights-object-schema.ts
+++ b/packages/daemon/src/lib/draws/rights-object-schema.ts
@@ -1,3 +1,4 @@
+import {recordSchema} from '@deckwheel/core';
 import {z} from 'zod';
 
 const holderSchema = z.object({
@@ -8,8 +9,8 @@
 	organisation: z.string(),
 	limit: z.number(),
 	topUps: z.array(z.string()),
-	holders: z.record(z.string(), holderSchema),
+	holders: recordSchema(holderSchema),
 });
 
 /** The schema of a slot's budgets in the store. */
-export const rightsObjectSchema = z.object({budgets: z.record(z.string(), budgetSchema)});
+export const rightsObjectSchema = z.object({budgets: recordSchema(budgetSchema)});
--- a/packages/daemon/src/lib/draws/start-draw-task.ts
+++ b/packages/daemon/src/lib/draws/start-draw-task.ts
@@ -1,3 +1,4 @@
+import {ownValue} from '@deckwheel/core';
 import {
 	accountOf, available, drawAmount, emptyLedger, holdingPolicyByShare, planDraw, surplus, transferred, viewStore, type DrawRequest, type HoldingPolicy, type RightsObject, type StoreView,
 } from '@deckwheel/ledger';
@@ -70,7 +71,7 @@
 		const ledger = slots.replica(slot)?.ledger ?? emptyLedger('');
 		const known = cache.get(slot)?.rights.budgets ?? {};
 		return [...ledger.accounts].flatMap(([budget, account]) => {
-			const record = known[budget];
+			const record = ownValue(known, budget);
 			if (!record || needs.has(budget)) {
 				return [];
 			}
--- a/packages/host-kit/src/create-event-counter.ts
+++ b/packages/host-kit/src/create-event-counter.ts
@@ -14,21 +14,21 @@
 @param event The event of the log line.
 */
 export const createEventCounter = (event: string, log: (event: string, fields: LogFields) => void): EventCounter => {
-	let counts: Record<string, number> = {};
+	const counts = new Map<string, number>();
 	const timer = setInterval(() => {
-		if (Object.keys(counts).length > 0) {
-			log(event, counts);
-			counts = {};
+		if (counts.size > 0) {
+			log(event, Object.fromEntries(counts));
+			counts.clear();
 		}
 	}, reportIntervalMs);
 	timer.unref();
 
 	return {
 		increment(name, by = 1) {
-			counts[name] = (counts[name] ?? 0) + by;
+			counts.set(name, (counts.get(name) ?? 0) + by);
 		},
 		recordMax(name, value) {
-			counts[name] = Math.max(counts[name] ?? 0, value);
+			counts.set(name, Math.max(counts.get(name) ?? 0, value));
 		},
 	};
 };
