--- a/platform/src/lib/reading/address-schema.ts
+++ b/packages/core/src/address-schema.ts
@@ -1,6 +1,6 @@
 import {isIPv4} from 'node:net';
-import {splitAddress} from '@deckwheel/core';
 import {z} from 'zod';
+import {splitAddress} from './split-address.js';
 
 /** The highest TCP port. */
 const maxPort = 65_535;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export {addressSchema} from './address-schema.js';
 export {assertInvariant} from './assert-invariant.js';
 export type {Clock} from './clock.js';
 export {chunksOf} from './chunks-of.js';
--- a/packages/entry/src/lib/tunnels/tunnel-reply-schema.ts
+++ b/packages/entry/src/lib/tunnels/tunnel-reply-schema.ts
@@ -7,7 +7,8 @@
 */
 export const tunnelReplySchema = z.object({
 	outcome: z.enum(['open', 'unreached', 'cut', 'busy']),
-	ticket: z.string().max(100).optional(),
+	/** In hexadecimal: it is sent in a header. */
+	ticket: z.string().max(100).regex(/^[\da-f]+$/).optional(),
 	served: z.number().nonnegative(),
 	spentMs: z.number().nonnegative(),
 });
