--- a/packages/entry/src/adapter/is-sendable-name.ts
+++ b/packages/entry/src/adapter/is-sendable-name.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {isHeaderValue} from '../lib/sending/is-header-value.js';
 import {toHeaderValue} from '../lib/sending/to-header-value.js';
 
@@ -10,4 +9,4 @@
 space at the ends cannot. Adapters leave out what has a name that cannot be sent. Pure.
 */
 export const isSendableName = (name: string): boolean =>
-	isHeaderValue(toHeaderValue(name)) && !outerSpace.test(name) && Buffer.from(name).toString() === name;
+	name.isWellFormed() && isHeaderValue(toHeaderValue(name)) && !outerSpace.test(name);
