Lint: a record is not asked for a name by a plain lookup

The type of a record promises a value for every name, so neither the compiler nor a reader sees a lookup that finds what every object inherits. A rule of ours, over the type checker, refuses `record[name]` where the name is any text; `ownValue` is the one place that may. Headers of node:http are left out, whose names are constants, and so are tests, the laboratory and the stand-ins.

--- a/xo.config.js
+++ b/xo.config.js
@@ -1,3 +1,5 @@
+import {noPlainLookup} from './scripts/no-plain-lookup.mjs';
+
 /**
 XO's rules, with the exceptions that the house style or the wire formats ask for.
 
@@ -28,6 +30,16 @@
 			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 		},
 	},
+	{
+		files: ['**/src/**/*.ts'],
+		plugins: {deckwheel: {rules: {'no-plain-lookup': noPlainLookup}}},
+		rules: {'deckwheel/no-plain-lookup': 'error'},
+	},
+	{
+		// `ownValue` is the one lookup. Tests, the laboratory and the stand-ins name what they look up.
+		files: ['packages/core/src/own-value.ts', '**/src/test/**', 'packages/lab/**', 'packages/stand-ins/**'],
+		rules: {'deckwheel/no-plain-lookup': 'off'},
+	},
 	{
 		files: ['scripts/**'],
 		rules: {
