Tests: one start of a host before endpoints, in place of four

Four test files each started a host with one route before endpoints that a test answers for, and ended both.

--- a/packages/entry/src/test/invalid-event-ids.test.ts
+++ b/packages/entry/src/test/invalid-event-ids.test.ts
@@ -1,10 +1,9 @@
 /** Guards against bytes in the id of an event that end the host once it sends the stream on to another endpoint, and with it all of its other requests. */
 import test, {type ExecutionContext} from 'ava';
 import {headerNames} from './lib/header-names.js';
-import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {openStream} from './lib/open-stream.js';
-import {startEndpoint} from './lib/start-endpoint.js';
-import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
+import type {Answer} from './lib/start-endpoint.js';
+import {startHostBefore} from './lib/start-host-before.js';
 
 const eventOf = (id: number | string): string => `id: ${id}\ndata: piece\n\n`;
 
@@ -12,7 +11,7 @@
 const callBroken = async (t: ExecutionContext, isResumable: boolean, events: string) => {
 	const resumedAfter: unknown[] = [];
 	let runs = 0;
-	const endpoints = await Promise.all(['e0', 'e1'].map(async name => startEndpoint(name, (req, res) => {
+	const answer: Answer = (req, res) => {
 		res.writeHead(200, {'content-type': 'text/event-stream'});
 		if (runs++ === 0) {
 			res.write(events, 'latin1', () => {
@@ -24,16 +23,9 @@
 		const after = req.headers[headerNames.lastEventId];
 		resumedAfter.push(after);
 		res.end([1, 2, 3, 4].filter(id => id > Number(after ?? 0)).map(id => eventOf(id)).join(''));
-	})));
-	const host = await startHost(createMemoryRightsStore());
-	host.entry.configure(makeConfig({routes: [makeRoute({kind: 'stream', isResumable})]}));
-	host.entry.listEndpoints(endpoints.map(({listed}) => listed));
-	t.teardown(async () => {
-		await host.entry.kill();
-		for (const endpoint of endpoints) {
-			endpoint.close();
-		}
-	});
+	};
+
+	const host = await startHostBefore(t, {kind: 'stream', isResumable}, [answer, answer]);
 	const {status, isWhole, body} = await openStream(host.callers, 's1').ended;
 	return {
 		status, isWhole, body, resumedAfter, logged: async () => host.logged('response_invalid', ({endpoint, reason}) => endpoint === 'e0' && reason === 'event_id'),
--- a/packages/entry/src/test/invalid-response-heads.test.ts
+++ b/packages/entry/src/test/invalid-response-heads.test.ts
@@ -1,11 +1,9 @@
 /** Guards against bytes in the head of an endpoint's response that end the host, and with it all of its other requests. */
-import test, {type ExecutionContext} from 'ava';
-import type {Route} from '../config/route.js';
+import test from 'ava';
 import {callHost} from './lib/call-host.js';
 import {headerNames} from './lib/header-names.js';
-import {createMemoryRightsStore} from './lib/memory-rights-store.js';
-import {startEndpoint, type Answer} from './lib/start-endpoint.js';
-import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
+import type {Answer} from './lib/start-endpoint.js';
+import {startHostBefore} from './lib/start-host-before.js';
 
 const spoiledBody = 'id: 1\ndata: spoiled\n\n';
 
@@ -15,21 +13,6 @@
 	socket!.end(`${statusLine}\r\n${headerNames.requestId}: ${id}\r\n${headerNames.stamp}: e\r\nContent-Length: ${spoiledBody.length}\r\n\r\n${spoiledBody}`);
 };
 
-/** Starts a host before endpoints that answer in this way. */
-const startFleet = async (t: ExecutionContext, route: Partial<Route>, answers: readonly Answer[]) => {
-	const endpoints = await Promise.all(answers.map(async (answer, index) => startEndpoint(`e${index}`, answer)));
-	const host = await startHost(createMemoryRightsStore());
-	host.entry.configure(makeConfig({routes: [makeRoute(route)]}));
-	host.entry.listEndpoints(endpoints.map(({listed}) => listed));
-	t.teardown(async () => {
-		await host.entry.kill();
-		for (const endpoint of endpoints) {
-			endpoint.close();
-		}
-	});
-	return {...host, seen: () => endpoints.flatMap(({seen}) => seen)};
-};
-
 /** Control characters of a reason phrase, and statuses that no final response has. */
 const badStatusLines = [
 	...[0x00, 0x01, 0x1F, 0x7F].map(code => ({name: `a control character (${code})`, statusLine: `HTTP/1.1 200 ${String.fromCodePoint(code, code)}`})),
@@ -38,14 +21,14 @@
 
 for (const {name, statusLine} of badStatusLines) {
 	test(`a response whose status line has ${name} ends the host, or is passed on`, async t => {
-		const host = await startFleet(t, {kind: 'once'}, [answerWith(statusLine)]);
+		const host = await startHostBefore(t, {kind: 'once'}, [answerWith(statusLine)]);
 		const {status, body} = await callHost(host.callers);
 		t.deepEqual({status, hasBytesOfResponse: body.includes('spoiled')}, {status: 502, hasBytesOfResponse: false});
 		await host.logged('response_invalid', ({endpoint, reason}) => endpoint === 'e0' && reason === 'status_line');
 	});
 
 	test(`a stream whose status line has ${name} ends the host, or is passed on`, async t => {
-		const host = await startFleet(t, {kind: 'stream'}, [answerWith(statusLine)]);
+		const host = await startHostBefore(t, {kind: 'stream'}, [answerWith(statusLine)]);
 		const {status, body} = await callHost(host.callers);
 		t.deepEqual({status, hasBytesOfResponse: body.includes('spoiled')}, {status: 502, hasBytesOfResponse: false});
 	});
@@ -61,7 +44,7 @@
 		(runs++ === 0 ? answerWith('HTTP/1.1 200 \0\0') : whole)(req, res);
 	};
 
-	const host = await startFleet(t, {kind: 'repeatable'}, [spoilFirst, spoilFirst]);
+	const host = await startHostBefore(t, {kind: 'repeatable'}, [spoilFirst, spoilFirst]);
 	const {status, body} = await callHost(host.callers);
 	t.deepEqual({status, body, runs: host.seen().length}, {status: 200, body: 'whole', runs: 2});
 });
--- a/packages/entry/src/test/spoiled-bodies.test.ts
+++ b/packages/entry/src/test/spoiled-bodies.test.ts
@@ -10,10 +10,9 @@
 import {readResponseBody} from '../lib/relaying/read-response-body.js';
 import {callHost} from './lib/call-host.js';
 import {headerNames} from './lib/header-names.js';
-import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {sendOneAttempt} from './lib/send-one-attempt.js';
-import {startEndpoint} from './lib/start-endpoint.js';
-import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
+import type {Answer} from './lib/start-endpoint.js';
+import {startHostBefore} from './lib/start-host-before.js';
 import {startRawServer} from './lib/start-raw-server.js';
 
 /** How many near-valid responses the property tries, and the seed by which they are drawn. */
@@ -29,22 +28,15 @@
 /** Sends one request to a host before two endpoints. The first response is written as it is, any later one is sound. */
 const callSpoiled = async (t: ExecutionContext, route: Partial<Route>, first: RawResponse) => {
 	let runs = 0;
-	const endpoints = await Promise.all(['e0', 'e1'].map(async name => startEndpoint(name, (req, res) => {
+	const answer: Answer = (req, res) => {
 		if (runs++ === 0) {
 			respond(String(req.headers[headerNames.requestId]), res.socket!, first);
 		} else {
 			res.end('sound');
 		}
-	})));
-	const host = await startHost(createMemoryRightsStore());
-	host.entry.configure(makeConfig({routes: [makeRoute(route)]}));
-	host.entry.listEndpoints(endpoints.map(({listed}) => listed));
-	t.teardown(async () => {
-		await host.entry.kill();
-		for (const endpoint of endpoints) {
-			endpoint.close();
-		}
-	});
+	};
+
+	const host = await startHostBefore(t, route, [answer, answer]);
 	const {status, body, isWhole} = await callHost(host.callers);
 	return {
 		status, body, isWhole, runs,
--- a/packages/entry/src/test/unframed-responses.test.ts
+++ b/packages/entry/src/test/unframed-responses.test.ts
@@ -4,11 +4,10 @@
 import test, {type ExecutionContext} from 'ava';
 import type {Route} from '../config/route.js';
 import {headerNames} from './lib/header-names.js';
-import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {openStream} from './lib/open-stream.js';
 import {eventually} from './lib/start-crashing-fleet.js';
-import {startEndpoint} from './lib/start-endpoint.js';
-import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
+import type {Answer} from './lib/start-endpoint.js';
+import {startHostBefore} from './lib/start-host-before.js';
 
 /** How an endpoint ends its connection after the bytes of its response. It resets it once the caller has got an event, or at once where none is on its way. */
 type Ending = 'close' | 'reset';
@@ -27,23 +26,16 @@
 const callUnframed = async (t: ExecutionContext, route: Partial<Route>, response: Response) => {
 	let runs = 0;
 	let socket: Socket | undefined;
-	const endpoints = await Promise.all(['e0', 'e1'].map(async name => startEndpoint(name, (req, res) => {
+	const answer: Answer = (req, res) => {
 		if (runs++ === 0) {
 			socket = res.socket!;
 			respondUnframed(String(req.headers[headerNames.requestId]), res, response);
 		} else {
 			res.end('id: 2\ndata: rest\n\n');
 		}
-	})));
-	const host = await startHost(createMemoryRightsStore());
-	host.entry.configure(makeConfig({routes: [makeRoute(route)]}));
-	host.entry.listEndpoints(endpoints.map(({listed}) => listed));
-	t.teardown(async () => {
-		await host.entry.kill();
-		for (const endpoint of endpoints) {
-			endpoint.close();
-		}
-	});
+	};
+
+	const host = await startHostBefore(t, route, [answer, answer]);
 	const stream = openStream(host.callers, 's1');
 	if (response.ending === 'reset' && response.bytes.includes('\n\n')) {
 		await stream.first;
