--- /dev/null
+++ b/packages/entry/src/test/lib/start-raw-endpoint.ts
@@ -0,0 +1,53 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import {headerNames} from './header-names.js';
+
+/** A request as a raw endpoint got it. `after`: the id of the event after which a stream is to go on. */
+export type RawRequest = {readonly id: string; readonly method: string; readonly path: string; readonly after: number};
+
+/** An endpoint whose responses a test writes byte by byte. */
+export type RawEndpoint = {readonly listed: ListedEndpoint; readonly close: () => void};
+
+const valueOf = (head: string, name: string): string | undefined => new RegExp(`^${name}: *(.*)$`, 'mi').exec(head)?.[1];
+
+/** Starts an endpoint of the service `s` on kept connections, with one request at a time on each. `respond` writes to the connection. */
+export const startRawEndpoint = async (id: string, respond: (req: RawRequest, socket: Socket) => void): Promise<RawEndpoint> => {
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		let text = '';
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
+		socket.on('data', chunk => {
+			text += chunk.toString('latin1');
+			const end = text.indexOf('\r\n\r\n');
+			const head = text.slice(0, end);
+			const size = end + 4 + Number(valueOf(head, 'content-length') ?? 0);
+			if (end === -1 || text.length < size) {
+				return;
+			}
+
+			text = text.slice(size);
+			const [method, path] = head.split(' ');
+			respond({
+				id: valueOf(head, headerNames.requestId)!, method: method!, path: path!, after: Number(valueOf(head, headerNames.lastEventId) ?? 0),
+			}, socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return {
+		listed: {
+			id, instance: id, hall: 'hall-a', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, serves: ['s'], slots: 100, isLeaving: false,
+		},
+		close() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+};
