--- a/packages/daemon/src/lib/draws/start-draw-task.ts
+++ b/packages/daemon/src/lib/draws/start-draw-task.ts
@@ -69,7 +69,7 @@
 	// What is more than enough goes back, so that other halls can draw it. It leaves the ledger first.
 	const surplusOf = (slot: number): ReadonlyArray<{readonly budget: string; readonly amount: number}> => {
 		const ledger = slots.replica(slot)?.ledger ?? emptyLedger('');
-		const known = cache.get(slot)?.rights.budgets ?? {};
+		const known = cache.get(slot)?.rights.budgets;
 		return [...ledger.accounts].flatMap(([budget, account]) => {
 			const record = ownValue(known, budget);
 			if (!record || needs.has(budget)) {
--- a/packages/entry/src/lib/rights-store/create-slot-writer.ts
+++ b/packages/entry/src/lib/rights-store/create-slot-writer.ts
@@ -118,7 +118,7 @@
 	return {
 		slotOf,
 		rightsOf(budget) {
-			const rights = ownValue(cache.get(slotOf(budget))?.rights.budgets ?? {}, budget);
+			const rights = ownValue(cache.get(slotOf(budget))?.rights.budgets, budget);
 			const {byBudget, version} = limits();
 			const limit = byBudget.get(budget);
 			return rights && limit !== undefined && version >= (rights.limitVersion ?? 0) ? {...rights, limit} : rights;
--- a/packages/entry/src/lib/rights-store/find-stranded-rights.ts
+++ b/packages/entry/src/lib/rights-store/find-stranded-rights.ts
@@ -15,7 +15,7 @@
 /** Finds the rights that a write strands: those of the ended incarnations that the write folds into the retired holder's entry. Pure. */
 export const findStrandedRights = (before: RightsObject, after: RightsObject): readonly StrandedRights[] =>
 	Object.entries(before.budgets).flatMap(([budget, {holders}]) => Object.entries(holders)
-		.filter(([holder]) => !Object.hasOwn(ownValue(after.budgets, budget)?.holders ?? {}, holder))
+		.filter(([holder]) => ownValue(ownValue(after.budgets, budget)?.holders, holder) === undefined)
 		.map(([holder, {granted, transferred, settled, reserved: open = 0}]) => ({
 			budget, holder, open, held: Math.max(0, granted + transferred - settled - open),
 		}))
--- a/packages/entry/src/lib/rights-store/merge-restored.ts
+++ b/packages/entry/src/lib/rights-store/merge-restored.ts
@@ -38,8 +38,7 @@
 };
 
 // The entry was folded after the restore, in the earlier state that the copy had of it. Charges the retired holder with what the entry holds beyond that state.
-const addFolded = (retired: HolderRights, name: string, entry: HolderRights): HolderRights => {
-	const charged = ownValue(retired.folded!, name)!;
+const addFolded = (retired: HolderRights, name: string, charged: number, entry: HolderRights): HolderRights => {
 	const missing = Math.max(0, entry.granted + entry.transferred - charged);
 	return {
 		...retired,
@@ -63,8 +62,9 @@
 
 	const missing = Object.entries(before).filter(([name]) => name !== retiredHolder && !Object.hasOwn(found, name) && laterFold !== 'found');
 	for (const [name, entry] of missing) {
-		if (retired?.folded && Object.hasOwn(retired.folded, name)) {
-			retired = addFolded(retired, name, entry);
+		const charged = ownValue(retired?.folded, name);
+		if (retired && charged !== undefined) {
+			retired = addFolded(retired, name, charged, entry);
 		} else {
 			merged.set(name, entry);
 		}
