--- a/packages/mesh/src/test/is-equal-proof.test.ts
+++ b/packages/mesh/src/test/is-equal-proof.test.ts
@@ -4,7 +4,7 @@
 import {Packr} from 'msgpackr';
 import {WebSocket} from 'ws';
 import {isEqualProof} from '../lib/is-equal-proof.js';
-import {openMesh} from '../open-mesh.js';
+import {openMeshAs} from './lib/open-mesh-as.js';
 
 const proof = 'a'.repeat(64);
 
@@ -15,15 +15,7 @@
 });
 
 test('a stranger whose proof has letters beyond ASCII ends the host', async t => {
-	const mesh = await openMesh({
-		self: {incarnation: 'h#1', hall: 'a'},
-		secret: 's',
-		listen: {host: '127.0.0.1', port: 0},
-		handlers: {
-			onRequest: async () => 'reply',
-			onMessage: () => undefined,
-		},
-	});
+	const mesh = await openMeshAs('h#1');
 	t.teardown(mesh.close);
 	const packr = new Packr({useRecords: false});
 	const socket = new WebSocket(`ws://127.0.0.1:${mesh.port}`);
--- a/packages/mesh/src/test/silent-link.test.ts
+++ b/packages/mesh/src/test/silent-link.test.ts
@@ -16,19 +16,12 @@
 import test from 'ava';
 import {startRelay} from '@deckwheel/stand-ins';
 import type {Mesh} from '../mesh.js';
-import {openMesh} from '../open-mesh.js';
+import {openMeshAs} from './lib/open-mesh-as.js';
 
 /** The timeout of one request, in ms, and the most requests that are sent: enough for a slow machine, and a bound if the link stays silent. */
 const requestTimeoutMs = 100;
 const maxRequests = 100;
 
-const openMeshAs = async (incarnation: string): Promise<Mesh> => openMesh({
-	self: {incarnation, hall: 'h'},
-	secret: 'secret',
-	listen: {host: '127.0.0.1', port: 0},
-	handlers: {onRequest: async (_from, body) => body, onMessage: () => undefined},
-});
-
 const hasReplyInTime = async (mesh: Mesh, address: string): Promise<boolean> => {
 	for (let attempt = 0; attempt < maxRequests; attempt++) {
 		const reply = await mesh.request(address, {asked: attempt}, requestTimeoutMs);
--- a/packages/mesh/src/test/tunnel.test.ts
+++ b/packages/mesh/src/test/tunnel.test.ts
@@ -3,19 +3,11 @@
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import test, {type ExecutionContext} from 'ava';
-import {openMesh} from '../open-mesh.js';
-import type {TunnellingMesh} from '../tunnelling-mesh.js';
+import {openMeshAs} from './lib/open-mesh-as.js';
 
 /** The timeout of a tunnel in ms: long enough for a slow machine. */
 const timeoutMs = 60_000;
 
-const openMeshAs = async (incarnation: string): Promise<TunnellingMesh> => openMesh({
-	self: {incarnation, hall: 'h'},
-	secret: 'secret',
-	listen: {host: '127.0.0.1', port: 0},
-	handlers: {onRequest: async (_from, body) => body, onMessage: () => undefined},
-});
-
 const listen = async (onConnection: (socket: Socket) => void): Promise<Server> => {
 	const server = createServer(onConnection);
 	server.listen(0, '127.0.0.1');
