--- a/packages/entry/src/test/garbling-soak.test.ts
+++ b/packages/entry/src/test/garbling-soak.test.ts
@@ -31,6 +31,9 @@
 /** The part of the responses that endpoints spoil. It is far above what faulty endpoints do, and leaves most requests sound. */
 const spoiledShare = 0.1;
 
+/** The length of the status line of a sound response. */
+const statusLineBytes = 'HTTP/1.1 200 OK'.length;
+
 /** How long a caller waits, in ms: a response whose length was spoiled keeps its request open until then. */
 const deadlineMs = 1500;
 
@@ -71,7 +74,7 @@
 		: `${head}Transfer-Encoding: chunked\r\n\r\n${toChunk(body.slice(0, 9))}${toChunk(body.slice(9))}0\r\n\r\n`;
 };
 
-/** Changes up to three bytes of a response anywhere, or cuts it off, or writes more behind it. */
+/** Changes up to three bytes of a response, in its status line or anywhere, or cuts it off, or writes more behind it. */
 const spoil = (response: Uint8Array, random: () => number): {readonly bytes: Uint8Array; readonly ending: 'keep' | 'close' | 'reset'} => {
 	const draw = random();
 	if (draw < 0.2) {
@@ -83,8 +86,11 @@
 	}
 
 	const bytes = Buffer.from(response);
-	for (let change = 0; change < 1 + Math.floor(random() * 3); change++) {
-		bytes[Math.floor(random() * bytes.length)] = Math.floor(random() * 256);
+	const changedBytes = draw < 0.7 ? statusLineBytes : bytes.length;
+	const changes = 1 + Math.floor(random() * 3);
+	for (let change = 0; change < changes; change++) {
+		// Control characters come more often than other bytes.
+		bytes[Math.floor(random() * changedBytes)] = Math.floor(random() * (random() < 0.5 ? 32 : 256));
 	}
 
 	return {bytes, ending: 'keep'};
