Observability: what a host and its caller did when, for requests whose callers left

Cause: `request_left` told the time of its end only, so a request that was read late, one that waited for a connection, and a close that was acted on late looked the same.

Change: `waited_ms`, `chosen_ms`, `sent_ms`, `end_ms` and `closed_ms`. `sent_ms`, also of answered requests, is now the time at which the request was handed to a connection; it was the time at which an endpoint was chosen, before any wait for that connection.

Test: response-timing.

--- a/packages/entry/src/lib/relaying/create-response-timer.ts
+++ b/packages/entry/src/lib/relaying/create-response-timer.ts
@@ -1,7 +1,9 @@
 import type {ResponseTiming} from './response-timing.js';
 
 type ResponseTimer = {
-	/** Notes that the request is sent to an endpoint. */
+	/** Notes that an endpoint is chosen for the request, which has no connection yet. */
+	readonly noteChosen: () => void;
+	/** Notes that the request is handed to a connection to its endpoint. */
 	readonly noteSent: () => void;
 	/** Notes that the response to the caller begins, unless it began before. */
 	readonly noteBegun: () => void;
@@ -12,12 +14,16 @@
 
 /** Creates the timer of one request. A stream that another run of the request continues counts as one stream. `now` returns monotonic ms. */
 export const createResponseTimer = (now: () => number): ResponseTimer => {
+	let chosenAt: number | undefined;
 	let sentAt: number | undefined;
 	let firstAt: number | undefined;
 	let lastEventAt: number | undefined;
 	let maxPauseMs: number | undefined;
 
 	return {
+		noteChosen() {
+			chosenAt = now();
+		},
 		noteSent() {
 			sentAt = now();
 		},
@@ -33,6 +39,8 @@
 
 			lastEventAt = at;
 		},
-		timing: () => ({sentAt, firstAt, maxPauseMs}),
+		timing: () => ({
+			chosenAt, sentAt, firstAt, maxPauseMs,
+		}),
 	};
 };
--- a/packages/entry/src/lib/relaying/response-timing.ts
+++ b/packages/entry/src/lib/relaying/response-timing.ts
@@ -1,6 +1,8 @@
-/** When the response to a caller got on its way. All times are monotonic ms. */
+/** When a request and the response to its caller got on their way. All times are monotonic ms. */
 export type ResponseTiming = {
-	/** When the request was sent to the endpoint that it was sent to last; `undefined` if it was sent to none. */
+	/** When an endpoint was chosen last; `undefined` if none was. */
+	readonly chosenAt?: number;
+	/** When the request was last handed to a connection to an endpoint; `undefined` if it never was. */
 	readonly sentAt?: number;
 	/** When the first byte of the response was handed to the caller's connection; `undefined` before that. */
 	readonly firstAt?: number;
--- a/packages/entry/src/lib/request/create-request-end.ts
+++ b/packages/entry/src/lib/request/create-request-end.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Schedule} from '../../adapter/schedule.js';
 import {onceResponseClosed} from '../relaying/once-response-closed.js';
+import type {CallerEnd} from './caller-end.js';
 
 /** Tells whether one request is over before it has its response, and why. */
 type RequestEnd = {
@@ -10,6 +11,8 @@
 	readonly isOver: () => boolean;
 	/** Why the request is over. The host's shutdown counts as `deadline`. */
 	readonly endedBy: () => 'deadline' | 'caller_left' | undefined;
+	/** When the caller's end of its connection came. */
+	readonly callerEnd: () => CallerEnd;
 	/** Cancels the timer of the deadline and removes the listeners. */
 	readonly close: () => void;
 };
@@ -34,6 +37,8 @@
 	const abortController = new AbortController();
 	let hasDeadlinePassed = false;
 	let hasCallerLeft = false;
+	let endReadAt: number | undefined;
+	let closedAt: number | undefined;
 	const onDeadline = (): void => {
 		hasDeadlinePassed = true;
 		abortController.abort();
@@ -42,13 +47,20 @@
 	const cancelDeadlineTimer = schedule(Math.max(0, deadline - now()), onDeadline);
 	const onResponseClosed = (): void => {
 		hasCallerLeft = !res.writableFinished;
+		closedAt = hasCallerLeft ? now() : undefined;
 		abortController.abort();
 	};
 
+	const {socket} = res.req;
+	const onEndRead = (): void => {
+		endReadAt = now();
+	};
+
+	socket.once('end', onEndRead);
 	const stopListeningForClose = onceResponseClosed(res, onResponseClosed);
 	shutdownSignal.addEventListener('abort', onDeadline);
 	// Node.js emits `close` once. If it was emitted before the listener was added, only the state of the objects shows it.
-	if (res.closed || res.req.socket.destroyed) {
+	if (res.closed || socket.destroyed) {
 		onResponseClosed();
 	}
 
@@ -69,7 +81,9 @@
 
 			return hasDeadlinePassed ? 'deadline' : undefined;
 		},
+		callerEnd: () => ({readAt: endReadAt, closedAt}),
 		close() {
+			socket.removeListener('end', onEndRead);
 			cancelDeadlineTimer();
 			shutdownSignal.removeEventListener('abort', onDeadline);
 			stopListeningForClose();
--- a/packages/entry/src/lib/request/create-request-log.ts
+++ b/packages/entry/src/lib/request/create-request-log.ts
@@ -9,13 +9,15 @@
 	readonly id: string;
 	/** When the request began to wait at this host, in monotonic ms. */
 	readonly receivedAt: number;
+	/** How long it waited before this host read it, as far as that is known, in ms. */
+	readonly waitedMs: number;
 	readonly res: ServerResponse;
 };
 
 const roundMs = (ms: number | undefined): number | undefined => ms === undefined ? undefined : Math.round(ms);
 
 /** Creates the log of one request. Each of its functions writes one line; one of them is called when the request ends. */
-export const createRequestLog = ({id, receivedAt, res}: Options, {log, config, headerNames, closesAfter, random, now}: HostContext): RequestLog => {
+export const createRequestLog = ({id, receivedAt, waitedMs, res}: Options, {log, config, headerNames, closesAfter, random, now}: HostContext): RequestLog => {
 	const elapsedMs = (): number => Math.round(now() - receivedAt);
 	const msAfterReceipt = (at: number | undefined): number | undefined => at === undefined ? undefined : roundMs(at - receivedAt);
 
@@ -37,8 +39,17 @@
 				id, status, ms: elapsedMs(), sent_ms: msAfterReceipt(sentAt), first_ms: msAfterReceipt(firstAt), max_pause_ms: roundMs(maxPauseMs), ...fields,
 			});
 		},
-		left(fields) {
-			log('request_left', {id, ms: elapsedMs(), ...fields});
+		left({timing: {chosenAt, sentAt}, callerEnd: {readAt, closedAt}}, fields) {
+			log('request_left', {
+				id,
+				ms: elapsedMs(),
+				waited_ms: roundMs(waitedMs),
+				chosen_ms: msAfterReceipt(chosenAt),
+				sent_ms: msAfterReceipt(sentAt),
+				end_ms: msAfterReceipt(readAt),
+				closed_ms: msAfterReceipt(closedAt),
+				...fields,
+			});
 		},
 	};
 };
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -27,6 +27,8 @@
 	/** Resolves once another host keeps where the stream begins, or none can or needs to be told. */
 	readonly originTold: Promise<void>;
 	readonly writer: ResponseWriter;
+	/** Called when the request is handed to a connection to the endpoint. */
+	readonly onSent: () => void;
 	/** Called each time before events of a stream are relayed to the caller. */
 	readonly onEvents: () => void;
 	/** The id of the last event that the caller got, after which the endpoint is to resume a stream; `undefined` where it got none. */
@@ -60,7 +62,7 @@
 	});
 };
 
-const sendToEndpoint = async ({request, endpoint, lastEventId, tracked}: RunningAttempt, sentAt: number, host: HostContext): Promise<AttemptResult> => {
+const sendToEndpoint = async ({request, endpoint, lastEventId, tracked, onSent}: RunningAttempt, sentAt: number, host: HostContext): Promise<AttemptResult> => {
 	const {req, admitted, body} = request;
 	return sendAttempt({
 		endpoint,
@@ -69,7 +71,10 @@
 		path: req.url!,
 		body,
 		signal: tracked.signal,
-		onConnected: tracked.noteConnected,
+		onConnected(isTunnel) {
+			tracked.noteConnected(isTunnel);
+			onSent();
+		},
 		onHead(head) {
 			const limit = readRequestLimit(head.headers, host.headerNames);
 			if (limit) {
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -116,7 +116,7 @@
 		requestEnd.close();
 		const {arrivals, misdirectedAttempts: misdirected, lostRuns, latest, begunBy, relayedEvents} = progress;
 		return {
-			outcome, arrivals, misdirected, lostRuns, status, retryAt, reason, endpoint: latest, begunBy, outputTokens: relayedEvents * tokensPerEvent, timing: timer.timing(),
+			outcome, arrivals, misdirected, lostRuns, status, retryAt, reason, endpoint: latest, begunBy, outputTokens: relayedEvents * tokensPerEvent, timing: timer.timing(), callerEnd: requestEnd.callerEnd(),
 		};
 	};
 
@@ -159,7 +159,7 @@
 		progress = stepProgress(progress, {type: 'sent', endpoint});
 		chooser.noteStarted(endpoint.id, parts);
 		const startedAt = now();
-		timer.noteSent();
+		timer.noteChosen();
 		const originTold = stream.noteSent(endpoint, progress.tried.length);
 		const end = await runAttempt({
 			request,
@@ -167,6 +167,7 @@
 			uncachedTokens,
 			originTold,
 			writer,
+			onSent: timer.noteSent,
 			onEvents: timer.noteEvents,
 			lastEventId: progress.lastEventId,
 			mayMove: isRetryable && progress.arrivals + 1 < route.maxAttempts,
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -68,7 +68,7 @@
 	if (result.outcome === 'answered') {
 		requestLog.answered(result, fields);
 	} else if (result.outcome === 'caller_left') {
-		requestLog.left(fields);
+		requestLog.left(result, fields);
 	} else {
 		requestLog.refused(refusalOfResult(result, host.now()), fields);
 	}
@@ -84,7 +84,9 @@
 	const waitedMs = host.waitedMs(res);
 	const receivedAt = host.now() - waitedMs;
 	const id = String(req.headers[host.headerNames.requestId] ?? '');
-	const requestLog = createRequestLog({id, receivedAt, res}, host);
+	const requestLog = createRequestLog({
+		id, receivedAt, waitedMs, res,
+	}, host);
 	const proof = host.configProof();
 	const configAgeMs = Number.isFinite(proof.ageMs) ? Math.round(proof.ageMs) : undefined;
 	const admitted = admitRequest(host.config(), proof, {url: req.url!, headers: req.headers, receivedAt}, host.headerNames);
--- a/packages/entry/src/test/response-timing.test.ts
+++ b/packages/entry/src/test/response-timing.test.ts
@@ -10,7 +10,11 @@
 test('the timer tells the last time of sending, the first byte, and the longest pause between events', t => {
 	let now = 1000;
 	const timer = createResponseTimer(() => now);
-	t.deepEqual(timer.timing(), {sentAt: undefined, firstAt: undefined, maxPauseMs: undefined});
+	t.deepEqual(timer.timing(), {
+		chosenAt: undefined, sentAt: undefined, firstAt: undefined, maxPauseMs: undefined,
+	});
+	timer.noteChosen();
+	now = 1005;
 	timer.noteSent();
 	for (const at of [1200, 1230, 1500]) {
 		now = at;
@@ -23,7 +27,9 @@
 	now = 1600;
 	timer.noteEvents();
 	timer.noteBegun();
-	t.deepEqual(timer.timing(), {sentAt: 1510, firstAt: 1200, maxPauseMs: 270});
+	t.deepEqual(timer.timing(), {
+		chosenAt: 1000, sentAt: 1510, firstAt: 1200, maxPauseMs: 270,
+	});
 });
 
 test('the log tells times from the receipt of the request on, and leaves out what did not happen', t => {
@@ -34,7 +40,9 @@
 			lines.push({event, ...fields});
 		},
 	};
-	const log = createRequestLog({id: 'q', receivedAt: 1000, res: undefined as never}, host as HostContext);
+	const log = createRequestLog({
+		id: 'q', receivedAt: 1000, waitedMs: 0, res: undefined as never,
+	}, host as HostContext);
 	log.answered({status: 200, timing: {sentAt: 1010.4, firstAt: 1200.6, maxPauseMs: 269.7}}, {});
 	log.answered({status: 200, timing: {sentAt: 1010, firstAt: 1200}}, {});
 	const line = {
@@ -43,6 +51,23 @@
 	t.deepEqual(lines, [{...line, first_ms: 201, max_pause_ms: 270}, {...line, first_ms: 200, max_pause_ms: undefined}]);
 });
 
+test('the log of a caller that left tells when the request was read and sent, and when the end of the connection was read', t => {
+	const lines: unknown[] = [];
+	const host: Partial<HostContext> = {
+		now: () => 1700,
+		log(event, fields) {
+			lines.push({event, ...fields});
+		},
+	};
+	const log = createRequestLog({
+		id: 'q', receivedAt: 1000, waitedMs: 300, res: undefined as never,
+	}, host as HostContext);
+	log.left({timing: {chosenAt: 1310, sentAt: 1350}, callerEnd: {readAt: 1360, closedAt: 1690}}, {reason: 'lost'});
+	t.deepEqual(lines, [{
+		event: 'request_left', id: 'q', ms: 700, waited_ms: 300, chosen_ms: 310, sent_ms: 350, end_ms: 360, closed_ms: 690, reason: 'lost',
+	}]);
+});
+
 test('the line of an answered stream has all three times, that of another answer two', async t => {
 	const [host, endpoint] = await Promise.all([startHost(createMemoryRightsStore()), startEndpoint('e', (_req, res) => {
 		res.writeHead(200, {'content-type': 'text/event-stream'});
