Tests of GONE, red: a request whose caller has left reaches an endpoint

The caller is a thread of its own, so that the thread of the hosts can stand still until the caller has sent its request and the end of its connection: whoever reads the request then has the end right behind it, in each play and without a clock.

--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -116,7 +116,18 @@
 		requestEnd.close();
 		const {arrivals, misdirectedAttempts: misdirected, lostRuns, latest, begunBy, relayedEvents} = progress;
 		return {
-			outcome, arrivals, misdirected, lostRuns, status, retryAt, reason, endpoint: latest, begunBy, outputTokens: relayedEvents * tokensPerEvent, timing: timer.timing(), callerEnd: requestEnd.callerEnd(),
+			outcome,
+			arrivals,
+			misdirected,
+			lostRuns,
+			status,
+			retryAt,
+			reason,
+			endpoint: latest,
+			begunBy,
+			outputTokens: relayedEvents * tokensPerEvent,
+			timing: timer.timing(),
+			callerEnd: requestEnd.callerEnd(),
 		};
 	};
 
--- a/packages/entry/src/test/create-request-end.test.ts
+++ b/packages/entry/src/test/create-request-end.test.ts
@@ -76,3 +76,15 @@
 	t.true(end.isOver());
 	t.is(end.endedBy(), 'caller_left');
 });
+
+test('a caller that sends the end of its connection ends its request, even if it still has bytes to read', async t => {
+	const {caller, res} = await startRequest(t);
+	const end = createEnd(res, () => 0);
+	// More than the buffers of a loopback connection hold.
+	res.write(new Uint8Array(32 * 1024 * 1024));
+	const endRead = once(res.req.socket, 'end');
+	caller.end();
+	await endRead;
+	t.true(end.isOver());
+	t.is(end.endedBy(), 'caller_left');
+});
--- a/packages/mesh/src/test/tunnel.test.ts
+++ b/packages/mesh/src/test/tunnel.test.ts
@@ -3,6 +3,8 @@
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import test, {type ExecutionContext} from 'ava';
+import {callWhileStill} from '@deckwheel/stand-ins';
+import {joinTunnel} from '../lib/join-tunnel.js';
 import {openMeshAs} from './lib/open-mesh-as.js';
 
 /** The timeout of a tunnel in ms: long enough for a slow machine. */
@@ -95,3 +97,34 @@
 	t.is(await asker.tunnels.open(addressOf(relay), 'abc123', timeoutMs), undefined);
 	t.is(await asker.tunnels.open(addressOf(relay), '', timeoutMs), undefined);
 });
+
+test('guards against work for nobody: a host that was behind passes on a request whose sender has given the tunnel up', async t => {
+	let receivedBytes = 0;
+	let noteClosed: () => void;
+	const closed = new Promise<void>(resolve => {
+		noteClosed = resolve;
+	});
+	const endpoint = await listen(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', (bytes: Uint8Array) => {
+			receivedBytes += bytes.length;
+		});
+		socket.on('close', noteClosed);
+	});
+	const relay = await listen(peer => {
+		const target = connect((endpoint.address() as AddressInfo).port, '127.0.0.1');
+		target.on('connect', () => {
+			joinTunnel(peer, target);
+		});
+	});
+	t.teardown(() => {
+		relay.close();
+		endpoint.close();
+	});
+	const accepted = once(endpoint, 'connection');
+	await callWhileStill({
+		address: addressOf(relay.address() as AddressInfo), bytes: 'request', isConnectedBefore: true, beforeStill: accepted,
+	});
+	await closed;
+	t.is(receivedBytes, 0);
+});
--- /dev/null
+++ b/packages/stand-ins/src/call-while-still.ts
@@ -0,0 +1,23 @@
+import {once} from 'node:events';
+import {Worker} from 'node:worker_threads';
+import type {StillThreadCall} from './lib/still-thread-call.js';
+
+const callerPath = new URL('lib/still-thread-caller.js', import.meta.url);
+
+type Options = Omit<StillThreadCall, 'hasLeft'> & {
+	/** Resolves once this thread may stand still. */
+	readonly beforeStill?: Promise<unknown>;
+};
+
+/**
+Sends bytes to `address`, `ip:port`, and closes the connection, all while this thread, and with it each host in it, stands still: whoever reads the
+bytes then has the end of the connection right behind them.
+*/
+export const callWhileStill = async ({beforeStill, ...call}: Options): Promise<void> => {
+	const hasLeft = new Int32Array(new SharedArrayBuffer(4));
+	const worker = new Worker(callerPath, {workerData: {...call, hasLeft}});
+	await Promise.all([once(worker, 'message'), beforeStill]);
+	worker.postMessage('send');
+	Atomics.wait(hasLeft, 0, 0);
+	worker.unref();
+};
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 export {answerTogether} from './answer-together.js';
+export {callWhileStill} from './call-while-still.js';
 export type {EngineOptions} from './engine-options.js';
 export type {RunningRelay} from './running-relay.js';
 export type {RunningStandIn} from './running-stand-in.js';
