GONE: the end of a caller's connection was acted on only once that was closed

Callers saw: nothing; their endpoints worked on for them, and requests were sent on for them, up to .4 s after this host had read that they left.

Cause: a host listened for `close` of the response or its socket. node:http answers the end of a caller's connection by ending its own side, and `close` comes when that is done: some turns of the event loop later, or once all earlier bytes for the caller are sent.

By a test: with 32 MB unsent, the end is read at once, and the close does not come.

Change: a request is over when the end of its caller's connection is read. Nothing can be sent to such a caller any more, as before: node:http has ended the connection. `left_ms` takes the place of `end_ms` and `closed_ms`.

Class: what is known is acted on by an event that comes later than the knowledge.

--- a/packages/entry/src/lib/request/create-request-end.ts
+++ b/packages/entry/src/lib/request/create-request-end.ts
@@ -1,18 +1,17 @@
 import type {ServerResponse} from 'node:http';
 import type {Schedule} from '../../adapter/schedule.js';
-import {onceResponseClosed} from '../relaying/once-response-closed.js';
-import type {CallerEnd} from './caller-end.js';
+import {onceCallerLeft} from './once-caller-left.js';
 
 /** Tells whether one request is over before it has its response, and why. */
 type RequestEnd = {
-	/** Aborted when the deadline passes, the caller closes its connection, or the host's shutdown cuts open requests. */
+	/** Aborted when the deadline passes, the caller leaves, or the host's shutdown cuts open requests. */
 	readonly signal: AbortSignal;
 	/** Whether `signal` is aborted. Also aborts it when the clock shows that the deadline has passed. */
 	readonly isOver: () => boolean;
 	/** Why the request is over. The host's shutdown counts as `deadline`. */
 	readonly endedBy: () => 'deadline' | 'caller_left' | undefined;
-	/** When the caller's end of its connection came. */
-	readonly callerEnd: () => CallerEnd;
+	/** When this host read that the caller has left, in monotonic ms; `undefined` where it did not. */
+	readonly leftAt: () => number | undefined;
 	/** Cancels the timer of the deadline and removes the listeners. */
 	readonly close: () => void;
 };
@@ -29,40 +28,25 @@
 };
 
 /**
-Detects what ends a request early: its deadline, the host's shutdown, or a caller that closes its connection.
+Detects what ends a request early: its deadline, the host's shutdown, or a caller that leaves.
 
 When the caller has left and the deadline has passed, `endedBy` is `caller_left`.
 */
 export const createRequestEnd = ({res, deadline, shutdownSignal, schedule, now}: Options): RequestEnd => {
 	const abortController = new AbortController();
 	let hasDeadlinePassed = false;
-	let hasCallerLeft = false;
-	let endReadAt: number | undefined;
-	let closedAt: number | undefined;
+	let leftAt: number | undefined;
 	const onDeadline = (): void => {
 		hasDeadlinePassed = true;
 		abortController.abort();
 	};
 
 	const cancelDeadlineTimer = schedule(Math.max(0, deadline - now()), onDeadline);
-	const onResponseClosed = (): void => {
-		hasCallerLeft = !res.writableFinished;
-		closedAt = hasCallerLeft ? now() : undefined;
+	const stopListening = onceCallerLeft(res, () => {
+		leftAt = now();
 		abortController.abort();
-	};
-
-	const {socket} = res.req;
-	const onEndRead = (): void => {
-		endReadAt = now();
-	};
-
-	socket.once('end', onEndRead);
-	const stopListeningForClose = onceResponseClosed(res, onResponseClosed);
+	});
 	shutdownSignal.addEventListener('abort', onDeadline);
-	// Node.js emits `close` once. If it was emitted before the listener was added, only the state of the objects shows it.
-	if (res.closed || socket.destroyed) {
-		onResponseClosed();
-	}
 
 	return {
 		signal: abortController.signal,
@@ -75,18 +59,17 @@
 			return abortController.signal.aborted;
 		},
 		endedBy() {
-			if (hasCallerLeft) {
+			if (leftAt !== undefined) {
 				return 'caller_left';
 			}
 
 			return hasDeadlinePassed ? 'deadline' : undefined;
 		},
-		callerEnd: () => ({readAt: endReadAt, closedAt}),
+		leftAt: () => leftAt,
 		close() {
-			socket.removeListener('end', onEndRead);
 			cancelDeadlineTimer();
 			shutdownSignal.removeEventListener('abort', onDeadline);
-			stopListeningForClose();
+			stopListening();
 		},
 	};
 };
--- a/packages/entry/src/lib/request/create-request-log.ts
+++ b/packages/entry/src/lib/request/create-request-log.ts
@@ -39,15 +39,14 @@
 				id, status, ms: elapsedMs(), sent_ms: msAfterReceipt(sentAt), first_ms: msAfterReceipt(firstAt), max_pause_ms: roundMs(maxPauseMs), ...fields,
 			});
 		},
-		left({timing: {chosenAt, sentAt}, callerEnd: {readAt, closedAt}}, fields) {
+		left({timing: {chosenAt, sentAt}, leftAt}, fields) {
 			log('request_left', {
 				id,
 				ms: elapsedMs(),
 				waited_ms: roundMs(waitedMs),
 				chosen_ms: msAfterReceipt(chosenAt),
 				sent_ms: msAfterReceipt(sentAt),
-				end_ms: msAfterReceipt(readAt),
-				closed_ms: msAfterReceipt(closedAt),
+				left_ms: msAfterReceipt(leftAt),
 				...fields,
 			});
 		},
--- a/packages/entry/src/lib/request/request-log.ts
+++ b/packages/entry/src/lib/request/request-log.ts
@@ -9,6 +9,6 @@
 	readonly refused: (refusal: HostRefusal, fields?: Fields) => void;
 	/** Logs that the caller got a whole response of an endpoint, with its HTTP status and its timing. */
 	readonly answered: (result: Pick<RequestResult, 'status' | 'timing'>, fields: Fields) => void;
-	/** Logs that the caller left before it had a whole response, and when it and this host did what. */
-	readonly left: (result: Pick<RequestResult, 'timing' | 'callerEnd'>, fields: Fields) => void;
+	/** Logs that the caller left before it had a whole response, with the times of what led to that. */
+	readonly left: (result: Pick<RequestResult, 'timing' | 'leftAt'>, fields: Fields) => void;
 };
--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -1,6 +1,5 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {ResponseTiming} from '../relaying/response-timing.js';
-import type {CallerEnd} from './caller-end.js';
 
 /** How a request ended after it was admitted and its first run was reserved. */
 export type RequestResult = {
@@ -29,6 +28,6 @@
 	readonly begunBy: ListedEndpoint | undefined;
 	/** When the request was sent and answered. */
 	readonly timing: ResponseTiming;
-	/** When the caller's end of its connection came. */
-	readonly callerEnd: CallerEnd;
+	/** When this host read that the caller has left, in monotonic ms; `undefined` where it did not. */
+	readonly leftAt: number | undefined;
 };
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -127,7 +127,7 @@
 			begunBy,
 			outputTokens: relayedEvents * tokensPerEvent,
 			timing: timer.timing(),
-			callerEnd: requestEnd.callerEnd(),
+			leftAt: requestEnd.leftAt(),
 		};
 	};
 
