Test: a connection closes some turns after the end of its caller ends its requests

`no request stays open whose caller has closed the connection` looked at the open requests as soon as both had ended. Since they end when the end of the connection is read, and node:http closes the connection some turns of the event loop later; a stop waits for that close, as before.

--- a/packages/entry/src/test/stop-cuts-answers.test.ts
+++ b/packages/entry/src/test/stop-cuts-answers.test.ts
@@ -10,6 +10,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import test from 'ava';
+import {afterNextPoll} from '@deckwheel/core';
 import {createManualClock} from './lib/create-manual-clock.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {headerNames} from './lib/header-names.js';
@@ -160,6 +161,11 @@
 	await logged('request_left', ({id}) => id === 'first');
 	respond('second');
 	await Promise.race(['request_left', 'request_answered'].map(async event => logged(event, ({id}) => id === 'second')));
+	// The end of the connection ends its requests; node:http closes it within the next turns of the event loop.
+	for (let turn = 0; turn < 4; turn++) {
+		await afterNextPoll();
+	}
+
 	void entry.stop();
 	t.is(events.find(({event}) => event === 'stopping')?.fields.open, 0);
 });
