GONE: a host that was behind sent requests whose callers' closes stood unread right behind them

Callers saw: nothing. Endpoints ran requests whose callers had left up to a second before; their budgets were charged for it.

Cause: the event loop reads a socket once in a turn, and the end of a connection in another turn than the bytes before it. A host that was behind (no processor time, a long turn) reads a request whose caller has long left, and sends it in the same turn, or in the next one if it needs a connection. No place asked what else had arrived.

Change: right before a request gets its connection, after every wait, the pool waits for one poll of all sockets and asks whether the request is still wanted: its caller is there and its deadline has not passed. The same wait shows a connection that its endpoint closed or wrote to before it got a request. What is not sent is no arrival, is not charged, and frees the endpoint for callers that wait.

Why it works: what had arrived before the wait has been read after it, so only a caller that leaves within the last turn is missed.

Class: a decision on what was read, where what arrived is what counts.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export {addressSchema} from './address-schema.js';
+export {afterNextPoll} from './after-next-poll.js';
 export {assertInvariant} from './assert-invariant.js';
 export type {Clock} from './clock.js';
 export {chunksOf} from './chunks-of.js';
--- a/packages/entry/src/lib/request/create-request-end.ts
+++ b/packages/entry/src/lib/request/create-request-end.ts
@@ -1,12 +1,13 @@
 import type {ServerResponse} from 'node:http';
 import type {Schedule} from '../../adapter/schedule.js';
+import {hasCallerLeft} from './has-caller-left.js';
 import {onceCallerLeft} from './once-caller-left.js';
 
 /** Tells whether one request is over before it has its response, and why. */
 type RequestEnd = {
 	/** Aborted when the deadline passes, the caller leaves, or the host's shutdown cuts open requests. */
 	readonly signal: AbortSignal;
-	/** Whether `signal` is aborted. Also aborts it when the clock shows that the deadline has passed. */
+	/** Whether `signal` is aborted. Also aborts it when the clock shows that the deadline has passed, or the connection that the caller has left. */
 	readonly isOver: () => boolean;
 	/** Why the request is over. The host's shutdown counts as `deadline`. */
 	readonly endedBy: () => 'deadline' | 'caller_left' | undefined;
@@ -42,10 +43,12 @@
 	};
 
 	const cancelDeadlineTimer = schedule(Math.max(0, deadline - now()), onDeadline);
-	const stopListening = onceCallerLeft(res, () => {
-		leftAt = now();
+	const onCallerLeft = (): void => {
+		leftAt ??= now();
 		abortController.abort();
-	});
+	};
+
+	const stopListening = onceCallerLeft(res, onCallerLeft);
 	shutdownSignal.addEventListener('abort', onDeadline);
 
 	return {
@@ -56,6 +59,11 @@
 				onDeadline();
 			}
 
+			// A connection that was reset emits `close` in a later phase of the event loop than the one in which requests are sent.
+			if (hasCallerLeft(res)) {
+				onCallerLeft();
+			}
+
 			return abortController.signal.aborted;
 		},
 		endedBy() {
--- a/packages/entry/src/lib/request/once-caller-left.ts
+++ b/packages/entry/src/lib/request/once-caller-left.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {onceResponseClosed} from '../relaying/once-response-closed.js';
+import {hasCallerLeft} from './has-caller-left.js';
 
 /**
 Calls `callback` once, when the caller of a request leaves before it has its whole response; at once if it has left already.
@@ -18,7 +19,7 @@
 
 	const onEnd = (): void => {
 		cancel();
-		if (!res.writableFinished) {
+		if (hasCallerLeft(res)) {
 			callback();
 		}
 	};
@@ -26,7 +27,7 @@
 	const stopListeningForClose = onceResponseClosed(res, onEnd);
 	socket.once('end', onEnd);
 	// Node.js emits these events once. If one was emitted before the listeners were added, only the state of the objects shows it.
-	if (res.closed || socket.destroyed || socket.readableEnded) {
+	if (hasCallerLeft(res)) {
 		onEnd();
 	}
 
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -27,6 +27,8 @@
 	/** Resolves once another host keeps where the stream begins, or none can or needs to be told. */
 	readonly originTold: Promise<void>;
 	readonly writer: ResponseWriter;
+	/** Whether the caller still waits for the request and its deadline has not passed. */
+	readonly isWanted: () => boolean;
 	/** Called when the request is handed to a connection to the endpoint. */
 	readonly onSent: () => void;
 	/** Called each time before events of a stream are relayed to the caller. */
@@ -62,7 +64,7 @@
 	});
 };
 
-const sendToEndpoint = async ({request, endpoint, lastEventId, tracked, onSent}: RunningAttempt, sentAt: number, host: HostContext): Promise<AttemptResult> => {
+const sendToEndpoint = async ({request, endpoint, lastEventId, tracked, isWanted, onSent}: RunningAttempt, sentAt: number, host: HostContext): Promise<AttemptResult> => {
 	const {req, admitted, body} = request;
 	return sendAttempt({
 		endpoint,
@@ -71,9 +73,12 @@
 		path: req.url!,
 		body,
 		signal: tracked.signal,
-		onConnected(isTunnel) {
-			tracked.noteConnected(isTunnel);
-			onSent();
+		use: {
+			isWanted,
+			onConnected(isTunnel) {
+				tracked.noteConnected(isTunnel);
+				onSent();
+			},
 		},
 		onHead(head) {
 			const limit = readRequestLimit(head.headers, host.headerNames);
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -178,6 +178,7 @@
 			uncachedTokens,
 			originTold,
 			writer,
+			isWanted: () => !requestEnd.isOver(),
 			onSent: timer.noteSent,
 			onEvents: timer.noteEvents,
 			lastEventId: progress.lastEventId,
--- a/packages/entry/src/lib/sending/attempt.ts
+++ b/packages/entry/src/lib/sending/attempt.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import type {ConnectionUse} from './connection-use.js';
 
 /** One attempt to send a request to one endpoint. */
 export type Attempt = {
@@ -11,8 +12,8 @@
 	/** Names and values in turn, as node:http takes them. */
 	readonly headers: readonly string[];
 	readonly body: Uint8Array;
-	/** Called once the attempt has a connection, with whether that is a tunnel through a peer. Up to then, no byte of the request has left this host. */
-	readonly onConnected?: (isTunnel: boolean) => void;
+	/** What the attempt has to do with its connection. Up to `onConnected`, no byte of the request has left this host. */
+	readonly use: ConnectionUse;
 	/** Called with the head of a response of any status that the endpoint itself sent, not another process at its address. */
 	readonly onHead: (head: IncomingMessage) => void;
 	/** Aborts the attempt. */
--- a/packages/entry/src/lib/sending/connection-pool.ts
+++ b/packages/entry/src/lib/sending/connection-pool.ts
@@ -1,15 +1,14 @@
 import type {Agent} from 'node:http';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import type {ConnectionUse} from './connection-use.js';
 
 /** Keep-alive connections to endpoints. `endpoint` is the id of an endpoint. */
 export type ConnectionPool = {
 	/**
 	Creates the node:http agent for one request to an endpoint. The agent reuses an idle connection or opens a new one; the request gets its
-	socket once the connection is up.
-
-	@param onConnected Called before the request gets its socket, with whether the connection is a tunnel through a peer.
+	socket once the connection is up. A request that is not wanted any more by then gets none, and fails before a byte of it is sent.
 	*/
-	readonly createAgent: (endpoint: ListedEndpoint, onConnected: (isTunnel: boolean) => void) => Agent;
+	readonly createAgent: (endpoint: ListedEndpoint, use: ConnectionUse) => Agent;
 	/** Closes the idle connections to an endpoint. */
 	readonly closeIdle: (endpoint: string) => void;
 	/** Closes the idle connections to all other endpoints than these. */
--- a/packages/entry/src/lib/sending/create-connection-pool.ts
+++ b/packages/entry/src/lib/sending/create-connection-pool.ts
@@ -1,13 +1,19 @@
 import type {Agent, ClientRequest} from 'node:http';
 import type {Socket} from 'node:net';
+import {afterNextPoll} from '@deckwheel/core';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import type {Connection} from './connection.js';
 import type {ConnectionPool} from './connection-pool.js';
+import type {ConnectionUse} from './connection-use.js';
 import type {Connector} from './connector.js';
 import {createIdleSockets} from './create-idle-sockets.js';
 
 /** The default port of HTTP, which node:http leaves out of the `Host` header. */
 const httpPort = 80;
 
+/** Why a request fails whose caller left, or whose deadline passed, before it had a connection. */
+const unwantedReason = 'unwanted';
+
 /** Ends a request that has no socket yet. Node:http waits for the agent to hand over a socket or an error, also after the request was destroyed. */
 const failRequest = (request: ClientRequest, reason: string): void => {
 	const {onSocket} = request as unknown as {readonly onSocket: (socket: undefined, error: Error) => void};
@@ -43,40 +49,58 @@
 		});
 	};
 
-	const connectFor = async (request: ClientRequest, endpoint: ListedEndpoint, onConnected: (isTunnel: boolean) => void): Promise<void> => {
+	const openFor = async (endpoint: ListedEndpoint): Promise<Connection> => {
 		const connection = await connect(endpoint);
+		if (connection.type === 'open') {
+			(connection.isTunnel ? closeWhenFree : keepWhenFree)(connection.socket, endpoint.id);
+			await afterNextPoll();
+		}
+
+		return connection;
+	};
+
+	const takeIdle = (endpoint: ListedEndpoint): Connection | undefined => {
+		const socket = idleSockets.take(endpoint.id);
+		return socket && {type: 'open', socket, isTunnel: false};
+	};
+
+	/** Hands a request to a connection. The caller may have left while it waited for that, or right after it sent its request. */
+	const sendOnConnection = async (request: ClientRequest, endpoint: ListedEndpoint, {isWanted, onConnected}: ConnectionUse): Promise<void> => {
+		const isOver = (): boolean => request.destroyed || !isWanted();
+		await afterNextPoll();
+		if (isOver()) {
+			failRequest(request, unwantedReason);
+			return;
+		}
+
+		const idle = takeIdle(endpoint);
+		const connection = idle ?? await openFor(endpoint);
 		if (connection.type === 'failed') {
 			failRequest(request, connection.reason);
 			return;
 		}
 
 		const {socket, isTunnel} = connection;
-		if (request.destroyed || socket.destroyed) {
+		// Bytes that came before the request belong to none.
+		if (isOver() || !socket.writable || socket.readableLength > 0) {
 			socket.destroy();
-			failRequest(request, 'closed');
+			failRequest(request, isOver() ? unwantedReason : 'closed');
 			return;
 		}
 
-		(isTunnel ? closeWhenFree : keepWhenFree)(socket, endpoint.id);
+		request.reusedSocket = idle !== undefined;
 		onConnected(isTunnel);
 		request.onSocket(socket);
 	};
 
 	return {
-		createAgent: (endpoint, onConnected) => ({
+		createAgent: (endpoint, use) => ({
 			keepAlive: true,
 			protocol: 'http:',
 			defaultPort: httpPort,
 			options: {},
 			addRequest(request: ClientRequest) {
-				const idleSocket = idleSockets.take(endpoint.id);
-				request.reusedSocket = idleSocket !== undefined;
-				if (idleSocket) {
-					onConnected(false);
-					request.onSocket(idleSocket);
-				} else {
-					void connectFor(request, endpoint, onConnected);
-				}
+				void sendOnConnection(request, endpoint, use);
 			},
 		}) as unknown as Agent,
 		closeIdle: idleSockets.close,
--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -49,16 +49,19 @@
 @param headerNames Names the headers that identify the request and that say that it was not run.
 */
 export const sendAttempt = async (attempt: Attempt, pool: ConnectionPool, headerNames: HeaderNames): Promise<AttemptResult> => new Promise(resolve => {
-	const {endpoint, id, method, path, headers, body, signal, onConnected, onHead} = attempt;
+	const {endpoint, id, method, path, headers, body, signal, use, onHead} = attempt;
 	const sentAt = performance.now();
 	let isConnected = false;
 	let receivedResponse: IncomingMessage | undefined;
 	const req = sendRequest({
 		method,
 		path,
-		agent: pool.createAgent(endpoint, isTunnel => {
-			isConnected = true;
-			onConnected?.(isTunnel);
+		agent: pool.createAgent(endpoint, {
+			isWanted: use.isWanted,
+			onConnected(isTunnel) {
+				isConnected = true;
+				use.onConnected(isTunnel);
+			},
 		}),
 		headers: headers as string[],
 		signal,
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -84,6 +84,7 @@
 			endpoint: endpoint.listed,
 			uncachedTokens,
 			writer: createResponseWriter(res, false, () => false),
+			isWanted: () => true,
 			onSent: () => undefined,
 			onEvents: () => undefined,
 			originTold: Promise.resolve(),
