GONE: a host that was behind passed requests through tunnels that their senders had given up

A host that opens connections to endpoints for a peer passed the peer's bytes on in the turn that read them; the end of the peer's connection, which is how it gives a request up, stood unread behind them.

Change: bytes of a request wait for one poll of all sockets before they are passed on. Responses pass as before.

--- a/packages/mesh/src/lib/join-tunnel.ts
+++ b/packages/mesh/src/lib/join-tunnel.ts
@@ -1,11 +1,12 @@
 import type {Socket} from 'node:net';
+import {createWantedPass} from './create-wanted-pass.js';
 
 /**
 Passes bytes between a peer's connection and the connection that it takes over, until either closes.
 
 The two sides differ. A target that ends normally has sent all of its response, and the peer gets the same end after the last byte; a target
 that breaks off resets the peer's connection, so that a response without a length never looks complete. A peer that closes has given its
-request up, whatever is still under way, so the target is closed at once.
+request up, whatever is still under way, so the target is closed at once, and nothing more of the request is passed on.
 */
 export const joinTunnel = (peer: Socket, target: Socket): void => {
 	let hasTargetEnded = false;
@@ -30,5 +31,5 @@
 		target.destroy();
 	});
 	target.pipe(peer);
-	peer.pipe(target);
+	peer.pipe(createWantedPass()).pipe(target);
 };
