GONE in deckwheeld: a request whose caller had left ran, although nobody knew its key

A host that was behind reads a request with its caller's close right behind it, and a request that waits for an endpoint or its claim is not looked at again. An answer goes on when its caller leaves, since the caller may come back with the key. A key that the host issued comes with the response, so a caller that left before does not know it.

Change: such a job is not wanted. That is asked after the queue and, after one poll of all sockets, right before it is sent; the claim is settled as not run, and the log says `caller_left`. With a key of the caller's the run goes on as before.

--- a/packages/core/src/refusal-code.ts
+++ b/packages/core/src/refusal-code.ts
@@ -12,6 +12,7 @@
 	| 'outcome_unknown'
 	| 'overloaded'
 	| 'deadline_exceeded'
+	| 'caller_left'
 	| 'no_endpoint'
 	| 'endpoint_failed'
 	| 'request_blocked'
--- a/packages/daemon/src/lib/gateway/create-chat-work.ts
+++ b/packages/daemon/src/lib/gateway/create-chat-work.ts
@@ -1,4 +1,5 @@
 import type {Refusal} from '@deckwheel/core';
+import {hasCallerLeft} from '@deckwheel/host-kit';
 import {chatJob} from '../running/chat-job.js';
 import {createLiveStream} from '../running/streams/create-live-stream.js';
 import type {Job} from '../running/job.js';
@@ -35,7 +36,7 @@
 
 		const stream = createLiveStream();
 		const job = chatJob({
-			body: request, model, caller, options, stream,
+			body: request, model, caller, options, hasCallerLeft: () => hasCallerLeft(ctx.res), stream,
 		});
 		if (job.worstCase > model.maxPromptTokens + model.maxOutputTokens) {
 			return badRequest(`The prompt is longer than the model's ${model.maxPromptTokens} tokens.`);
--- a/packages/daemon/src/lib/gateway/create-service-work.ts
+++ b/packages/daemon/src/lib/gateway/create-service-work.ts
@@ -1,3 +1,4 @@
+import {hasCallerLeft} from '@deckwheel/host-kit';
 import type {StoredResponse} from '@deckwheel/ledger';
 import type {RunJob} from '../running/run-job.js';
 import {serviceJob} from '../running/service-job.js';
@@ -23,6 +24,7 @@
 		body,
 		caller,
 		options,
+		hasCallerLeft: () => hasCallerLeft(ctx.res),
 		deliver(kept) {
 			answer = kept;
 		},
--- a/packages/daemon/src/lib/gateway/status-of-refusal.ts
+++ b/packages/daemon/src/lib/gateway/status-of-refusal.ts
@@ -18,6 +18,8 @@
 	outcome_unknown: httpStatus.conflict,
 	overloaded: httpStatus.tooManyRequests,
 	deadline_exceeded: httpStatus.gatewayTimeout,
+	// Nobody reads it: it goes into the log.
+	caller_left: httpStatus.serviceUnavailable,
 	no_endpoint: httpStatus.serviceUnavailable,
 	endpoint_failed: httpStatus.badGateway,
 	request_blocked: httpStatus.tooManyRequests,
--- a/packages/daemon/src/lib/running/chat-job.ts
+++ b/packages/daemon/src/lib/running/chat-job.ts
@@ -31,12 +31,14 @@
 	readonly model: Bundle['models'][number];
 	readonly caller: Caller;
 	readonly options: RequestOptions;
+	/** Whether the caller has closed its connection. */
+	readonly hasCallerLeft: () => boolean;
 	/** Where the answer's events go. */
 	readonly stream: LiveStream;
 };
 
 /** Builds the job for a chat completion. */
-export const chatJob = ({body, model, caller, options, stream}: Sources): Job => {
+export const chatJob = ({body, model, caller, options, hasCallerLeft, stream}: Sources): Job => {
 	const {key, priority} = options;
 	const prompt = body.messages.map(({content}) => content).join('\n');
 	const maxTokens = Math.min(body.max_tokens ?? defaultMaxTokens, model.maxOutputTokens);
@@ -94,6 +96,7 @@
 		budget: caller.budget,
 		key,
 		isKeyPresented: options.isKeyPresented,
+		isWanted: () => options.isKeyPresented || !hasCallerLeft(),
 		hasEvents: options.hasEvents,
 		fingerprint: fingerprint('chat', JSON.stringify(content)),
 		sharedParts: body.messages.slice(0, -1).map(message => fingerprint('message', message.role, message.content)),
--- a/packages/daemon/src/lib/running/create-run-job.ts
+++ b/packages/daemon/src/lib/running/create-run-job.ts
@@ -58,6 +58,11 @@
 			return done();
 		}
 
+		if (end.outcome === 'not_run' && !job.isWanted()) {
+			await claims.settle(job, run, end, true);
+			return done(runRefusals.callerLeft);
+		}
+
 		const mayRetry = mayRetryRun({
 			outcome: end.outcome, isRepeatable: job.isRepeatable, hasOutput: job.hasOutput(), deadline: job.monotonicDeadline, now: clock.monotonic(),
 		});
@@ -131,6 +136,11 @@
 		}
 
 		const place = placed.value;
+		if (!job.isWanted()) {
+			place.abandoned();
+			return done(runRefusals.callerLeft);
+		}
+
 		tried.push(place.endpoint);
 		const claimedAt = clock.monotonic();
 		const reply = await claims.claim(job, place);
--- a/packages/daemon/src/lib/running/job.ts
+++ b/packages/daemon/src/lib/running/job.ts
@@ -9,6 +9,11 @@
 	readonly key: RequestKey;
 	/** Whether the caller gave the key, so that an earlier attempt may have run. */
 	readonly isKeyPresented: boolean;
+	/**
+	Whether anybody can still get the answer: the caller is there, or gave the key of the request, with which it may ask for the answer later. A key that
+	this host issued comes with the response, so a caller that left before does not know it.
+	*/
+	readonly isWanted: () => boolean;
 	/** Whether the caller has got events of an earlier attempt's stream, so that only the same run may go on with it. */
 	readonly hasEvents: boolean;
 	readonly fingerprint: string;
--- a/packages/daemon/src/lib/running/run-refusals.ts
+++ b/packages/daemon/src/lib/running/run-refusals.ts
@@ -7,11 +7,14 @@
 	code: 'outcome_unknown', message: 'Contact with the endpoint was lost. Whether the request ran is unknown; it will not be run again.', ran: 'unknown',
 };
 
+const callerLeft: Refusal = {code: 'caller_left', message: 'The caller closed its connection before the request was sent.', ran: 'not_run'};
+
 const keyConflict: Refusal = {code: 'key_conflict', message: 'This key was used for a request with other content. Use a new key.', ran: 'not_run'};
 
 /** The refusals of a job that was claimed, or could not be. */
 export const runRefusals = {
 	deadlineExceeded: (ran: RunState): Refusal => ({code: 'deadline_exceeded', message: 'The deadline passed before the answer was there.', ran}),
+	callerLeft,
 	endpointFailed: (ran: RunState): Refusal => ({
 		code: 'endpoint_failed', message: 'The endpoint broke off. Retry with the same key.', ran, retryAfterSeconds: comeBackSeconds,
 	}),
--- a/packages/daemon/src/lib/running/send-run.ts
+++ b/packages/daemon/src/lib/running/send-run.ts
@@ -1,4 +1,5 @@
 import {SpanStatusCode} from '@opentelemetry/api';
+import {afterNextPoll} from '@deckwheel/core';
 import type {Run} from '@deckwheel/ledger';
 import type {PoisonDetector} from '@deckwheel/poison';
 import type {Place} from '../placing/place.js';
@@ -39,18 +40,20 @@
 /**
 Sends a run that was claimed to its endpoint, and tells the place how it ended.
 
-The time is checked once more right before: this host may have been frozen since the claim was granted.
+The time and the caller are checked once more right before: this host may have been frozen since the claim was granted.
 */
 export const sendRun = async ({clock, log, metrics, tracing}: Context, options: Options): Promise<RunEnd> =>
 	tracing.tracer.startActiveSpan('endpoint.run', async span => {
 		const {job, run, place, claimedAt} = options;
 		span.setAttributes({'deckwheel.endpoint': place.endpoint, 'deckwheel.run': run.number});
+		await afterNextPoll();
 		const isTooLate = clock.monotonic() - claimedAt > sendWithinMs || clock.wall() > run.sendBy;
+		const isDropped = isTooLate || !job.isWanted();
 		const sentAt = clock.monotonic();
-		const end: RunEnd = isTooLate ? {outcome: 'not_run', served: 0, outputTokens: 0} : await job.send(run, place.url);
+		const end: RunEnd = isDropped ? {outcome: 'not_run', served: 0, outputTokens: 0} : await job.send(run, place.url);
 		if (end.outcome === 'finished') {
 			place.succeeded(end.outputTokens);
-		} else if (isTooLate) {
+		} else if (isDropped) {
 			place.abandoned();
 		} else {
 			place.failed();
