--- a/packages/entry/src/lib/admission/is-caller-seen.ts
+++ b/packages/entry/src/lib/admission/is-caller-seen.ts
@@ -1,3 +1,5 @@
+import type {ConnectionArrival} from '../host/connection-arrival.js';
+
 /**
 The longest time, in ms, for which the end of a caller's connection may have been there unread when its request is sent. An endpoint works for nobody for
 about as long; a host whose event loop turns several times in that time looks for the end no more often than that, since each look costs callers a turn.
@@ -5,11 +7,21 @@
 const maxUnseenMs = 400;
 
 type Inputs = {
-	/** The longest time for which bytes may have stood unread at the sockets of this host, in ms. */
+	/** The longest time for which bytes may have stood unread at accepted connections of this host, in ms. */
 	readonly unreadMs: number;
-	/** How long the request's connection waited before this host accepted it, in ms. */
-	readonly waitedMs: number;
+	/** When the request's connection came; `undefined` where that is not known. */
+	readonly arrival: ConnectionArrival | undefined;
+	/** Monotonic ms. */
+	readonly now: number;
 };
 
-/** Decides whether this host would have read the end of a caller's connection, had the caller left long ago. Pure. */
-export const isCallerSeen = ({unreadMs, waitedMs}: Inputs): boolean => unreadMs + waitedMs <= maxUnseenMs;
+/**
+Decides whether this host would have read the end of a caller's connection, had the caller left long ago. Pure.
+
+Of a connection that was accepted within `unreadMs`, nothing behind the first bytes may have been read since it came into the accept queue.
+*/
+export const isCallerSeen = ({unreadMs, arrival, now}: Inputs): boolean => {
+	const isNew = arrival !== undefined && now - arrival.acceptedAt < unreadMs;
+	const unseenMs = isNew ? Math.max(unreadMs, now - arrival.earliestAt) : unreadMs;
+	return unseenMs <= maxUnseenMs;
+};
--- a/packages/entry/src/lib/host/create-caller-connections.ts
+++ b/packages/entry/src/lib/host/create-caller-connections.ts
@@ -2,15 +2,15 @@
 import type {Socket} from 'node:net';
 import {onceResponseClosed} from '../relaying/once-response-closed.js';
 import type {CallerConnections} from './caller-connections.js';
+import type {ConnectionArrival} from './connection-arrival.js';
 
 type Connection = {
 	/** Responses that were not yet written whole to the operating system. */
 	readonly openResponses: Set<ServerResponse>;
 	/** How many bytes the connection had received when its last response ended; `undefined` before the end of the first response. */
 	bytesReadAtResponseEnd: number | undefined;
-	/** When this process accepted the connection, in monotonic ms. */
-	readonly acceptedAt: number;
-	/** How long the connection waited in the accept queue before that, in ms. */
+	readonly arrival: ConnectionArrival;
+	/** How long the connection waited in the accept queue before it was accepted, as far as that was measured, in ms. */
 	readonly waitedMs: number;
 };
 
@@ -34,13 +34,14 @@
 
 	// A caller may open a connection long before it sends a request on it. A first request that arrives within the time for which the
 	// connection had waited counts as sent with the connection.
-	const isSentWithConnection = ({openResponses, bytesReadAtResponseEnd, acceptedAt, waitedMs}: Connection): boolean =>
-		openResponses.size === 0 && bytesReadAtResponseEnd === undefined && now() - acceptedAt < waitedMs;
+	const isSentWithConnection = ({openResponses, bytesReadAtResponseEnd, arrival, waitedMs}: Connection): boolean =>
+		openResponses.size === 0 && bytesReadAtResponseEnd === undefined && now() - arrival.acceptedAt < waitedMs;
 
 	return {
-		noteConnection(socket, waitedMs) {
+		noteConnection(socket, {measuredMs, maxMs}) {
+			const acceptedAt = now();
 			connections.set(socket, {
-				openResponses: new Set(), bytesReadAtResponseEnd: undefined, acceptedAt: now(), waitedMs,
+				openResponses: new Set(), bytesReadAtResponseEnd: undefined, arrival: {earliestAt: acceptedAt - maxMs, acceptedAt}, waitedMs: measuredMs,
 			});
 			socket.once('close', () => {
 				connections.delete(socket);
@@ -61,6 +62,7 @@
 				}
 			});
 		},
+		arrivalOf: res => connections.get(res.req.socket)?.arrival,
 		waitedMs: res => waitedMsByResponse.get(res) ?? 0,
 		isLastOpenResponse(res) {
 			const openResponses = connections.get(res.req.socket)?.openResponses;
--- a/packages/entry/src/lib/own-health/accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/accept-queue-monitor.ts
@@ -8,6 +8,11 @@
 	readonly accepted: (socket: Pick<Socket, 'remoteAddress' | 'remotePort'>) => boolean;
 	/** How long a connection that is accepted now has waited, in ms: the longer of the last measurement and the one under way. */
 	readonly waitedMs: () => number;
+	/**
+	The longest time for which a connection that is accepted now may have waited, in ms. Connections are accepted in their order, so none waits that came
+	before the last measurement whose connection was accepted.
+	*/
+	readonly maxWaitMs: () => number;
 	/** Whether new connections wait so long, or did a moment ago, that other hosts should accept them instead. */
 	readonly isQueueLong: () => boolean;
 	readonly close: () => void;
--- a/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
@@ -28,6 +28,8 @@
 	let probe: AcceptProbe | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let lastWaitMs = 0;
+	/** When the last measurement began whose connection was accepted, in monotonic ms. */
+	let allAcceptedBefore = now();
 	/** The ip of this host, from which only its measurements connect. */
 	let ownHost: string | undefined;
 	let isLong = false;
@@ -52,10 +54,15 @@
 	};
 
 	const measure = (address: string): void => {
+		const startedAt = now();
 		probe = startAcceptProbe({
 			address,
 			onEnd(finalWaitMs) {
-				endProbe(address, finalWaitMs);
+				if (finalWaitMs !== undefined) {
+					allAcceptedBefore = startedAt;
+				}
+
+				endProbe(address, finalWaitMs ?? 0);
 			},
 			now,
 		});
@@ -91,6 +98,7 @@
 			return shedder.isShedding(waitedMs());
 		},
 		waitedMs,
+		maxWaitMs: () => now() - allAcceptedBefore,
 		isQueueLong: () => isLong || shedder.hasShedRecently(),
 		close() {
 			clearInterval(timer);
--- a/packages/entry/src/lib/own-health/start-accept-probe.ts
+++ b/packages/entry/src/lib/own-health/start-accept-probe.ts
@@ -5,8 +5,8 @@
 type Options = {
 	/** The `ip:port` where this host listens for callers. */
 	readonly address: string;
-	/** Called once, unless the probe is closed before, with the ms that the connection waited; with 0 if the connection failed, which says nothing about the wait. */
-	readonly onEnd: (waitedMs: number) => void;
+	/** Called once, unless the probe is closed before, with the ms that the connection waited; `undefined` if the connection failed, which says nothing about the wait. */
+	readonly onEnd: (waitedMs: number | undefined) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -24,7 +24,7 @@
 	const acceptedAtByPort = new Map<number, number>();
 	const client = connect(port, host);
 
-	const end = (waitedMs: number): void => {
+	const end = (waitedMs?: number): void => {
 		client.destroy();
 		onEnd(waitedMs);
 	};
@@ -38,7 +38,7 @@
 
 	client.once('connect', endIfAccepted);
 	client.once('error', () => {
-		end(0);
+		end();
 	});
 	return {
 		startedAt,
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -47,8 +47,8 @@
 	readonly noteLessUrgent: (res: ServerResponse) => void;
 	/** How long a request waited before this process accepted its connection, in ms. */
 	readonly waitedMs: (res: ServerResponse) => number;
-	/** The longest time in ms for which bytes that arrived at this host may have stood unread. */
-	readonly maxUnreadMs: () => number;
+	/** Whether this host would know by now if the caller had left long ago (`isCallerSeen`). */
+	readonly isCallerSeen: (res: ServerResponse) => boolean;
 	/** How long callers wait for their request to be read before they send it elsewhere; `undefined` where that is not known. */
 	readonly unreadTimeout: Bounds['unreadTimeout'];
 	/** Counts an attempt that reached no endpoint, for the log, by the code or message of its error. */
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -1,7 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {httpStatus, isSuccessStatus} from '@deckwheel/core';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import {isCallerSeen} from '../admission/is-caller-seen.js';
 import type {TrackedRun} from '../load-sharing/tracked-run.js';
 import type {ResponseWriter} from '../relaying/response-writer.js';
 import {readResponseBody} from '../relaying/read-response-body.js';
@@ -76,7 +75,7 @@
 		signal: tracked.signal,
 		use: {
 			isWanted,
-			isCallerSeen: () => isCallerSeen({unreadMs: host.maxUnreadMs(), waitedMs: host.waitedMs(request.res)}),
+			isCallerSeen: () => host.isCallerSeen(request.res),
 			onConnected(isTunnel) {
 				tracked.noteConnected(isTunnel);
 				onSent();
--- a/packages/entry/src/lib/sending/create-connection-pool.ts
+++ b/packages/entry/src/lib/sending/create-connection-pool.ts
@@ -11,9 +11,6 @@
 /** The default port of HTTP, which node:http leaves out of the `Host` header. */
 const httpPort = 80;
 
-/** Why a request fails whose caller left, or whose deadline passed, before it had a connection. */
-const unwantedReason = 'unwanted';
-
 /** Ends a request that has no socket yet. Node:http waits for the agent to hand over a socket or an error, also after the request was destroyed. */
 const failRequest = (request: ClientRequest, reason: string): void => {
 	const {onSocket} = request as unknown as {readonly onSocket: (socket: undefined, error: Error) => void};
@@ -66,7 +63,7 @@
 		}
 
 		if (isOver()) {
-			failRequest(request, unwantedReason);
+			failRequest(request, 'aborted');
 			return;
 		}
 
@@ -92,7 +89,7 @@
 		// Bytes that came before the request belong to none.
 		if (isOver() || !socket.writable || socket.readableLength > 0) {
 			socket.destroy();
-			failRequest(request, isOver() ? unwantedReason : 'closed');
+			failRequest(request, isOver() ? 'aborted' : 'closed');
 			return;
 		}
 
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -8,6 +8,7 @@
 import type {EntryHostOptions} from './entry-host-options.js';
 import type {EntryHost} from './entry-host.js';
 import {createConfigMonitor} from './lib/admission/create-config-monitor.js';
+import {isCallerSeen} from './lib/admission/is-caller-seen.js';
 import {createBrittleEndpoints} from './lib/brittle-endpoints/create-brittle-endpoints.js';
 import {createEndpointChooser} from './lib/choice/create-endpoint-chooser.js';
 import {createEndpointEnds} from './lib/choice/create-endpoint-ends.js';
@@ -157,7 +158,7 @@
 		overloadCause: overload.cause,
 		noteLessUrgent: lessUrgentCounter.add,
 		waitedMs: connections.waitedMs,
-		maxUnreadMs: overload.maxUnreadMs,
+		isCallerSeen: res => isCallerSeen({unreadMs: overload.maxUnreadMs(), arrival: connections.arrivalOf(res), now: now()}),
 		unreadTimeout: bounds.unreadTimeout,
 		countUnsent: createEventCounter('unsent_attempts', log).increment,
 		headerNames,
@@ -193,7 +194,7 @@
 				return;
 			}
 
-			connections.noteConnection(socket, acceptQueueMonitor.waitedMs());
+			connections.noteConnection(socket, {measuredMs: acceptQueueMonitor.waitedMs(), maxMs: acceptQueueMonitor.maxWaitMs()});
 		},
 		serve: async (req, res) => serveRequest(req, res, hostContext),
 		isReady: () => config !== undefined && listing.isKnown() && evacuatedHalls !== undefined && !isClosingConnections() && !acceptQueueMonitor.isQueueLong(),
