--- a/packages/entry/src/test/create-request-end.test.ts
+++ b/packages/entry/src/test/create-request-end.test.ts
@@ -85,6 +85,7 @@
 	const endRead = once(res.req.socket, 'end');
 	caller.end();
 	await endRead;
+	t.true(end.signal.aborted);
 	t.true(end.isOver());
 	t.is(end.endedBy(), 'caller_left');
 });
