--- a/packages/entry/src/lib/admission/is-caller-seen.ts
+++ b/packages/entry/src/lib/admission/is-caller-seen.ts
@@ -7,8 +7,8 @@
 const maxUnseenMs = 400;
 
 type Inputs = {
-	/** The longest time for which bytes may have stood unread at accepted connections of this host, in ms. */
-	readonly unreadMs: number;
+	/** The time up to which everything has been read that arrived at accepted connections of this host, in monotonic ms. */
+	readonly readUpTo: number;
 	/** When the request's connection came; `undefined` where that is not known. */
 	readonly arrival: ConnectionArrival | undefined;
 	/** Monotonic ms. */
@@ -18,10 +18,10 @@
 /**
 Decides whether this host would have read the end of a caller's connection, had the caller left long ago. Pure.
 
-Of a connection that was accepted within `unreadMs`, nothing behind the first bytes may have been read since it came into the accept queue.
+Of a connection that was accepted after `readUpTo`, nothing behind the first bytes may have been read since it came into the accept queue.
 */
-export const isCallerSeen = ({unreadMs, arrival, now}: Inputs): boolean => {
-	const isNew = arrival !== undefined && now - arrival.acceptedAt < unreadMs;
-	const unseenMs = isNew ? Math.max(unreadMs, now - arrival.earliestAt) : unreadMs;
-	return unseenMs <= maxUnseenMs;
+export const isCallerSeen = ({readUpTo, arrival, now}: Inputs): boolean => {
+	const isNew = arrival !== undefined && arrival.acceptedAt > readUpTo;
+	const seenAt = isNew ? Math.min(readUpTo, arrival.earliestAt) : readUpTo;
+	return now - seenAt <= maxUnseenMs;
 };
--- a/packages/entry/src/lib/host/accept-wait.ts
+++ b/packages/entry/src/lib/host/accept-wait.ts
@@ -1,7 +1,7 @@
-/** How long a connection waited in the accept queue, in ms. */
+/** How long a connection that is accepted now waited in the accept queue. */
 export type AcceptWait = {
-	/** What it waited as far as that was measured. */
-	readonly measuredMs: number;
-	/** The longest that it may have waited. */
-	readonly maxMs: number;
+	/** As far as that was measured, in ms. */
+	readonly waitedMs: number;
+	/** The earliest time at which the connection may have come, in monotonic ms. */
+	readonly earliestAt: number;
 };
--- a/packages/entry/src/lib/host/create-caller-connections.ts
+++ b/packages/entry/src/lib/host/create-caller-connections.ts
@@ -38,10 +38,9 @@
 		openResponses.size === 0 && bytesReadAtResponseEnd === undefined && now() - arrival.acceptedAt < waitedMs;
 
 	return {
-		noteConnection(socket, {measuredMs, maxMs}) {
-			const acceptedAt = now();
+		noteConnection(socket, {waitedMs, earliestAt}) {
 			connections.set(socket, {
-				openResponses: new Set(), bytesReadAtResponseEnd: undefined, arrival: {earliestAt: acceptedAt - maxMs, acceptedAt}, waitedMs: measuredMs,
+				openResponses: new Set(), bytesReadAtResponseEnd: undefined, arrival: {earliestAt, acceptedAt: now()}, waitedMs,
 			});
 			socket.once('close', () => {
 				connections.delete(socket);
--- a/packages/entry/src/lib/own-health/accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/accept-queue-monitor.ts
@@ -9,10 +9,10 @@
 	/** How long a connection that is accepted now has waited, in ms: the longer of the last measurement and the one under way. */
 	readonly waitedMs: () => number;
 	/**
-	The longest time for which a connection that is accepted now may have waited, in ms. Connections are accepted in their order, so none waits that came
-	before the last measurement whose connection was accepted.
+	The time in monotonic ms up to which every connection that came has been accepted: when the last measurement began whose connection was. Connections
+	are accepted in their order.
 	*/
-	readonly maxWaitMs: () => number;
+	readonly acceptedUpTo: () => number;
 	/** Whether new connections wait so long, or did a moment ago, that other hosts should accept them instead. */
 	readonly isQueueLong: () => boolean;
 	readonly close: () => void;
--- a/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
+++ b/packages/entry/src/lib/own-health/create-accept-queue-monitor.ts
@@ -28,8 +28,7 @@
 	let probe: AcceptProbe | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let lastWaitMs = 0;
-	/** When the last measurement began whose connection was accepted, in monotonic ms. */
-	let allAcceptedBefore = now();
+	let acceptedUpTo = now();
 	/** The ip of this host, from which only its measurements connect. */
 	let ownHost: string | undefined;
 	let isLong = false;
@@ -59,7 +58,7 @@
 			address,
 			onEnd(finalWaitMs) {
 				if (finalWaitMs !== undefined) {
-					allAcceptedBefore = startedAt;
+					acceptedUpTo = startedAt;
 				}
 
 				endProbe(address, finalWaitMs ?? 0);
@@ -98,7 +97,7 @@
 			return shedder.isShedding(waitedMs());
 		},
 		waitedMs,
-		maxWaitMs: () => now() - allAcceptedBefore,
+		acceptedUpTo: () => acceptedUpTo,
 		isQueueLong: () => isLong || shedder.hasShedRecently(),
 		close() {
 			clearInterval(timer);
--- a/packages/entry/src/lib/own-health/overload-monitor.ts
+++ b/packages/entry/src/lib/own-health/overload-monitor.ts
@@ -12,7 +12,7 @@
 	readonly isShedding: (rank: number) => boolean;
 	/** Which of the two is later at present: the core of this host, or its link. */
 	readonly cause: () => 'core' | 'link';
-	/** The longest time in ms for which bytes or the end of a caller's connection may have been there unread. */
-	readonly maxUnreadMs: () => number;
+	/** As `readUpTo` of `ReadProgress`. */
+	readonly readUpTo: () => number;
 	readonly close: () => void;
 };
--- a/packages/entry/src/lib/own-health/start-overload-monitor.ts
+++ b/packages/entry/src/lib/own-health/start-overload-monitor.ts
@@ -1,5 +1,5 @@
 import type {Log} from '../../adapter/log.js';
-import {createReadDelay} from './create-read-delay.js';
+import {createReadProgress} from './create-read-progress.js';
 import {isAboveOpenLimit} from './is-above-open-limit.js';
 import type {LatenessEvent} from './lateness-event.js';
 import type {OverloadMonitor} from './overload-monitor.js';
@@ -57,9 +57,9 @@
 		lateness = next;
 	};
 
-	const readDelay = createReadDelay(now);
+	const readProgress = createReadProgress(now);
 	const timer = setInterval(() => {
-		readDelay.noteTimer();
+		readProgress.noteTimer();
 		const lateMs = Math.max(0, now() - sampledAt - sampleEveryMs);
 		sampledAt = now();
 		step({type: 'timer_fired', lateMs});
@@ -79,7 +79,7 @@
 		isShedding: rank => isAboveOpenLimit({
 			openLimit, open: open(), openLessUrgent: openLessUrgent(), rank,
 		}),
-		maxUnreadMs: readDelay.maxMs,
+		readUpTo: readProgress.readUpTo,
 		cause: () => lateness.connectMs > lateness.timerMs ? 'link' : 'core',
 		close() {
 			clearInterval(timer);
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -158,7 +158,7 @@
 		overloadCause: overload.cause,
 		noteLessUrgent: lessUrgentCounter.add,
 		waitedMs: connections.waitedMs,
-		isCallerSeen: res => isCallerSeen({unreadMs: overload.maxUnreadMs(), arrival: connections.arrivalOf(res), now: now()}),
+		isCallerSeen: res => isCallerSeen({readUpTo: overload.readUpTo(), arrival: connections.arrivalOf(res), now: now()}),
 		unreadTimeout: bounds.unreadTimeout,
 		countUnsent: createEventCounter('unsent_attempts', log).increment,
 		headerNames,
@@ -194,7 +194,7 @@
 				return;
 			}
 
-			connections.noteConnection(socket, {measuredMs: acceptQueueMonitor.waitedMs(), maxMs: acceptQueueMonitor.maxWaitMs()});
+			connections.noteConnection(socket, {waitedMs: acceptQueueMonitor.waitedMs(), earliestAt: acceptQueueMonitor.acceptedUpTo()});
 		},
 		serve: async (req, res) => serveRequest(req, res, hostContext),
 		isReady: () => config !== undefined && listing.isKnown() && evacuatedHalls !== undefined && !isClosingConnections() && !acceptQueueMonitor.isQueueLong(),
--- a/packages/entry/src/test/create-accept-queue-monitor.test.ts
+++ b/packages/entry/src/test/create-accept-queue-monitor.test.ts
@@ -26,12 +26,12 @@
 	let time = 0;
 	const server = createServer();
 	const address = await listenAt(server, '127.0.0.1:0');
-	let maxWaitMs = (): number => 0;
+	let acceptedUpTo = (): number => Number.NaN;
 	const measured = await new Promise<number>(resolve => {
 		const watch = createAcceptQueueMonitor({
 			isBusy: () => true, onMeasured: resolve, now: () => time,
 		});
-		({maxWaitMs} = watch);
+		({acceptedUpTo} = watch);
 		watch.start(address);
 		t.teardown(() => {
 			watch.close();
@@ -46,7 +46,7 @@
 	t.is(measured, waitMs);
 	// What is accepted now may have come right after the measured connection, also if this process stood still since.
 	time += 1000;
-	t.is(maxWaitMs(), waitMs + 1000);
+	t.is(acceptedUpTo(), 0);
 });
 
 /** A connection from a caller on another machine. */
@@ -152,7 +152,7 @@
 		res.end();
 	});
 	server.on('connection', (socket: Socket) => {
-		connections.noteConnection(socket, {measuredMs: waitMs, maxMs: waitMs});
+		connections.noteConnection(socket, {waitedMs: waitMs, earliestAt: 0});
 	});
 	const address = await listenAt(server, '127.0.0.1:0');
 	const [host, port] = address.split(':');
