--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,4 +1,3 @@
-import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {ChosenEndpoint} from '../choice/chosen-endpoint.js';
 import {createResponseTimer} from '../relaying/create-response-timer.js';
 import {createResponseWriter} from '../relaying/create-response-writer.js';
@@ -10,32 +9,21 @@
 import {createStreamRecord} from './create-stream-record.js';
 import {decideNextStep} from './decide-next-step.js';
 import {decideOutcome} from './decide-outcome.js';
-import {hasServed} from './has-served.js';
 import {findStreamPlan} from './find-stream-plan.js';
 import type {HostContext} from './host-context.js';
-import {judgeEndpoint} from './judge-endpoint.js';
 import type {NextStep} from './next-step.js';
 import {initialProgress} from './initial-progress.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestProgress} from './request-progress.js';
 import type {RequestResult} from './request-result.js';
+import {reportAttemptEnd} from './report-attempt-end.js';
+import {reportToPoisonDetector} from './report-to-poison-detector.js';
 import {runAttempt} from './run-attempt.js';
 import {stepProgress} from './step-progress.js';
 
 /** Whether a request was given up because no endpoint would take it. */
 const isLackOfEndpoints = (reason: string): boolean => reason === 'no_endpoint' || reason === 'not_run';
 
-type EndedAttempt = {
-	readonly end: AttemptEnd;
-	readonly endpoint: ListedEndpoint;
-	/** When the attempt began, in monotonic ms. */
-	readonly startedAt: number;
-	/** Whether the caller has left or the deadline has passed. */
-	readonly isOver: boolean;
-	/** The most tokens that the events of the stream that the caller got may hold, over all runs so far. */
-	readonly outputTokens: number;
-};
-
 /** Why a request is given up after an attempt, for the log and the refusal. */
 const giveUpReasonOf = (end: AttemptEnd, next: NextStep, mayForward: boolean): string => {
 	if (next.type === 'send_elsewhere' && !mayForward) {
@@ -45,49 +33,6 @@
 	return end.type === 'lost' ? end.reason : end.type;
 };
 
-/** Whether the endpoint gave a whole response, and so did not crash while it ran the request. */
-const hasEndpointResponded = ({type}: AttemptEnd): boolean => type === 'whole' || type === 'streamed' || type === 'server_error';
-
-/** Reports to the endpoint chooser how an attempt ended, and to the hall monitor when it reached no endpoint. */
-const reportAttemptEnd = ({end, endpoint: {id, hall}, startedAt, isOver, outputTokens}: EndedAttempt, host: HostContext): void => {
-	const verdict = judgeEndpoint({end: end.type, isOver, isOverloaded: host.isOverloaded()});
-	host.chooser.note(verdict === 'succeeded'
-		? {
-			type: 'succeeded', endpoint: id, durationMs: host.now() - startedAt, outputTokens,
-		}
-		: {type: verdict, endpoint: id});
-	if (hasServed(end)) {
-		host.chooser.noteServed(id, host.now() - startedAt);
-	}
-
-	if (end.type === 'misdirected') {
-		host.endpointEnds.noteEnded(id, 'misdirected');
-	}
-
-	if (end.type === 'unsent' && !isOver) {
-		host.halls.noteConnectFailure(hall);
-	}
-};
-
-/**
-Reports to the detector of poison requests, which make endpoints crash, whether a run was lost or got a response.
-
-After a run of a suspected request was lost, it resolves once it is known whether the endpoint crashed: the next attempt waits for that, so
-that it does not crash another endpoint that the first crash could have spared.
-*/
-const reportToPoisonDetector = async ({id, subjects}: RequestInputs, {end, endpoint, startedAt, isOver}: Omit<EndedAttempt, 'outputTokens'>, {poison}: HostContext): Promise<void> => {
-	if (hasEndpointResponded(end)) {
-		poison.noteCompletedRun(subjects, hasServed(end));
-	} else if (end.type === 'lost' && !isOver) {
-		const verdict = poison.noteLostRun({
-			...subjects, id, events: end.relayed?.count ?? 0, endpoint, sentAt: startedAt,
-		});
-		if (poison.isSuspected(subjects)) {
-			await verdict;
-		}
-	}
-};
-
 /**
 Runs one admitted request at endpoints until the caller has a whole response or the request is given up.
 
--- a/packages/entry/src/test/lib/send-one-attempt.ts
+++ b/packages/entry/src/test/lib/send-one-attempt.ts
@@ -5,7 +5,7 @@
 import {headerNames} from './header-names.js';
 
 /** Sends the request `r1` to an endpoint at `address`, `ip:port`, on a new connection. */
-export const sendOneAttempt = async (address: string, method = 'GET'): Promise<AttemptResult> => sendAttempt({
+export const sendOneAttempt = async (address: string, method = 'GET', isWanted = () => true): Promise<AttemptResult> => sendAttempt({
 	endpoint: {
 		id: 'e1', instance: 'e1', address, hall: 'a', serves: ['s'], slots: 1, isLeaving: false,
 	},
@@ -15,6 +15,6 @@
 	headers: [headerNames.requestId, 'r1'],
 	body: new Uint8Array(),
 	signal: new AbortController().signal,
-	use: {isWanted: () => true, isCallerSeen: () => true, onConnected: () => undefined},
+	use: {isWanted, isCallerSeen: () => true, onConnected: () => undefined},
 	onHead: () => undefined,
 }, createConnectionPool(() => performance.now(), createDirectConnector(60_000)), headerNames);
--- a/packages/entry/src/test/response-timing.test.ts
+++ b/packages/entry/src/test/response-timing.test.ts
@@ -7,6 +7,18 @@
 import {startEndpoint} from './lib/start-endpoint.js';
 import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
 
+/** A host that keeps the lines it logs, at 1,700 ms. */
+const startLog = () => {
+	const lines: unknown[] = [];
+	const host: Partial<HostContext> = {
+		now: () => 1700,
+		log(event, fields) {
+			lines.push({event, ...fields});
+		},
+	};
+	return {host: host as HostContext, lines};
+};
+
 test('the timer tells the last time of sending, the first byte, and the longest pause between events', t => {
 	let now = 1000;
 	const timer = createResponseTimer(() => now);
@@ -33,16 +45,10 @@
 });
 
 test('the log tells times from the receipt of the request on, and leaves out what did not happen', t => {
-	const lines: unknown[] = [];
-	const host: Partial<HostContext> = {
-		now: () => 1700,
-		log(event, fields) {
-			lines.push({event, ...fields});
-		},
-	};
+	const {host, lines} = startLog();
 	const log = createRequestLog({
 		id: 'q', receivedAt: 1000, waitedMs: 0, res: undefined as never,
-	}, host as HostContext);
+	}, host);
 	log.answered({status: 200, timing: {sentAt: 1010.4, firstAt: 1200.6, maxPauseMs: 269.7}}, {});
 	log.answered({status: 200, timing: {sentAt: 1010, firstAt: 1200}}, {});
 	const line = {
@@ -52,16 +58,10 @@
 });
 
 test('the log of a caller that left tells when the request was read and sent, and when it was read that the caller left', t => {
-	const lines: unknown[] = [];
-	const host: Partial<HostContext> = {
-		now: () => 1700,
-		log(event, fields) {
-			lines.push({event, ...fields});
-		},
-	};
+	const {host, lines} = startLog();
 	const log = createRequestLog({
 		id: 'q', receivedAt: 1000, waitedMs: 300, res: undefined as never,
-	}, host as HostContext);
+	}, host);
 	log.left({timing: {chosenAt: 1310, sentAt: 1350}, leftAt: 1360}, {reason: 'lost'});
 	t.deepEqual(lines, [{
 		event: 'request_left', id: 'q', ms: 700, waited_ms: 300, chosen_ms: 310, sent_ms: 350, left_ms: 360, reason: 'lost',
--- a/packages/entry/src/test/send-attempt.test.ts
+++ b/packages/entry/src/test/send-attempt.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
+import {createServer, type AddressInfo} from 'node:net';
 import test from 'ava';
 import {readResponseBody} from '../lib/relaying/read-response-body.js';
 import {judgeEndpoint} from '../lib/request/judge-endpoint.js';
@@ -67,6 +67,30 @@
 	t.is(type, 'unsent');
 });
 
+test('a request that nobody wants any more once it has its connection is sent', async t => {
+	let receivedBytes = 0;
+	let noteClosed: () => void;
+	const closed = new Promise<void>(resolve => {
+		noteClosed = resolve;
+	});
+	const server = createServer(socket => {
+		socket.on('data', (bytes: Uint8Array) => {
+			receivedBytes += bytes.length;
+		});
+		socket.on('close', noteClosed);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const answers = [true, false];
+	const {type} = await sendOneAttempt(`127.0.0.1:${(server.address() as AddressInfo).port}`, 'GET', () => answers.shift() ?? false);
+	await closed;
+	t.is(type, 'unsent');
+	t.is(receivedBytes, 0);
+});
+
 test('a 421 from another process at the address means that the endpoint is gone, not that it refuses the request', async t => {
 	const server = await startRawServer(socket => {
 		socket.end('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n');
