Attempts say what their connection has to do; one question for whether a job is wanted; one way to stand still

Read again as a newcomer; behaviour and assertions are the same. - ConnectionUse was an object inside Attempt with a type of its own: its three functions are the attempt's, and the pool takes them from there.

--- a/packages/daemon/src/lib/gateway/admit-visit.ts
+++ b/packages/daemon/src/lib/gateway/admit-visit.ts
@@ -1,5 +1,6 @@
 import type {AdoptedBundle} from '@deckwheel/bundle';
 import type {Clock, Refusal} from '@deckwheel/core';
+import {hasCallerLeft} from '@deckwheel/host-kit';
 import type {Context as KoaContext} from 'koa';
 import {findCaller} from './find-caller.js';
 import {gatewayRefusals} from './gateway-refusals.js';
@@ -36,7 +37,7 @@
 	const body = await readTextBody(ctx, adopted.bundle.limits.maxBodyBytes);
 	return body.ok
 		? {
-			adopted, caller, options: options.value, body: body.value,
+			adopted, caller, options: options.value, body: body.value, isWanted: () => options.value.isKeyPresented || !hasCallerLeft(ctx.res),
 		}
 		: body.error;
 };
--- a/packages/daemon/src/lib/gateway/create-chat-work.ts
+++ b/packages/daemon/src/lib/gateway/create-chat-work.ts
@@ -1,5 +1,4 @@
 import type {Refusal} from '@deckwheel/core';
-import {hasCallerLeft} from '@deckwheel/host-kit';
 import {chatJob} from '../running/chat-job.js';
 import {createLiveStream} from '../running/streams/create-live-stream.js';
 import type {Job} from '../running/job.js';
@@ -22,7 +21,7 @@
 		}
 	};
 
-	return async (ctx, {adopted, caller, options, body}) => {
+	return async (ctx, {adopted, caller, options, body, isWanted}) => {
 		const read = readChat(body);
 		if (!read.ok) {
 			return read.error;
@@ -36,7 +35,7 @@
 
 		const stream = createLiveStream();
 		const job = chatJob({
-			body: request, model, caller, options, hasCallerLeft: () => hasCallerLeft(ctx.res), stream,
+			body: request, model, caller, options, isWanted, stream,
 		});
 		if (job.worstCase > model.maxPromptTokens + model.maxOutputTokens) {
 			return badRequest(`The prompt is longer than the model's ${model.maxPromptTokens} tokens.`);
--- a/packages/daemon/src/lib/gateway/create-service-work.ts
+++ b/packages/daemon/src/lib/gateway/create-service-work.ts
@@ -1,4 +1,3 @@
-import {hasCallerLeft} from '@deckwheel/host-kit';
 import type {StoredResponse} from '@deckwheel/ledger';
 import type {RunJob} from '../running/run-job.js';
 import {serviceJob} from '../running/service-job.js';
@@ -6,7 +5,7 @@
 import type {Work} from './work.js';
 
 /** Creates the work of calls to plain services. */
-export const createServiceWork = (runJob: RunJob): Work => async (ctx, {adopted, caller, options, body}) => {
+export const createServiceWork = (runJob: RunJob): Work => async (ctx, {adopted, caller, options, body, isWanted}) => {
 	const service = adopted.bundle.services.find(({id}) => id === ctx.params.service);
 	const path = `/${ctx.params.path ?? ''}`;
 	const call = service?.calls.find(candidate => candidate.method === ctx.method && path.startsWith(candidate.path));
@@ -24,7 +23,7 @@
 		body,
 		caller,
 		options,
-		hasCallerLeft: () => hasCallerLeft(ctx.res),
+		isWanted,
 		deliver(kept) {
 			answer = kept;
 		},
--- a/packages/daemon/src/lib/gateway/visit.ts
+++ b/packages/daemon/src/lib/gateway/visit.ts
@@ -8,4 +8,6 @@
 	readonly caller: Caller;
 	readonly options: RequestOptions;
 	readonly body: string;
+	/** As `isWanted` of `Job`. */
+	readonly isWanted: () => boolean;
 };
--- a/packages/daemon/src/lib/running/chat-job.ts
+++ b/packages/daemon/src/lib/running/chat-job.ts
@@ -31,14 +31,13 @@
 	readonly model: Bundle['models'][number];
 	readonly caller: Caller;
 	readonly options: RequestOptions;
-	/** Whether the caller has closed its connection. */
-	readonly hasCallerLeft: () => boolean;
+	readonly isWanted: Job['isWanted'];
 	/** Where the answer's events go. */
 	readonly stream: LiveStream;
 };
 
 /** Builds the job for a chat completion. */
-export const chatJob = ({body, model, caller, options, hasCallerLeft, stream}: Sources): Job => {
+export const chatJob = ({body, model, caller, options, isWanted, stream}: Sources): Job => {
 	const {key, priority} = options;
 	const prompt = body.messages.map(({content}) => content).join('\n');
 	const maxTokens = Math.min(body.max_tokens ?? defaultMaxTokens, model.maxOutputTokens);
@@ -96,7 +95,7 @@
 		budget: caller.budget,
 		key,
 		isKeyPresented: options.isKeyPresented,
-		isWanted: () => options.isKeyPresented || !hasCallerLeft(),
+		isWanted,
 		hasEvents: options.hasEvents,
 		fingerprint: fingerprint('chat', JSON.stringify(content)),
 		sharedParts: body.messages.slice(0, -1).map(message => fingerprint('message', message.role, message.content)),
--- a/packages/daemon/src/lib/running/service-job.ts
+++ b/packages/daemon/src/lib/running/service-job.ts
@@ -22,14 +22,13 @@
 	readonly body: string;
 	readonly caller: Caller;
 	readonly options: RequestOptions;
-	/** Whether the caller has closed its connection. */
-	readonly hasCallerLeft: () => boolean;
+	readonly isWanted: Job['isWanted'];
 	readonly deliver: (answer: StoredResponse) => void;
 };
 
 /** Builds the job for a call to a plain service. */
 export const serviceJob = (sources: Sources): Job => {
-	const {service, call, method, path, contentType, body, caller, options, hasCallerLeft, deliver} = sources;
+	const {service, call, method, path, contentType, body, caller, options, isWanted, deliver} = sources;
 	const {key, priority} = options;
 	let isDelivered = false;
 
@@ -63,7 +62,7 @@
 		budget: caller.budget,
 		key,
 		isKeyPresented: options.isKeyPresented,
-		isWanted: () => options.isKeyPresented || !hasCallerLeft(),
+		isWanted,
 		hasEvents: false,
 		fingerprint: fingerprint('service', service, method, path, body),
 		sharedParts: [],
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -73,13 +73,11 @@
 		path: req.url!,
 		body,
 		signal: tracked.signal,
-		use: {
-			isWanted,
-			isCallerSeen: () => host.isCallerSeen(request.res),
-			onConnected(isTunnel) {
-				tracked.noteConnected(isTunnel);
-				onSent();
-			},
+		isWanted,
+		isCallerSeen: () => host.isCallerSeen(request.res),
+		onConnected(isTunnel) {
+			tracked.noteConnected(isTunnel);
+			onSent();
 		},
 		onHead(head) {
 			const limit = readRequestLimit(head.headers, host.headerNames);
--- a/packages/entry/src/lib/sending/attempt.ts
+++ b/packages/entry/src/lib/sending/attempt.ts
@@ -1,6 +1,5 @@
 import type {IncomingMessage} from 'node:http';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import type {ConnectionUse} from './connection-use.js';
 
 /** One attempt to send a request to one endpoint. */
 export type Attempt = {
@@ -12,8 +11,12 @@
 	/** Names and values in turn, as node:http takes them. */
 	readonly headers: readonly string[];
 	readonly body: Uint8Array;
-	/** What the attempt has to do with its connection. Up to `onConnected`, no byte of the request has left this host. */
-	readonly use: ConnectionUse;
+	/** Whether somebody still waits for the request. Asked after every wait, right before it gets its connection. */
+	readonly isWanted: () => boolean;
+	/** Whether this host would know by now if the caller had left long ago. If not, all that has arrived is read first. */
+	readonly isCallerSeen: () => boolean;
+	/** Called right before the request gets its connection, with whether that is a tunnel through a peer. Up to then, no byte of it has left this host. */
+	readonly onConnected: (isTunnel: boolean) => void;
 	/** Called with the head of a response of any status that the endpoint itself sent, not another process at its address. */
 	readonly onHead: (head: IncomingMessage) => void;
 	/** Aborts the attempt. */
--- a/packages/entry/src/lib/sending/connection-pool.ts
+++ b/packages/entry/src/lib/sending/connection-pool.ts
@@ -1,6 +1,6 @@
 import type {Agent} from 'node:http';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import type {ConnectionUse} from './connection-use.js';
+import type {Attempt} from './attempt.js';
 
 /** Keep-alive connections to endpoints. `endpoint` is the id of an endpoint. */
 export type ConnectionPool = {
@@ -8,7 +8,7 @@
 	Creates the node:http agent for one request to an endpoint. The agent reuses an idle connection or opens a new one; the request gets its
 	socket once the connection is up. A request that is not wanted any more by then gets none, and fails before a byte of it is sent.
 	*/
-	readonly createAgent: (endpoint: ListedEndpoint, use: ConnectionUse) => Agent;
+	readonly createAgent: (endpoint: ListedEndpoint, attempt: Pick<Attempt, 'isWanted' | 'isCallerSeen' | 'onConnected'>) => Agent;
 	/** Closes the idle connections to an endpoint. */
 	readonly closeIdle: (endpoint: string) => void;
 	/** Closes the idle connections to all other endpoints than these. */
--- a/packages/entry/src/lib/sending/create-connection-pool.ts
+++ b/packages/entry/src/lib/sending/create-connection-pool.ts
@@ -2,12 +2,15 @@
 import type {Socket} from 'node:net';
 import {afterNextPoll} from '@deckwheel/core';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import type {Connection} from './connection.js';
 import type {ConnectionPool} from './connection-pool.js';
-import type {ConnectionUse} from './connection-use.js';
 import type {Connector} from './connector.js';
 import {createIdleSockets} from './create-idle-sockets.js';
 
+type IdleSockets = ReturnType<typeof createIdleSockets>;
+
+/** What an attempt asks and learns of its connection. */
+type Sender = Parameters<ConnectionPool['createAgent']>[1];
+
 /** The default port of HTTP, which node:http leaves out of the `Host` header. */
 const httpPort = 80;
 
@@ -24,6 +27,25 @@
 	});
 };
 
+/** Reads all that has arrived, unless this host would know by now if the caller had left long ago. */
+const readFromCaller = async (isCallerSeen: Sender['isCallerSeen']): Promise<void> => {
+	if (!isCallerSeen()) {
+		await afterNextPoll();
+	}
+};
+
+/** Keeps a connection among the idle ones after each of its requests, until it closes. */
+const keepWhenFree = (socket: Socket, endpoint: string, idleSockets: IdleSockets): void => {
+	socket.on('free', () => {
+		// Node:http delivers what happens on a socket to the request in `_httpMessage`; that request has ended.
+		(socket as Socket & {_httpMessage?: unknown})._httpMessage = undefined;
+		idleSockets.add(endpoint, socket);
+	});
+	socket.on('close', () => {
+		idleSockets.remove(endpoint, socket);
+	});
+};
+
 /**
 Creates a pool of keep-alive connections to endpoints, which is empty.
 
@@ -35,33 +57,10 @@
 export const createConnectionPool = (elapsed: () => number, connect: Connector): ConnectionPool => {
 	const idleSockets = createIdleSockets(elapsed);
 
-	const keepWhenFree = (socket: Socket, endpoint: string): void => {
-		socket.on('free', () => {
-			// Node:http delivers what happens on a socket to the request in `_httpMessage`; that request has ended.
-			(socket as Socket & {_httpMessage?: unknown})._httpMessage = undefined;
-			idleSockets.add(endpoint, socket);
-		});
-		socket.on('close', () => {
-			idleSockets.remove(endpoint, socket);
-		});
-	};
-
-	const connectFor = async (endpoint: ListedEndpoint): Promise<Connection> => {
-		const connection = await connect(endpoint);
-		if (connection.type === 'open') {
-			(connection.isTunnel ? closeWhenFree : keepWhenFree)(connection.socket, endpoint.id);
-		}
-
-		return connection;
-	};
-
 	/** Hands a request to a connection, if it is still wanted: its caller may have left while it waited, or right after it sent the request. */
-	const sendOnConnection = async (request: ClientRequest, endpoint: ListedEndpoint, {isWanted, isCallerSeen, onConnected}: ConnectionUse): Promise<void> => {
+	const sendOnConnection = async (request: ClientRequest, endpoint: ListedEndpoint, {isWanted, isCallerSeen, onConnected}: Sender): Promise<void> => {
 		const isOver = (): boolean => request.destroyed || !isWanted();
-		if (!isCallerSeen()) {
-			await afterNextPoll();
-		}
-
+		await readFromCaller(isCallerSeen);
 		if (isOver()) {
 			failRequest(request, 'aborted');
 			return;
@@ -75,16 +74,15 @@
 			return;
 		}
 
-		const connection = await connectFor(endpoint);
+		const connection = await connect(endpoint);
 		if (connection.type === 'failed') {
 			failRequest(request, connection.reason);
 			return;
 		}
 
 		const {socket, isTunnel} = connection;
-		if (!isCallerSeen()) {
-			await afterNextPoll();
-		}
+		(isTunnel ? closeWhenFree : keepWhenFree)(socket, endpoint.id, idleSockets);
+		await readFromCaller(isCallerSeen);
 
 		// Bytes that came before the request belong to none.
 		if (isOver() || !socket.writable || socket.readableLength > 0) {
@@ -98,13 +96,13 @@
 	};
 
 	return {
-		createAgent: (endpoint, use) => ({
+		createAgent: (endpoint, sender) => ({
 			keepAlive: true,
 			protocol: 'http:',
 			defaultPort: httpPort,
 			options: {},
 			addRequest(request: ClientRequest) {
-				void sendOnConnection(request, endpoint, use);
+				void sendOnConnection(request, endpoint, sender);
 			},
 		}) as unknown as Agent,
 		closeIdle: idleSockets.close,
--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -49,7 +49,7 @@
 @param headerNames Names the headers that identify the request and that say that it was not run.
 */
 export const sendAttempt = async (attempt: Attempt, pool: ConnectionPool, headerNames: HeaderNames): Promise<AttemptResult> => new Promise(resolve => {
-	const {endpoint, id, method, path, headers, body, signal, use, onHead} = attempt;
+	const {endpoint, id, method, path, headers, body, signal, onHead} = attempt;
 	const sentAt = performance.now();
 	let isConnected = false;
 	let receivedResponse: IncomingMessage | undefined;
@@ -57,10 +57,10 @@
 		method,
 		path,
 		agent: pool.createAgent(endpoint, {
-			...use,
+			...attempt,
 			onConnected(isTunnel) {
 				isConnected = true;
-				use.onConnected(isTunnel);
+				attempt.onConnected(isTunnel);
 			},
 		}),
 		headers: headers as string[],
--- a/packages/entry/src/test/impatient-callers-soak.test.ts
+++ b/packages/entry/src/test/impatient-callers-soak.test.ts
@@ -9,6 +9,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Worker} from 'node:worker_threads';
 import test from 'ava';
+import {standStill} from '@deckwheel/stand-ins';
 import {createRandom} from './lib/create-random.js';
 import type {ImpatientCall, ImpatientCourse} from './lib/impatient-course.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
@@ -20,10 +21,6 @@
 const maxLateMs = 500;
 const fewRequests = 3;
 
-const standStill = (ms: number): void => {
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
-};
-
 const play = async (seed: number): Promise<{readonly calls: readonly ImpatientCall[]; readonly maxOwnDelayMs: number}> => {
 	const random = createRandom(seed);
 	const course: ImpatientCourse = {
--- a/packages/entry/src/test/lib/send-one-attempt.ts
+++ b/packages/entry/src/test/lib/send-one-attempt.ts
@@ -15,6 +15,8 @@
 	headers: [headerNames.requestId, 'r1'],
 	body: new Uint8Array(),
 	signal: new AbortController().signal,
-	use: {isWanted, isCallerSeen: () => true, onConnected: () => undefined},
+	isWanted,
+	isCallerSeen: () => true,
+	onConnected: () => undefined,
 	onHead: () => undefined,
 }, createConnectionPool(() => performance.now(), createDirectConnector(60_000)), headerNames);
--- a/packages/stand-ins/src/call-while-still.ts
+++ b/packages/stand-ins/src/call-while-still.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {Worker} from 'node:worker_threads';
 import type {StillThreadCall} from './lib/still-thread-call.js';
+import {standStill} from './stand-still.js';
 
 const callerPath = new URL('lib/still-thread-caller.js', import.meta.url);
 
@@ -17,12 +18,12 @@
 bytes then has the end of the connection right behind them.
 */
 export const callWhileStill = async ({beforeStill, ...call}: Options): Promise<void> => {
-	const hasLeft = new Int32Array(new SharedArrayBuffer(4));
+	const hasLeft = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
 	const worker = new Worker(callerPath, {workerData: {...call, hasLeft}});
 	await Promise.all([once(worker, 'message'), beforeStill]);
 	worker.postMessage('send');
 	Atomics.wait(hasLeft, 0, 0);
 	// The thread has not read anything for so long that it counts as behind.
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, stillMs);
+	standStill(stillMs);
 	worker.unref();
 };
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,4 +6,5 @@
 export {startEngine} from './start-engine.js';
 export {startRelay} from './start-relay.js';
 export {startService} from './start-service.js';
+export {standStill} from './stand-still.js';
 export {startStore} from './start-store.js';
