Sight: how the origin of a stream that is taken up was decided

The line of a request says how it was found where its stream began (origin=own, peer, single or unknown), by which peer, how long ago that was noted, and the version of the stream's first event. begun_version had been that of the endpoint that went on wherever the origin was not found, so a crossing could not be seen. Peers send the age of an origin with it; where it is missing it counts as 0.

--- a/packages/entry/src/lib/request/find-stream-plan.ts
+++ b/packages/entry/src/lib/request/find-stream-plan.ts
@@ -10,11 +10,17 @@
 	const services = route.services.map(weighted => weighted.service);
 	const found = await host.streamOrigins.findOrigin(key, services);
 	if (found.type === 'known' && services.includes(found.origin.service)) {
-		return {type: 'resumed', key, origin: found.origin};
+		return {
+			type: 'resumed', key, origin: found.origin, found,
+		};
 	}
 
 	// A caller that names no event has got none, so the stream begins anew.
-	return found.type === 'single' || !hasEvents ? {type: 'any', service, key} : {type: 'unknown', service};
+	return found.type === 'single' || !hasEvents
+		? {
+			type: 'any', service, key, found,
+		}
+		: {type: 'unknown', service, found};
 };
 
 /** Turns the key of a stream into a number from 0 up to but not including 1, the same on every host. */
--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -1,4 +1,5 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import type {FoundOrigin} from '../stream-origins/found-origin.js';
 import type {ResponseTiming} from '../relaying/response-timing.js';
 
 /** How a request ended after it was admitted and its first run was reserved. */
@@ -26,6 +27,8 @@
 	readonly endpoint: ListedEndpoint | undefined;
 	/** The endpoint that wrote the first event that the caller got from this host; `undefined` without one. */
 	readonly begunBy: ListedEndpoint | undefined;
+	/** How it was found where the stream began that the caller takes up; `undefined` where it takes none up. */
+	readonly origin: FoundOrigin | undefined;
 	/** When the request was sent and answered. */
 	readonly timing: ResponseTiming;
 	/** When this host read that the caller has left, in monotonic ms; `undefined` where it did not. */
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -70,6 +70,7 @@
 			reason,
 			endpoint: latest,
 			begunBy,
+			origin: plan.found,
 			outputTokens: relayedEvents * tokensPerEvent,
 			timing: timer.timing(),
 			leftAt: requestEnd.leftAt(),
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -11,6 +11,7 @@
 import {createFingerprint} from './create-fingerprint.js';
 import {createRequestLog} from './create-request-log.js';
 import {createReservation} from './create-reservation.js';
+import {originFields} from './origin-fields.js';
 import type {HostContext} from './host-context.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestLog} from './request-log.js';
@@ -56,8 +57,8 @@
 		endpoint: result.endpoint?.id ?? '',
 		endpoint_version: result.endpoint?.version,
 		begun_by: result.begunBy?.id,
-		begun_version: result.begunBy?.version,
 		resumes: admitted.resumes,
+		...originFields(result),
 		arrivals: result.arrivals,
 		misdirected: result.misdirected,
 		lost_runs: result.lostRuns,
--- a/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
+++ b/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
@@ -31,12 +31,15 @@
 	readonly now: () => number;
 };
 
+/** An origin, and the address of the peer that knew it. */
+type FoundAtPeer = {readonly kept: KeptOrigin; readonly from: string};
+
 /** Tells peers where streams began, and asks them. */
 type OriginExchange = {
 	/** Tells the keepers of each stream its origin; resolves once one of them has taken some in, or none can. */
 	readonly tell: (told: readonly KeptOrigin[]) => Promise<void>;
 	/** Asks hosts of each hall, or of the own one, for an origin; resolves with the first that one knows, and with `undefined` once all have replied, or had the time to. */
-	readonly ask: (key: string, where: 'all_halls' | 'own_hall') => Promise<KeptOrigin | undefined>;
+	readonly ask: (key: string, where: 'all_halls' | 'own_hall') => Promise<FoundAtPeer | undefined>;
 };
 
 /** Resolves with the first of some values that comes, and with `undefined` once none can come any more. */
@@ -65,14 +68,14 @@
 		onReply(reply);
 	};
 
-	const askPeer = async (address: string, key: string): Promise<KeptOrigin> => {
+	const askPeer = async (address: string, key: string): Promise<FoundAtPeer> => {
 		await exchange(address, {told: [], asked: [key]});
 		const kept = table.get(key);
 		if (!kept) {
 			throw new Error('not known');
 		}
 
-		return kept;
+		return {kept, from: address};
 	};
 
 	return {
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -62,8 +62,10 @@
 
 	const takeInAll = (origins: readonly WireOrigin[]): void => {
 		for (const wire of origins) {
-			const {key, service, version, attempt, keepMs} = wire;
-			table.keep({key, origin: {service, version, attempt}, keepUntil: now() + keepMs});
+			const {key, service, version, attempt, keepMs, ageMs} = wire;
+			table.keep({
+				key, origin: {service, version, attempt}, keepUntil: now() + keepMs, notedAt: now() - ageMs,
+			});
 			hear(wire);
 		}
 	};
@@ -77,9 +79,13 @@
 			return {type: 'single'};
 		}
 
-		const kept = near ?? await exchange.ask(key, 'all_halls');
-		counter.increment(kept ? 'found' : 'unknown');
-		return kept ? {type: 'known', origin: kept.origin} : {type: 'unknown'};
+		const found = near ?? await exchange.ask(key, 'all_halls');
+		counter.increment(found ? 'found' : 'unknown');
+		return found
+			? {
+				type: 'known', origin: found.kept.origin, by: 'peer', from: found.from, ageMs: now() - found.kept.notedAt,
+			}
+			: {type: 'unknown'};
 	};
 
 	return {
@@ -89,15 +95,20 @@
 			}
 		},
 		async noteSent(sent) {
-			table.keepOwn(sent);
-			if (versions.isMixed(sent.origin.service)) {
-				await exchange.tell([sent]);
+			const kept = {...sent, notedAt: now()};
+			table.keepOwn(kept);
+			if (versions.isMixed(kept.origin.service)) {
+				await exchange.tell([kept]);
 			}
 		},
 		noteWhole: table.endOwn,
 		async findOrigin(key, services) {
 			const kept = table.get(key);
-			return kept ? {type: 'known', origin: kept.origin} : findElsewhere(key, services);
+			return kept
+				? {
+					type: 'known', origin: kept.origin, by: 'own', ageMs: now() - kept.notedAt,
+				}
+				: findElsewhere(key, services);
 		},
 		answerOrigins({told, asked}) {
 			takeInAll(told);
--- a/packages/entry/src/lib/stream-origins/kept-origin.ts
+++ b/packages/entry/src/lib/stream-origins/kept-origin.ts
@@ -7,4 +7,6 @@
 	readonly origin: StreamOrigin;
 	/** Until when a caller may take the stream up, in monotonic ms of this host. */
 	readonly keepUntil: number;
+	/** When a host first noted it, in monotonic ms of this host. */
+	readonly notedAt: number;
 };
--- a/packages/entry/src/lib/stream-origins/stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/stream-origins.ts
@@ -11,7 +11,7 @@
 	/**
 	Notes that an attempt of a stream is sent to an endpoint. Resolves once another host keeps the origin, or none can or needs to be told.
 	*/
-	readonly noteSent: (sent: KeptOrigin) => Promise<void>;
+	readonly noteSent: (sent: Omit<KeptOrigin, 'notedAt'>) => Promise<void>;
 	/** Notes that the caller has the whole stream, so that nobody takes it up. */
 	readonly noteWhole: (key: string) => void;
 	/** Finds the origin of a stream of one of these services. Takes no longer than a peer may take to reply. */
