Failing test: after the death of all hosts streams cross versions, or are refused

Whole hosts in two halls, endpoints of two versions; all hosts are killed and start again with nothing remembered.

--- a/packages/entry/src/test/lib/start-versioned-fleet.ts
+++ b/packages/entry/src/test/lib/start-versioned-fleet.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ExecutionContext} from 'ava';
+import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import {createMemoryRightsStore} from './memory-rights-store.js';
 import {startEndpoint} from './start-endpoint.js';
@@ -61,20 +62,36 @@
 		const endpoint = await startEndpoint(`e${index}`, answerWith(version ?? 'none'), hallNames[index % hallNames.length]);
 		return {...endpoint, listed: {...endpoint.listed, version}};
 	}));
-	const hosts = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {
-		host: `edge-${index}`, hall, peers, seenAs,
-	})));
-	for (const {entry} of hosts) {
-		entry.configure(makeConfig({routes: [makeRoute({kind: 'stream', isResumable: true, maxAttempts: 4})]}));
-		entry.listEndpoints(endpoints.slice(0, listedAtFirst).map(({listed}) => listed));
-	}
+	const startHosts = async (listed: readonly ListedEndpoint[]) => {
+		const started = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {
+			host: `edge-${index}`, hall, peers, seenAs,
+		})));
+		for (const {entry} of started) {
+			entry.configure(makeConfig({routes: [makeRoute({kind: 'stream', isResumable: true, maxAttempts: 4})]}));
+			entry.listEndpoints(listed);
+		}
+
+		await Promise.all(started.map(async ({logged}) => logged('peers_listed', ({count}) => count === halls.length)));
+		t.teardown(async () => {
+			await Promise.all(started.map(async ({entry}) => entry.kill()));
+		});
+		return started;
+	};
 
-	await Promise.all(hosts.map(async ({logged}) => logged('peers_listed', ({count}) => count === halls.length)));
-	t.teardown(async () => {
-		await Promise.all(hosts.map(async ({entry}) => entry.kill()));
+	t.teardown(() => {
 		for (const endpoint of endpoints) {
 			endpoint.close();
 		}
 	});
-	return {hosts, endpoints, peers};
+	const hosts = await startHosts(endpoints.slice(0, listedAtFirst).map(({listed}) => listed));
+	return {
+		hosts,
+		endpoints,
+		peers,
+		/** Starts all hosts anew, under the same names and with nothing remembered. Those of before have to be killed first. */
+		async startAgain(listed: readonly ListedEndpoint[]) {
+			peers.clear();
+			return startHosts(listed);
+		},
+	};
 };
