Events that came while a host told where their stream began were lost if the endpoint broke off

Callers saw a stream break off, or go on elsewhere, without events that its endpoint had written. Cause: the response was read only once another host kept the stream's origin, and a response that had closed by then counted as broken with no event. Now the response is read at once, at most 64 KB of it are held, and each step runs in a turn of its own, so that events leave before a break closes the caller's connection.

--- a/packages/entry/src/lib/relaying/relay-stream.ts
+++ b/packages/entry/src/lib/relaying/relay-stream.ts
@@ -2,11 +2,17 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ScanState} from './scan-state.js';
 import type {RelayEnd} from './relay-end.js';
+import {createGate} from './create-gate.js';
 import {scanEvents} from './scan-events.js';
 
+/** How many bytes are taken in before the first event may be relayed: beyond that, the endpoint waits. */
+const maxHeldBytes = 64 * 1024;
+
 type RelayOptions = {
 	/** The id of the last event that earlier runs of the request relayed to the caller; `undefined` if there is none. */
 	readonly lastId: string | undefined;
+	/** Nothing is relayed before it is resolved. What the endpoint writes until then is relayed afterwards, also if its connection has closed. */
+	readonly ready: Promise<void>;
 	/** Called when bytes arrive from the endpoint. */
 	readonly onChunk: () => void;
 	/** Called each time before events are written to the caller, with their number. */
@@ -22,9 +28,13 @@
 The response to the caller is left open, so that another run of the request can continue the stream.
 
 */
-export const relayStream = async (response: IncomingMessage, res: ServerResponse, {lastId, onChunk, beforeWrite, onInvalid}: RelayOptions): Promise<RelayEnd> => new Promise(resolve => {
+export const relayStream = async (response: IncomingMessage, res: ServerResponse, {lastId, ready, onChunk, beforeWrite, onInvalid}: RelayOptions): Promise<RelayEnd> => new Promise(resolve => {
 	let state: ScanState = {remainder: Buffer.alloc(0), lastId, count: 0};
+	let heldBytes = 0;
+	let isFinished = false;
+	const gate = createGate(ready);
 	const finish = (type: RelayEnd['type']): void => {
+		isFinished = true;
 		resolve({type, lastId: state.lastId, count: state.count});
 	};
 
@@ -39,8 +49,11 @@
 		response.resume();
 	};
 
-	response.on('data', (chunk: Uint8Array) => {
-		onChunk();
+	const relay = (chunk: Uint8Array): void => {
+		if (isFinished) {
+			return;
+		}
+
 		const scan = scanEvents(state, chunk);
 		const events = scan.state.count - state.count;
 		state = scan.state;
@@ -57,12 +70,28 @@
 			finish('broken');
 			response.destroy();
 		}
+	};
+
+	response.on('data', (chunk: Uint8Array) => {
+		onChunk();
+		heldBytes += gate.isOpen() ? 0 : chunk.length;
+		gate.run(() => {
+			relay(chunk);
+		});
+		if (!gate.isOpen() && heldBytes > maxHeldBytes) {
+			response.pause();
+			gate.run(resume);
+		}
 	});
 	response.on('end', () => {
-		finish(response.complete && state.remainder.length === 0 ? 'whole' : 'broken');
+		gate.run(() => {
+			finish(response.complete && state.remainder.length === 0 ? 'whole' : 'broken');
+		});
 	});
 	response.on('close', () => {
-		finish('broken');
+		gate.run(() => {
+			finish('broken');
+		});
 	});
 	res.on('close', () => {
 		finish('caller_left');
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -111,10 +111,10 @@
 
 const relayToCaller = async (response: IncomingMessage, options: RunningAttempt, host: HostContext): Promise<AttemptEnd> => {
 	const {request, writer, originTold, lastEventId, onEvents, run, tracked} = options;
-	// Should this host end right after the first event, its caller takes the stream up at a host that has to find where it began.
-	await originTold;
 	const relayed = await relayStream(response, request.res, {
 		lastId: lastEventId,
+		// Should this host end right after the first event, its caller takes the stream up at a host that has to find where it began.
+		ready: originTold,
 		onChunk: tracked.noteHeard,
 		beforeWrite(events) {
 			onEvents();
