Take-ups are refused for their stream before anything is reserved for them

A caller whose stream cannot go on got a refusal for lack of rights first, and came back for nothing. The plan of a stream is now found before its rights are reserved. A version that has left may come back to the list for 3 s (entries of endpoints that lapsed in an outage do within two); a refusal names the end of that time, and none after it. Refusals for lack of rights log resumes=.

--- a/packages/entry/src/lib/admission/admit-request.ts
+++ b/packages/entry/src/lib/admission/admit-request.ts
@@ -69,7 +69,8 @@
 	}
 
 	const deadline = findDeadline(route, firstValueOf(headers[headerNames.deadline]), receivedAt);
+	const resumes = firstValueOf(headers[headerNames.resumes]);
 	return succeed({
-		route, organisation, prompt, deadline, resumes: firstValueOf(headers[headerNames.resumes]),
+		route, organisation, prompt, deadline, resumes, isContinued: resumes !== undefined && headers[headerNames.lastEventId] !== undefined,
 	});
 };
--- a/packages/entry/src/lib/admission/admitted-request.ts
+++ b/packages/entry/src/lib/admission/admitted-request.ts
@@ -11,6 +11,8 @@
 	readonly prompt: Prompt | undefined;
 	/** The id of the attempt that brought the caller the first event of the stream that this request takes up; `undefined` for other requests. */
 	readonly resumes?: string;
+	/** Whether the caller has events of that stream, which the request goes on with. */
+	readonly isContinued?: boolean;
 	/** The earlier of when the caller stops waiting and when the timeout of the route ends, in monotonic ms. */
 	readonly deadline: number;
 };
--- a/packages/entry/src/lib/request/find-stream-plan.ts
+++ b/packages/entry/src/lib/request/find-stream-plan.ts
@@ -3,13 +3,12 @@
 import {pickService} from '../choice/pick-service.js';
 import {streamKeyOf} from '../stream-origins/stream-key-of.js';
 import type {HostContext} from './host-context.js';
-import type {RequestInputs} from './request-inputs.js';
 import type {StreamPlan} from './stream-plan.js';
 
-const findResumed = async (key: string, service: string, {route, hasEvents}: {readonly route: AdmittedRequest['route']; readonly hasEvents: boolean}, host: HostContext): Promise<StreamPlan> => {
+const findResumed = async (key: string, service: string, {route, isContinued = false}: AdmittedRequest, {streamOrigins}: Pick<HostContext, 'streamOrigins'>): Promise<StreamPlan> => {
 	const services = route.services.map(weighted => weighted.service);
-	const found = await host.streamOrigins.findOrigin(key, services, service);
-	const isBegun = found.type === 'known' && (hasEvents || found.by !== 'base');
+	const found = await streamOrigins.findOrigin(key, services, service);
+	const isBegun = found.type === 'known' && (isContinued || found.by !== 'base');
 	if (isBegun && services.includes(found.origin.service)) {
 		return {
 			type: 'resumed', key, origin: found.origin, found,
@@ -17,7 +16,7 @@
 	}
 
 	// A caller that names no event has got none, so the stream begins anew.
-	return found.type === 'single' || !hasEvents
+	return found.type === 'single' || !isContinued
 		? {
 			type: 'any', service, key, found,
 		}
@@ -30,7 +29,8 @@
 const fractionOf = (key: string): number => hash32(key) / (2 ** 32);
 
 /** Finds which endpoints a request may be sent to, by where the stream began that its caller takes up. Asks other hosts where this one does not know. */
-export const findStreamPlan = async ({id, req, admitted: {route, organisation, resumes}}: RequestInputs, host: HostContext): Promise<StreamPlan> => {
+export const findStreamPlan = async (id: string, admitted: AdmittedRequest, host: Pick<HostContext, 'streamOrigins' | 'random'>): Promise<StreamPlan> => {
+	const {route, organisation, resumes} = admitted;
 	if (route.kind !== 'stream' || !route.isResumable) {
 		return {type: 'any', service: pickService(route, host.random()) ?? ''};
 	}
@@ -38,6 +38,5 @@
 	const key = streamKeyOf(organisation?.name, resumes ?? id);
 	// Picked by the key, so that a stream that is taken up elsewhere goes on at the service that began it.
 	const service = pickService(route, fractionOf(key)) ?? '';
-	const hasEvents = req.headers[host.headerNames.lastEventId] !== undefined;
-	return resumes === undefined ? {type: 'any', service, key} : findResumed(key, service, {route, hasEvents}, host);
+	return resumes === undefined ? {type: 'any', service, key} : findResumed(key, service, admitted, host);
 };
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -9,14 +9,12 @@
 import {createStreamRecord} from './create-stream-record.js';
 import {decideNextStep} from './decide-next-step.js';
 import {decideOutcome} from './decide-outcome.js';
-import {findStreamPlan} from './find-stream-plan.js';
 import type {HostContext} from './host-context.js';
 import type {NextStep} from './next-step.js';
 import {initialProgress} from './initial-progress.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestProgress} from './request-progress.js';
 import type {RequestResult} from './request-result.js';
-import {refusalOfPlan} from './refusal-of-plan.js';
 import {reportAttemptEnd} from './report-attempt-end.js';
 import {reportToPoisonDetector} from './report-to-poison-detector.js';
 import {runAttempt} from './run-attempt.js';
@@ -42,7 +40,7 @@
 (`decideOutcome`).
 */
 export const runRequest = async (request: RequestInputs, host: HostContext): Promise<RequestResult> => {
-	const {req, res, admitted: {route, prompt, deadline}} = request;
+	const {req, res, plan, admitted: {route, prompt, deadline}} = request;
 	const {chooser, shutdownSignal, schedule, streamOrigins, now} = host;
 	const regions = regionsOf(request.admitted);
 	const isRetryable = isRetryableRoute(route);
@@ -52,7 +50,6 @@
 	const requestEnd = createRequestEnd({
 		res, deadline, shutdownSignal, schedule, now,
 	});
-	const plan = await findStreamPlan(request, host);
 	const stream = createStreamRecord(plan, deadline, streamOrigins);
 	const {service} = stream;
 	const tokensPerEvent = host.config()?.services.get(service)?.tokensPerEvent ?? 0;
@@ -155,11 +152,6 @@
 		return mayForward() ? undefined : 'host_stopping';
 	};
 
-	const planRefusal = refusalOfPlan(plan, streamOrigins);
-	if (planRefusal !== undefined) {
-		return giveUp(planRefusal);
-	}
-
 	for (;;) {
 		const endReason = findEndReason();
 		if (endReason !== undefined) {
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -12,15 +12,17 @@
 import {createRequestLog} from './create-request-log.js';
 import {createReservation} from './create-reservation.js';
 import {originFields} from './origin-fields.js';
+import {findStreamPlan} from './find-stream-plan.js';
 import type {HostContext} from './host-context.js';
 import type {RequestInputs} from './request-inputs.js';
 import type {RequestLog} from './request-log.js';
+import {refusalOfPlan} from './refusal-of-plan.js';
 import {refusalOfResult} from './refusal-of-result.js';
 import {sharedPartsOf} from './shared-parts-of.js';
 import {runRequest} from './run-request.js';
 
 /** An admitted request whose whole body was read, and for which no rights are reserved yet. */
-type ReceivedRequest = Omit<RequestInputs, 'reserveRun'>;
+type ReceivedRequest = Omit<RequestInputs, 'reserveRun' | 'plan'>;
 
 /** Serves a request whose whole body was read: reserves its worst case, runs it, charges what it cost, and logs its end. */
 const serveReceivedRequest = async (received: ReceivedRequest, requestLog: RequestLog, host: HostContext): Promise<void> => {
@@ -38,16 +40,27 @@
 		return;
 	}
 
+	const plan = await findStreamPlan(received.id, admitted, host);
+	const planRefusal = refusalOfPlan(plan, host.streamOrigins);
+	if (planRefusal) {
+		requestLog.refused(refusalOfResult(planRefusal, host.now()), {
+			route: admitted.route.name, budget, resumes: admitted.resumes, ...originFields({origin: plan.found, begunBy: undefined}),
+		});
+		return;
+	}
+
 	const reservation = createReservation(budget, admitted, host);
 	const shortage = await reservation.reserve(worstCase, true);
 	if (shortage) {
 		// A stopping host draws no more rights from the store, and another host may have the rights that this request needs.
 		const isShortBecauseStopping = host.isStopping() && shortage.code === hostRefusals.rightsUnavailable.code;
-		requestLog.refused(isShortBecauseStopping ? hostRefusals.hostStopping : shortage, {route: admitted.route.name, budget, tokens: worstCase});
+		requestLog.refused(isShortBecauseStopping ? hostRefusals.hostStopping : shortage, {
+			route: admitted.route.name, budget, tokens: worstCase, resumes: admitted.resumes,
+		});
 		return;
 	}
 
-	const result = await runRequest({...received, reserveRun: async () => await reservation.reserve(retryCost, false) === undefined}, host);
+	const result = await runRequest({...received, plan, reserveRun: async () => await reservation.reserve(retryCost, false) === undefined}, host);
 	const reserved = reservation.reserved();
 	const used = chargeOfResult(result, reserved, admitted.prompt);
 	reservation.settle(used);
--- a/packages/entry/src/lib/stream-origins/create-served-versions.ts
+++ b/packages/entry/src/lib/stream-origins/create-served-versions.ts
@@ -1,27 +1,27 @@
 import {versionOf} from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
-import type {StreamOrigin} from './stream-origin.js';
+import type {ServedVersions} from './served-versions.js';
 
-/** How long after its first list a host waits before it says that a version is gone for good, in ms: after an outage, entries of endpoints come back to the list within two seconds. */
+/** For how long after its last sight a version may come back to the list, in ms: after an outage, entries of endpoints are back within two seconds. */
 const listSettleMs = 3000;
 
-/** The versions that take new requests. */
-type ServedVersions = {
-	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
-	/** Whether the version has had no endpoint that takes requests for so long that none is expected to come back. */
-	readonly isGone: (origin: Pick<StreamOrigin, 'service' | 'version'>) => boolean;
-};
+const nameOf = (service: string, version: string): string => JSON.stringify([service, version]);
 
 /** Creates a record without endpoints. `now` returns monotonic ms. */
 export const createServedVersions = (now: () => number): ServedVersions => {
 	let served: readonly ListedEndpoint[] = [];
 	const startedAt = now();
-	/** When each version was last seen to take requests, in monotonic ms, by service and version. */
+	/** When each version was last seen to take requests, in monotonic ms, as long as that matters. */
 	const seenAt = new Map<string, number>();
-	const nameOf = (service: string, version: string): string => JSON.stringify([service, version]);
 
 	return {
 		list(endpoints) {
+			for (const [name, at] of seenAt) {
+				if (now() - at > listSettleMs) {
+					seenAt.delete(name);
+				}
+			}
+
 			for (const endpoint of served) {
 				for (const service of endpoint.serves) {
 					seenAt.set(nameOf(service, versionOf(endpoint)), now());
@@ -30,9 +30,13 @@
 
 			served = endpoints.filter(({isLeaving}) => !isLeaving);
 		},
-		isGone({service, version}) {
-			const isServed = served.some(endpoint => endpoint.serves.includes(service) && versionOf(endpoint) === version);
-			return !isServed && now() - (seenAt.get(nameOf(service, version)) ?? startedAt) > listSettleMs;
+		findGone({service, version}) {
+			if (served.some(endpoint => endpoint.serves.includes(service) && versionOf(endpoint) === version)) {
+				return undefined;
+			}
+
+			const settledAt = (seenAt.get(nameOf(service, version)) ?? startedAt) + listSettleMs;
+			return {retryAt: settledAt > now() ? settledAt : undefined};
 		},
 	};
 };
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -192,7 +192,7 @@
 				}
 				: findElsewhere(key, services, likely);
 		},
-		isGone: served.isGone,
+		findGone: served.findGone,
 		noteRestored() {
 			ledger.noteRestored();
 			recorder.noteRestored();
--- a/packages/entry/src/lib/stream-origins/stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/stream-origins.ts
@@ -1,7 +1,7 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {FoundOrigin} from './found-origin.js';
 import type {SentStream} from './sent-stream.js';
-import type {StreamOrigin} from './stream-origin.js';
+import type {ServedVersions} from './served-versions.js';
 import type {OriginsMessage} from './wire/origins-message.js';
 import type {OriginsReply} from './wire/origins-reply.js';
 
@@ -21,8 +21,8 @@
 	Takes no longer than a peer and the store may take to reply.
 	*/
 	readonly findOrigin: (key: string, services: readonly string[], likely: string) => Promise<FoundOrigin>;
-	/** Whether the version that began a stream takes no requests any more, and none of it is expected to. */
-	readonly isGone: (origin: StreamOrigin) => boolean;
+	/** Tells whether the version that began a stream takes no requests any more (`ServedVersions`). */
+	readonly findGone: ServedVersions['findGone'];
 	/** Notes that the store was restored from an older copy. */
 	readonly noteRestored: () => void;
 	/** Takes in origins that a peer tells, and returns those that it asks for. */
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -80,6 +80,7 @@
 					route: makeRoute({kind: 'stream'}), organisation: undefined, prompt: undefined, deadline: now() + 60_000,
 				},
 				subjects: {fingerprint: () => '', parts: []},
+				plan: {type: 'any', service: 's'},
 				reserveRun: async () => true,
 			},
 			endpoint: endpoint.listed,
