Rights that are kept for other requests are not kept from streams that have begun

After the death of all hosts the pace keeps what is left for later requests; a caller with a part of an answer has use for the rest alone. A request that goes on with events of its caller is treated like a further run of a request: neither the pace nor more urgent requests come before it, the budget still does. It is the organisation's own budget, so naming a stream gains nothing from others. Test: red before (priority 3 in place of none).

--- a/packages/entry/src/lib/request/create-reservation.ts
+++ b/packages/entry/src/lib/request/create-reservation.ts
@@ -11,7 +11,7 @@
 const rightsWaitShareOfGoal = 0.2;
 
 /** Creates the reservation of one request. Without a budget, every call of `reserve` succeeds and nothing is counted. */
-export const createReservation = (budget: string | undefined, {route, deadline}: AdmittedRequest, {rights, now}: Pick<HostContext, 'rights' | 'now'>): Reservation => {
+export const createReservation = (budget: string | undefined, {route, deadline, isContinued}: AdmittedRequest, {rights, now}: Pick<HostContext, 'rights' | 'now'>): Reservation => {
 	let reserved = 0;
 	return {
 		async reserve(tokens, isFirstRun) {
@@ -20,7 +20,9 @@
 			}
 
 			const waitUntil = Math.min(now() + (route.goalMs * rightsWaitShareOfGoal), deadline);
-			const outcome = await rights.reserve(budget, tokens, waitUntil, isFirstRun ? route.priority : undefined);
+			// What is kept for other requests is not kept from one that has begun: a stream in part is worth nothing to its caller.
+			const hasBegun = !isFirstRun || isContinued;
+			const outcome = await rights.reserve(budget, tokens, waitUntil, hasBegun ? undefined : route.priority);
 			if (outcome === 'reserved') {
 				reserved += tokens;
 				return undefined;
--- /dev/null
+++ b/packages/entry/src/test/rights-of-begun-streams.test.ts
@@ -0,0 +1,36 @@
+/** Guards against take-ups of streams that are refused for later or more urgent requests, so that callers are left with a part of an answer. */
+import test from 'ava';
+import {admitRequest} from '../lib/admission/admit-request.js';
+import {createReservation} from '../lib/request/create-reservation.js';
+import {headerNames} from './lib/header-names.js';
+import {makeConfig, makeRoute} from './lib/start-host.js';
+
+const config = makeConfig({routes: [makeRoute({kind: 'stream', isResumable: true, priority: 3})]});
+
+/** Returns the priority by which rights are reserved for the first run of a request; `undefined` where none are kept from it. */
+const priorityOf = async (headers: Readonly<Record<string, string>>): Promise<number | undefined> => {
+	const admitted = admitRequest(config, {ageMs: 0, applyMs: undefined}, {url: '/', headers: {host: 'fleet', [headerNames.apiKey]: 'key', ...headers}, receivedAt: 0}, headerNames);
+	if (!admitted.ok) {
+		throw new Error('not admitted');
+	}
+
+	let priority: number | undefined;
+	const reservation = createReservation('b', admitted.value, {
+		rights: {
+			async reserve(_budget: string, _tokens: number, _waitUntil: number, given: number | undefined) {
+				priority = given;
+				return 'reserved';
+			},
+		} as never,
+		now: () => 0,
+	});
+	await reservation.reserve(10, true);
+	return priority;
+};
+
+test('rights are kept from a stream that its caller has in part, or from no new one', async t => {
+	t.is(await priorityOf({}), 3);
+	t.is(await priorityOf({[headerNames.resumes]: 'a'}), 3);
+	t.is(await priorityOf({[headerNames.lastEventId]: '1'}), 3);
+	t.is(await priorityOf({[headerNames.resumes]: 'a', [headerNames.lastEventId]: '1'}), undefined);
+});
