--- a/packages/entry/src/lib/request/create-reservation.ts
+++ b/packages/entry/src/lib/request/create-reservation.ts
@@ -10,8 +10,15 @@
 */
 const rightsWaitShareOfGoal = 0.2;
 
+/** What a reservation needs of its host. */
+type ReservationContext = {
+	readonly rights: Pick<HostContext['rights'], 'reserve' | 'settle' | 'retryAfterSeconds'>;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
 /** Creates the reservation of one request. Without a budget, every call of `reserve` succeeds and nothing is counted. */
-export const createReservation = (budget: string | undefined, {route, deadline, isContinued}: AdmittedRequest, {rights, now}: Pick<HostContext, 'rights' | 'now'>): Reservation => {
+export const createReservation = (budget: string | undefined, {route, deadline, isContinued}: AdmittedRequest, {rights, now}: ReservationContext): Reservation => {
 	let reserved = 0;
 	return {
 		async reserve(tokens, isFirstRun) {
--- a/packages/entry/src/test/rights-of-begun-streams.test.ts
+++ b/packages/entry/src/test/rights-of-begun-streams.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {admitRequest} from '../lib/admission/admit-request.js';
 import {createReservation} from '../lib/request/create-reservation.js';
+import type {RightsManager} from '../lib/rights/rights-manager.js';
 import {headerNames} from './lib/header-names.js';
 import {makeConfig, makeRoute} from './lib/start-host.js';
 
@@ -15,15 +16,15 @@
 	}
 
 	let priority: number | undefined;
-	const reservation = createReservation('b', admitted.value, {
-		rights: {
-			async reserve(_budget: string, _tokens: number, _waitUntil: number, given: number | undefined) {
-				priority = given;
-				return 'reserved';
-			},
-		} as never,
-		now: () => 0,
-	});
+	const rights: Pick<RightsManager, 'reserve' | 'settle' | 'retryAfterSeconds'> = {
+		async reserve(_budget, _tokens, _waitUntil, given) {
+			priority = given;
+			return 'reserved';
+		},
+		settle: () => undefined,
+		retryAfterSeconds: () => 0,
+	};
+	const reservation = createReservation('b', admitted.value, {rights, now: () => 0});
 	await reservation.reserve(10, true);
 	return priority;
 };
