--- a/packages/entry/src/lib/stream-origins/create-origin-recorder.ts
+++ b/packages/entry/src/lib/stream-origins/create-origin-recorder.ts
@@ -41,6 +41,7 @@
 	let failures = 0;
 	let isBusy = false;
 	let isClosed = false;
+	let hasInherited = false;
 	let lastWriteAt = Number.NEGATIVE_INFINITY;
 
 	const keep = (origin: KeptOrigin): void => {
@@ -52,14 +53,13 @@
 		kept.set(origin.key, origin, {ttl: Math.max(minTtlMs, origin.keepUntil - now())});
 	};
 
-	/** Takes in what an earlier life of this host left, or another write that was done unseen. */
+	/** Takes in what an earlier life of this host left. */
 	const inherit = (origins: readonly StoredOrigin[]): void => {
+		hasInherited = true;
 		for (const {key, service, version, attempt, keepMs} of origins) {
-			if (kept.get(key)?.origin.attempt !== attempt) {
-				keep({
-					key, origin: {service, version, attempt}, keepUntil: now() + keepMs, notedAt: now(),
-				});
-			}
+			keep({
+				key, origin: {service, version, attempt}, keepUntil: now() + keepMs, notedAt: now(),
+			});
 		}
 	};
 
@@ -67,7 +67,10 @@
 
 	const readOwn = async (): Promise<number | undefined> => {
 		const stored = await store.readOrigins(host);
-		inherit(stored?.origins ?? []);
+		if (stored && !hasInherited) {
+			inherit(stored.origins);
+		}
+
 		return stored?.revision;
 	};
 
@@ -85,6 +88,10 @@
 	};
 
 	const runWrite = async (): Promise<void> => {
+		if (isClosed) {
+			return;
+		}
+
 		lastWriteAt = now();
 		const waiting = waiters;
 		waiters = [];
--- a/packages/entry/src/lib/stream-origins/create-served-versions.ts
+++ b/packages/entry/src/lib/stream-origins/create-served-versions.ts
@@ -10,12 +10,13 @@
 /** Creates a record without endpoints. `now` returns monotonic ms. */
 export const createServedVersions = (now: () => number): ServedVersions => {
 	let served: readonly ListedEndpoint[] = [];
-	const startedAt = now();
+	let firstListedAt: number | undefined;
 	/** When each version was last seen to take requests, in monotonic ms, as long as that matters. */
 	const seenAt = new Map<string, number>();
 
 	return {
 		list(endpoints) {
+			firstListedAt ??= now();
 			for (const [name, at] of seenAt) {
 				if (now() - at > listSettleMs) {
 					seenAt.delete(name);
@@ -35,7 +36,7 @@
 				return undefined;
 			}
 
-			const settledAt = (seenAt.get(nameOf(service, version)) ?? startedAt) + listSettleMs;
+			const settledAt = (seenAt.get(nameOf(service, version)) ?? firstListedAt ?? now()) + listSettleMs;
 			return {retryAt: settledAt > now() ? settledAt : undefined};
 		},
 	};
--- a/packages/entry/src/lib/stream-origins/create-version-ledger.ts
+++ b/packages/entry/src/lib/stream-origins/create-version-ledger.ts
@@ -61,19 +61,32 @@
 		}
 	};
 
+	/** Takes in what the store holds, after storing again what a restore has lost; `undefined` where that fails. */
+	const takeInMerged = async (read: StoredVersions): Promise<StoredVersions | undefined> => {
+		let now: StoredVersions | undefined = read;
+		for (let writes = 0; now !== undefined && writes < maxWrites; writes++) {
+			const merged: StoredVersions['services'] | undefined = beforeRestore && mergeRestoredVersions(now.services, beforeRestore.services);
+			if (merged === undefined) {
+				beforeRestore = undefined;
+				return takeIn(now);
+			}
+
+			now = await store.writeVersions({services: merged, revision: now.revision});
+		}
+
+		return undefined;
+	};
+
 	const readNow = createSharedRead(async () => {
 		const read = await store.readVersions();
-		const merged = read && beforeRestore ? mergeRestoredVersions(read.services, beforeRestore.services) : undefined;
-		const now = read && merged ? await store.writeVersions({services: merged, revision: read.revision}) : read;
-		beforeRestore = now ? undefined : beforeRestore;
-		return now && takeIn(now);
+		return read && takeInMerged(read);
 	});
 
 	const write = async (next: StoredVersions, service: string, version: string): Promise<StoredVersions | undefined> => {
 		// This host sends there, so it need not be told of the version.
 		named.add(nameOf(service, version));
 		const written = await store.writeVersions(next);
-		return written && takeIn(written);
+		return written && takeInMerged(written);
 	};
 
 	const nameInStore = async (service: string, version: string): Promise<ServiceVersions | undefined> => {
