A host kept every request that it had sent in memory, and ran out of it after some thousand

Callers saw: connections that break off, every some thousand requests, while the host ends itself and starts again.

Cause: an attempt listens to its signal, so that its abort ends a wait for a connection, and never stopped. The signal is made of two others (`AbortSignal.any`), and Node.js keeps such a signal in a set of the process for as long as it has a listener.

Ruled out: listeners on the shutdown signal (removed at the end of a request), promises that never settle (their count does not grow any more), node:http's own listener on the signal (it stops with the request), the wait for a poll.

Change: `onceAborted` returns what stops it, as the project's other listeners do, and an attempt stops when it has its result.

--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -6,6 +6,7 @@
 import type {Attempt} from './attempt.js';
 import type {ConnectionPool} from './connection-pool.js';
 import {isValidHead} from './is-valid-head.js';
+import {onceAborted} from './once-aborted.js';
 
 /**
 When a request on a reused connection ends without a response head after at least this time, in ms, the idle connections to its endpoint
@@ -67,11 +68,16 @@
 		signal,
 	});
 	// A request that is aborted while it waits for its connection would end only with that.
-	signal.addEventListener('abort', () => {
+	const stopListening = onceAborted(signal, () => {
 		if (!isConnected) {
-			resolve({type: 'unsent', reason: 'aborted'});
+			settle({type: 'unsent', reason: 'aborted'});
 		}
-	}, {once: true});
+	});
+	const settle = (result: AttemptResult): void => {
+		stopListening();
+		resolve(result);
+	};
+
 	req.on('response', response => {
 		// The connection may break while the response is read. The reader of the response notices by 'close'; an 'error' without a listener would be thrown.
 		response.on('error', () => undefined);
@@ -82,7 +88,7 @@
 			onHead(response);
 		}
 
-		resolve(result);
+		settle(result);
 	});
 	req.on('error', error => {
 		// After a reset of the connection, node:http would end a response without a length as if it were complete. What goes wrong after a whole
@@ -92,14 +98,14 @@
 		}
 
 		const reason = (error as NodeJS.ErrnoException).code ?? error.message;
-		resolve(isConnected ? {type: 'lost', reason, isInvalid: reason.startsWith(parseErrorPrefix)} : {type: 'unsent', reason});
+		settle(isConnected ? {type: 'lost', reason, isInvalid: reason.startsWith(parseErrorPrefix)} : {type: 'unsent', reason});
 	});
 	req.on('close', () => {
 		if (!receivedResponse && req.reusedSocket && performance.now() - sentAt >= silentAfterMs) {
 			pool.closeIdle(endpoint.id);
 		}
 
-		resolve({type: 'lost', reason: 'closed', isInvalid: false});
+		settle({type: 'lost', reason: 'closed', isInvalid: false});
 	});
 	req.end(body);
 });
