Failing tests: a closed recorder of origins still does the write that is due

close() does not cancel the scheduled write, and runWrite does not ask isClosed: one further write, or one further try of a failed one, reaches the store (2 in place of 1 writes; 2 in place of 1 calls). The interface says that it writes no more.

--- a/packages/entry/src/test/create-origin-recorder.test.ts
+++ b/packages/entry/src/test/create-origin-recorder.test.ts
@@ -312,3 +312,24 @@
 	await pass(10 * intervalMs);
 	t.is(writes().length, 1);
 });
+
+test('a host that has closed writes what came before', async t => {
+	const {record, recordNow, pass, recorder, writes} = startRecorder();
+	await record('a');
+	const during = recordNow('b');
+	const last = recordNow('c');
+	recorder.close();
+	t.deepEqual(await Promise.all([during, last]), [false, false]);
+	await pass(10 * intervalMs);
+	t.is(writes().length, 1);
+});
+
+test('a host that has closed tries a failed write again', async t => {
+	const {memory, record, pass, recorder} = startRecorder();
+	memory.faults.isDown = true;
+	await record('a');
+	recorder.close();
+	const before = memory.calls();
+	await pass(10 * intervalMs);
+	t.is(memory.calls(), before);
+});
