Failing tests: streams that ended or expired come back into what a host stores

Reading the own object again, after a lost answer or a restore, takes in every origin of it that the host does not keep: those that ended since, and those that expired since, with their whole time anew (['b', 'c'] in place of ['c']; ['a'] in place of []).

--- a/packages/entry/src/test/create-origin-recorder.test.ts
+++ b/packages/entry/src/test/create-origin-recorder.test.ts
@@ -333,3 +333,24 @@
 	await pass(10 * intervalMs);
 	t.is(memory.calls(), before);
 });
+
+test('a stream that nobody can take up any more is written on after the store was restored', async t => {
+	const {record, recorder, pass, keysInStore} = startRecorder();
+	await record('a', {keepMs: 5000});
+	await pass(5001);
+	recorder.noteRestored();
+	await pass(intervalMs);
+	t.deepEqual(await keysInStore(), []);
+});
+
+test('a stream that has ended is written on after the answer to a write was lost', async t => {
+	const {record, loseNextAnswer, recorder, pass, keysInStore} = startRecorder();
+	await record('a');
+	recorder.end('a');
+	loseNextAnswer();
+	await record('b');
+	recorder.end('b');
+	await pass(afterRetryMs);
+	await record('c');
+	t.deepEqual(await keysInStore(), ['c']);
+});
