Failing test: a version that is named when a restore is noticed becomes the base

Where the answer to the write is the first one of the restored store, the ledger plans from what that store holds and does not merge what it knew: base 'v2' in place of 'v1'.

--- a/packages/entry/src/test/create-version-ledger.test.ts
+++ b/packages/entry/src/test/create-version-ledger.test.ts
@@ -241,3 +241,15 @@
 	t.deepEqual(mergeRestoredVersions([other, versionsOf('v1', 'v3')], [versionsOf('v2')]), [other, {service: 's', base: 'v2', versions: ['v2', 'v1', 'v3']}]);
 	t.deepEqual(mergeRestoredVersions([], [versionsOf('v2')]), [versionsOf('v2')]);
 });
+
+test('a version that is named when a restore is noticed becomes the base', async t => {
+	const {ledger, memory, beforeNextNaming, inStore} = startLedger();
+	const copy = memory.copy();
+	await ledger.ensureNamed('s', 'v1');
+	beforeNextNaming(() => {
+		memory.restore(copy);
+		ledger.noteRestored();
+	});
+	await ledger.ensureNamed('s', 'v2');
+	t.is((await inStore())!.base, 'v1');
+});
