Failing test: a conflict drops what a host stores again after a restore

Where the write of the merged versions meets that of another host, the ledger takes the answer for its own write and forgets what it knew: base 'v2' with ['v2'] in place of 'v1' with ['v1', 'v2'].

--- a/packages/entry/src/test/create-version-ledger.test.ts
+++ b/packages/entry/src/test/create-version-ledger.test.ts
@@ -253,3 +253,17 @@
 	await ledger.ensureNamed('s', 'v2');
 	t.is((await inStore())!.base, 'v1');
 });
+
+test('what was stored before a restore is lost when another host writes at the same moment', async t => {
+	const one = startLedger();
+	const copy = one.memory.copy();
+	await one.ledger.ensureNamed('s', 'v1');
+	one.memory.restore(copy);
+	one.ledger.noteRestored();
+	const other = startFurther(one);
+	one.beforeNextNaming(async () => other.ledger.ensureNamed('other', 'v9'));
+	await one.ledger.readAgain();
+	t.deepEqual(await one.inStore('other'), {service: 'other', base: 'v9', versions: ['v9']});
+	await one.ledger.ensureNamed('s', 'v2');
+	t.deepEqual(await one.inStore(), versionsOf('v1', 'v2'));
+});
