Failing test: a version is gone for good right after a late first list

The wait counts from the creation of the record, so a host that got no list for longer gives each version up that its first list lacks, and all of them before it: gone for good is true in place of false.

--- a/packages/entry/src/test/create-served-versions.test.ts
+++ b/packages/entry/src/test/create-served-versions.test.ts
@@ -111,3 +111,15 @@
 	pass(1);
 	t.is(givenUpIn('v1'), undefined);
 });
+
+test('a version is said to be gone right after the first list of a host that got none for long', t => {
+	const {list, isGone, pass} = start();
+	pass(10 * settledMs);
+	t.false(isGone('v1'));
+	list(endpoint('v2'));
+	t.false(isGone('v1'));
+	pass(settledMs - 1);
+	t.false(isGone('v1'));
+	pass(1);
+	t.true(isGone('v1'));
+});
