What the review of the origins found: naming while the store is away, take-ups beside peers, storms of reads

The recorder names versions before each write, and tries again. - A host that had just started refused take-ups (unreadable) while the store turned it away, though peers that had been up knew: peers are asked first, and say whether they have been up for long. - The attempt of a take-up whose stream was not found counted from 1, and lost to what an earlier request had stored. - A stream of one service was not looked for once its key fell to another one. - After the death of all hosts each take-up read the store twice (233 hosts, 2,000 reads a second allowed: 5,747 in the first second): reads are 100 ms apart.

--- a/packages/entry/src/lib/relaying/relay-stream.ts
+++ b/packages/entry/src/lib/relaying/relay-stream.ts
@@ -31,6 +31,7 @@
 export const relayStream = async (response: IncomingMessage, res: ServerResponse, {lastId, ready, onChunk, beforeWrite, onInvalid}: RelayOptions): Promise<RelayEnd> => new Promise(resolve => {
 	let state: ScanState = {remainder: Buffer.alloc(0), lastId, count: 0};
 	let heldBytes = 0;
+	let isWaitingForDrain = false;
 	let isFinished = false;
 	const gate = createGate(ready);
 	const finish = (type: RelayEnd['type']): void => {
@@ -46,7 +47,32 @@
 	}
 
 	const resume = (): void => {
-		response.resume();
+		if (!isWaitingForDrain) {
+			response.resume();
+		}
+	};
+
+	const pauseUntilDrain = (): void => {
+		response.pause();
+		if (!isWaitingForDrain) {
+			isWaitingForDrain = true;
+			res.once('drain', () => {
+				isWaitingForDrain = false;
+				response.resume();
+			});
+		}
+	};
+
+	/** Finishes after what is held was relayed; at once where nothing is. */
+	const finishInTurn = (toType: () => RelayEnd['type']): void => {
+		if (heldBytes === 0) {
+			finish(toType());
+			return;
+		}
+
+		gate.run(() => {
+			finish(toType());
+		});
 	};
 
 	const relay = (chunk: Uint8Array): void => {
@@ -60,8 +86,7 @@
 		if (scan.completeBytes.length > 0) {
 			beforeWrite(events);
 			if (!res.write(scan.completeBytes)) {
-				response.pause();
-				res.once('drain', resume);
+				pauseUntilDrain();
 			}
 		}
 
@@ -84,14 +109,10 @@
 		}
 	});
 	response.on('end', () => {
-		gate.run(() => {
-			finish(response.complete && state.remainder.length === 0 ? 'whole' : 'broken');
-		});
+		finishInTurn(() => response.complete && state.remainder.length === 0 ? 'whole' : 'broken');
 	});
 	response.on('close', () => {
-		gate.run(() => {
-			finish('broken');
-		});
+		finishInTurn(() => 'broken');
 	});
 	res.on('close', () => {
 		finish('caller_left');
--- a/packages/entry/src/lib/request/create-stream-record.ts
+++ b/packages/entry/src/lib/request/create-stream-record.ts
@@ -5,6 +5,9 @@
 import type {RequestProgress} from './request-progress.js';
 import type {StreamPlan} from './stream-plan.js';
 
+/** The number before the first attempt of a take-up whose stream was not found: above those of any request, so that it replaces what an earlier one may still store. */
+const attemptsBeforeTakeUp = 1000;
+
 /** Ties the attempts of one request to the software version that began its stream. */
 type StreamRecord = {
 	/** The service of the endpoints that the request may be sent to. */
@@ -29,13 +32,14 @@
 	const service = plan.type === 'resumed' ? plan.origin.service : plan.service;
 	const key = plan.type === 'unknown' || plan.type === 'unreadable' ? undefined : plan.key;
 	const requiredVersion: StreamRecord['requiredVersion'] = ({begunBy}) => begunBy ? versionOf(begunBy) : resumed?.version;
+	const attemptsBefore = resumed?.attempt ?? (plan.found === undefined ? 0 : attemptsBeforeTakeUp);
 	return {
 		service,
 		requiredVersion,
 		preferredVersion: progress => requiredVersion(progress) ?? (key === undefined ? undefined : origins.preferredVersion(service)),
 		async noteSent(endpoint, attempt) {
 			if (key !== undefined) {
-				const origin = {service, version: versionOf(endpoint), attempt: (resumed?.attempt ?? 0) + attempt};
+				const origin = {service, version: versionOf(endpoint), attempt: attemptsBefore + attempt};
 				await origins.noteSent({
 					key, origin, keepUntil: deadline + takeUpMs, isTakeUp: plan.found !== undefined,
 				});
--- a/packages/entry/src/lib/request/find-stream-plan.ts
+++ b/packages/entry/src/lib/request/find-stream-plan.ts
@@ -7,7 +7,7 @@
 
 const findResumed = async (key: string, service: string, {route, isContinued = false}: AdmittedRequest, {streamOrigins}: Pick<HostContext, 'streamOrigins'>): Promise<StreamPlan> => {
 	const services = route.services.map(weighted => weighted.service);
-	const found = await streamOrigins.findOrigin(key, services, service);
+	const found = await streamOrigins.findOrigin(key, {services, likely: service, hasEvents: isContinued});
 	const isBegun = found.type === 'known' && (isContinued || found.by !== 'base');
 	if (isBegun && services.includes(found.origin.service)) {
 		return {
--- a/packages/entry/src/lib/stream-origins/create-origin-recorder.ts
+++ b/packages/entry/src/lib/stream-origins/create-origin-recorder.ts
@@ -5,6 +5,7 @@
 import type {StoredOrigin} from '../../adapter/stored-origin.js';
 import type {KeptOrigin} from './kept-origin.js';
 import type {OriginRecorder} from './origin-recorder.js';
+import type {StreamOrigin} from './stream-origin.js';
 
 /** The delay after the first failed write, in ms. It doubles with each further one. */
 const firstRetryDelayMs = 100;
@@ -21,6 +22,10 @@
 type Options = {
 	readonly host: string;
 	readonly store: Pick<OriginStore, 'readOrigins' | 'writeOrigins'>;
+	/** Makes sure that the store names the versions of these origins; resolves with whether it does. Called before each write. */
+	readonly nameVersions: (origins: readonly StreamOrigin[]) => Promise<boolean>;
+	/** Called when an origin is dropped because the host keeps too many. */
+	readonly onDropped: () => void;
 	/** The interval between two writes, in ms. */
 	readonly intervalMs: () => number;
 	readonly schedule: Schedule;
@@ -31,9 +36,17 @@
 type Waiter = {readonly resolve: (isRecorded: boolean) => void};
 
 /** Creates a recorder that has recorded nothing. One write is under way at a time; it holds all that the host keeps. */
-export const createOriginRecorder = ({host, store, intervalMs, schedule, now}: Options): OriginRecorder => {
+export const createOriginRecorder = ({host, store, nameVersions, onDropped, intervalMs, schedule, now}: Options): OriginRecorder => {
 	const kept = new LRUCache<string, KeptOrigin>({
-		max: maxRecorded, ttl: minTtlMs, ttlResolution: 0, perf: {now},
+		max: maxRecorded,
+		ttl: minTtlMs,
+		ttlResolution: 0,
+		perf: {now},
+		dispose(_value, _key, reason) {
+			if (reason === 'evict') {
+				onDropped();
+			}
+		},
 	});
 	/** The revision of this host's object; `undefined` before it was read, and after a write that may have been done or not. */
 	let revision: number | undefined;
@@ -76,6 +89,10 @@
 
 	/** Writes all that is kept; returns whether the store has it. */
 	const writeAll = async (): Promise<boolean> => {
+		if (!await nameVersions([...kept.values()].map(({origin}) => origin))) {
+			return false;
+		}
+
 		revision ??= await readOwn();
 		if (revision === undefined) {
 			return false;
--- a/packages/entry/src/lib/stream-origins/create-served-versions.ts
+++ b/packages/entry/src/lib/stream-origins/create-served-versions.ts
@@ -32,7 +32,9 @@
 			served = endpoints.filter(({isLeaving}) => !isLeaving);
 		},
 		findGone({service, version}) {
-			if (served.some(endpoint => endpoint.serves.includes(service) && versionOf(endpoint) === version)) {
+			const ofService = served.filter(endpoint => endpoint.serves.includes(service));
+			// Without any endpoint, the service is away as a whole, and may come back with this version.
+			if (ofService.length === 0 || ofService.some(endpoint => versionOf(endpoint) === version)) {
 				return undefined;
 			}
 
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -1,3 +1,4 @@
+import {groupBy} from '@deckwheel/core';
 import type {EventCounter} from '@deckwheel/host-kit';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {OriginStore} from '../../adapter/origin-store.js';
@@ -15,6 +16,7 @@
 import {planWriteInterval} from './plan-write-interval.js';
 import type {StreamOrigin} from './stream-origin.js';
 import type {StreamOrigins} from './stream-origins.js';
+import type {TakenUp} from './taken-up.js';
 import {toWireOrigin} from './to-wire-origin.js';
 import {untilTimeout} from './until-timeout.js';
 import {versionMemoryMs} from './version-memory-ms.js';
@@ -29,6 +31,9 @@
 /** Who may have stored the origin of an earlier attempt of a stream. */
 type EarlierAttempts = 'nobody' | 'this_host' | 'any_host';
 
+/** The shortest time between two reads of the store for take-ups, in ms: after the death of all hosts they come all at once, at all hosts. */
+const readGapMs = 100;
+
 type Options = {
 	/** The name of this host, the same over its restarts. */
 	readonly host: string;
@@ -64,6 +69,9 @@
 	const isRecent = (): boolean => now() - startedAt < versionMemoryMs;
 	const ledger = createVersionLedger({
 		store,
+		readGapMs,
+		schedule,
+		now,
 		onNamed(service, version) {
 			if (versions.hear(service, version, now() + versionMemoryMs)) {
 				tellOwn(service);
@@ -72,14 +80,33 @@
 		isSettled: (service, version) => !isRecent() && versions.isOnly(service, version),
 		isListed: versions.isListed,
 	});
+	const nameVersions = async (origins: readonly StreamOrigin[]): Promise<boolean> => {
+		for (const [service, ofService] of groupBy(origins, origin => origin.service)) {
+			for (const version of new Set(ofService.map(origin => origin.version))) {
+				if (await ledger.ensureNamed(service, version) === undefined) {
+					return false;
+				}
+			}
+		}
+
+		return true;
+	};
+
 	const recorder = createOriginRecorder({
-		host, store, intervalMs: () => planWriteInterval(peers.others().length + 1, writesPerSecond), schedule, now,
+		host, store, nameVersions, onDropped() {
+			counter.increment('dropped');
+		}, intervalMs: () => planWriteInterval(peers.others().length + 1, writesPerSecond), schedule, now,
 	});
-	const readAllOrigins = createSharedRead(store.readAllOrigins);
+	const readAllOrigins = createSharedRead(store.readAllOrigins, {gapMs: readGapMs, schedule, now});
+	/** When a peer last replied, and one that has been up for long, in monotonic ms. */
+	let repliedAt = Number.NEGATIVE_INFINITY;
+	let settledReplyAt = Number.NEGATIVE_INFINITY;
 	const exchange = createOriginExchange({
 		...peers,
 		table,
 		onReply(reply) {
+			repliedAt = now();
+			settledReplyAt = reply.isSettled ? now() : settledReplyAt;
 			for (const version of reply.versions) {
 				hear(version);
 			}
@@ -113,34 +140,46 @@
 		}
 	};
 
-	const findInStore = async (key: string, service: string): Promise<FoundOrigin> => {
-		const found = await findStoredOrigin(key, service, {ledger, readAllOrigins});
+	const findInStore = async (key: string, services: readonly string[], likely: string): Promise<FoundOrigin> => {
+		const found = await findStoredOrigin(key, {services, likely}, {ledger, readAllOrigins});
 		counter.increment(found.type === 'known' ? `found_by_${found.by}` : found.type);
 		return found;
 	};
 
-	const findElsewhere = async (key: string, services: readonly string[], likely: string): Promise<FoundOrigin> => {
-		// A host that has just started does not know of versions that served before; one that lags, of those that came since.
-		if (isRecent() && !await ledger.ensureRead()) {
-			counter.increment('unreadable');
-			return {type: 'unreadable'};
+	/**
+	Makes sure that this host knows of all versions whose streams may be taken up, after it asked peers at `askedAt`. A host that has just started
+	does not know of versions that served before; one that lags, and reaches nobody, of those that came since.
+	*/
+	const ensureVersionsKnown = async (askedAt: number): Promise<boolean> => {
+		if (isRecent()) {
+			return settledReplyAt >= askedAt || ledger.ensureRead();
 		}
 
+		return peers.others().length === 0 || repliedAt >= askedAt || await ledger.readAgain() !== undefined;
+	};
+
+	const findElsewhere = async (key: string, {services, likely, hasEvents}: TakenUp): Promise<FoundOrigin> => {
 		const isMixed = (): boolean => services.some(service => versions.isMixed(service));
+		const askedAt = now();
 		const near = isMixed() ? undefined : await exchange.ask(key, isRecent() ? 'all_halls' : 'own_hall');
+		if (!isMixed() && !await ensureVersionsKnown(askedAt)) {
+			counter.increment('unreadable');
+			return {type: 'unreadable'};
+		}
+
 		if (!isMixed()) {
 			return {type: 'single'};
 		}
 
 		const found = near ?? await exchange.ask(key, 'all_halls');
-		if (!found) {
-			return findInStore(key, likely);
+		if (found) {
+			counter.increment('found');
+			return {
+				type: 'known', origin: found.kept.origin, by: 'peer', from: found.from, ageMs: now() - found.kept.notedAt,
+			};
 		}
 
-		counter.increment('found');
-		return {
-			type: 'known', origin: found.kept.origin, by: 'peer', from: found.from, ageMs: now() - found.kept.notedAt,
-		};
+		return hasEvents ? findInStore(key, services, likely) : {type: 'unknown'};
 	};
 
 	/** Whether the store need not have the origin of a stream, because it is that of all streams of which it has none. `earlier`: who may have stored the origin of an earlier attempt. */
@@ -151,8 +190,9 @@
 	};
 
 	const storeOrigin = async (kept: KeptOrigin, earlier: EarlierAttempts): Promise<boolean> => {
-		if (await ledger.ensureNamed(kept.origin.service, kept.origin.version) === undefined) {
-			return false;
+		// While the store takes no writes, the recorder tries again for all.
+		if (!recorder.isAway()) {
+			await ledger.ensureNamed(kept.origin.service, kept.origin.version);
 		}
 
 		if (isUnderstood(kept.origin, earlier)) {
@@ -201,13 +241,13 @@
 			table.endOwn(key);
 			recorder.end(key);
 		},
-		async findOrigin(key, services, likely) {
+		async findOrigin(key, takenUp) {
 			const kept = table.get(key);
 			return kept
 				? {
 					type: 'known', origin: kept.origin, by: 'own', ageMs: now() - kept.notedAt,
 				}
-				: findElsewhere(key, services, likely);
+				: findElsewhere(key, takenUp);
 		},
 		preferredVersion: service => recorder.isAway() ? ledger.trusted(service)?.base : undefined,
 		findGone: served.findGone,
@@ -220,6 +260,7 @@
 			return {
 				known: asked.map(key => table.get(key)).filter(kept => kept !== undefined).map(kept => toWireOrigin(kept, now())),
 				versions: versions.mixed().map(({service, version, until}) => ({service, version, keepMs: until - now()})),
+				isSettled: !isRecent(),
 			};
 		},
 		close: recorder.close,
--- a/packages/entry/src/lib/stream-origins/create-version-ledger.ts
+++ b/packages/entry/src/lib/stream-origins/create-version-ledger.ts
@@ -1,4 +1,5 @@
 import type {OriginStore} from '../../adapter/origin-store.js';
+import type {Schedule} from '../../adapter/schedule.js';
 import type {ServiceVersions} from '../../adapter/service-versions.js';
 import type {StoredVersions} from '../../adapter/stored-versions.js';
 import {createSharedRead} from './create-shared-read.js';
@@ -11,6 +12,11 @@
 
 type Options = {
 	readonly store: Pick<OriginStore, 'readVersions' | 'writeVersions'>;
+	/** The shortest time between two reads for take-ups, in ms. */
+	readonly readGapMs: number;
+	readonly schedule: Schedule;
+	/** Monotonic ms. */
+	readonly now: () => number;
 	/** Called with each version that is stored, when this host first reads of it. */
 	readonly onNamed: (service: string, version: string) => void;
 	/** Whether no stream of another version of the service can be taken up any more, as far as this host knows. */
@@ -28,7 +34,7 @@
 const nameOf = (service: string, version: string): string => JSON.stringify([service, version]);
 
 /** Creates a ledger that has read nothing. */
-export const createVersionLedger = ({store, onNamed, isSettled, isListed}: Options): VersionLedger & {readonly noteListed: () => void} => {
+export const createVersionLedger = ({store, readGapMs, schedule, now, onNamed, isSettled, isListed}: Options): VersionLedger & {readonly noteListed: () => void} => {
 	let stored: StoredVersions | undefined;
 	/** What was stored before the store was restored, to be stored again. */
 	let beforeRestore: StoredVersions | undefined;
@@ -80,7 +86,10 @@
 	const readNow = createSharedRead(async () => {
 		const read = await store.readVersions();
 		return read && takeInMerged(read);
-	});
+	}, {gapMs: 0, schedule, now});
+
+	/** For take-ups, which may come all at once. */
+	const readRecently = createSharedRead(readNow, {gapMs: readGapMs, schedule, now});
 
 	const write = async (next: StoredVersions, service: string, version: string): Promise<StoredVersions | undefined> => {
 		// This host sends there, so it need not be told of the version.
@@ -111,7 +120,7 @@
 		noteListed,
 		ensureRead: async () => stored !== undefined || await readNow() !== undefined,
 		async readAgain() {
-			const read = await readNow();
+			const read = await readRecently();
 			return read && {of: service => find(read, service)};
 		},
 		async ensureNamed(service, version) {
--- a/packages/entry/src/lib/stream-origins/find-stored-origin.ts
+++ b/packages/entry/src/lib/stream-origins/find-stored-origin.ts
@@ -1,6 +1,7 @@
 import type {OriginStore} from '../../adapter/origin-store.js';
 import type {StoredOrigin} from '../../adapter/stored-origin.js';
 import type {FoundOrigin} from './found-origin.js';
+import type {TakenUp} from './taken-up.js';
 import type {VersionLedger} from './version-ledger.js';
 
 type Options = {
@@ -19,32 +20,26 @@
 	return latest;
 };
 
-/**
-Finds in the store where a stream began, which outlives all hosts.
-
-@param service The service at which the stream began if its origin is not stored.
-*/
-export const findStoredOrigin = async (key: string, service: string, {ledger, readAllOrigins}: Options): Promise<FoundOrigin> => {
+/** Finds in the store where a stream began, which outlives all hosts. */
+export const findStoredOrigin = async (key: string, {services, likely}: Pick<TakenUp, 'services' | 'likely'>, {ledger, readAllOrigins}: Options): Promise<FoundOrigin> => {
 	const versions = await ledger.readAgain();
-	const stored = versions?.of(service);
 	if (versions === undefined) {
 		return {type: 'unreadable'};
 	}
 
-	if (stored === undefined) {
-		return {type: 'unknown'};
-	}
-
-	const base: FoundOrigin = {type: 'known', origin: {service, version: stored.base, attempt: 0}, by: 'base'};
-	if (stored.versions.length === 1) {
-		return base;
-	}
-
-	const origins = await readAllOrigins();
-	if (origins === undefined) {
-		return {type: 'unreadable'};
+	// Shares of a route may have changed since the stream began, so it may be of any service.
+	if (services.some(service => (versions.of(service)?.versions.length ?? 0) > 1)) {
+		const origins = await readAllOrigins();
+		if (origins === undefined) {
+			return {type: 'unreadable'};
+		}
+
+		const found = latestOf(origins.filter(origin => origin.key === key));
+		if (found) {
+			return {type: 'known', origin: {service: found.service, version: found.version, attempt: found.attempt}, by: 'store'};
+		}
 	}
 
-	const found = latestOf(origins.filter(origin => origin.key === key));
-	return found ? {type: 'known', origin: {service: found.service, version: found.version, attempt: found.attempt}, by: 'store'} : base;
+	const stored = versions.of(likely);
+	return stored ? {type: 'known', origin: {service: likely, version: stored.base, attempt: 0}, by: 'base'} : {type: 'unknown'};
 };
--- a/packages/entry/src/lib/stream-origins/served-versions.ts
+++ b/packages/entry/src/lib/stream-origins/served-versions.ts
@@ -5,7 +5,7 @@
 export type ServedVersions = {
 	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
 	/**
-	Tells whether the version that began a stream takes no requests any more; `undefined` while it does. `retryAt` is set, in monotonic ms,
+	Tells whether the version that began a stream takes no requests any more, while another one does; `undefined` otherwise. `retryAt` is set, in monotonic ms,
 	while endpoints of it may still come back to the list.
 	*/
 	readonly findGone: (origin: Pick<StreamOrigin, 'service' | 'version'>) => {readonly retryAt: number | undefined} | undefined;
--- a/packages/entry/src/lib/stream-origins/stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/stream-origins.ts
@@ -1,5 +1,6 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {FoundOrigin} from './found-origin.js';
+import type {TakenUp} from './taken-up.js';
 import type {SentStream} from './sent-stream.js';
 import type {ServedVersions} from './served-versions.js';
 import type {OriginsMessage} from './wire/origins-message.js';
@@ -17,10 +18,9 @@
 	/** Notes that the caller has the whole stream, so that nobody takes it up. */
 	readonly noteWhole: (key: string) => void;
 	/**
-	Finds the origin of a stream of one of these services. `likely` is the service that the stream began at unless another origin is known.
-	Takes no longer than a peer and the store may take to reply.
+	Finds the origin of a stream. Takes no longer than a peer and the store may take to reply.
 	*/
-	readonly findOrigin: (key: string, services: readonly string[], likely: string) => Promise<FoundOrigin>;
+	readonly findOrigin: (key: string, takenUp: TakenUp) => Promise<FoundOrigin>;
 	/**
 	The version to which new streams of a service are best sent: its base while the store takes no origins, since those of the base need not be
 	stored. `undefined` where any will do.
--- a/packages/entry/src/test/create-shared-read.test.ts
+++ b/packages/entry/src/test/create-shared-read.test.ts
@@ -1,6 +1,8 @@
 /** Guards against callers who get what was read before they asked, and against a read for each of them. */
 import test from 'ava';
+import {scheduleByTimer} from '../lib/host/schedule-by-timer.js';
 import {createSharedRead} from '../lib/stream-origins/create-shared-read.js';
+import {createManualClock} from './lib/create-manual-clock.js';
 
 /** A read that ends when the test says so, with its number. */
 const startReads = () => {
@@ -18,7 +20,7 @@
 		});
 		underWay--;
 		return number;
-	});
+	}, {gapMs: 0, schedule: scheduleByTimer, now: () => 0});
 	const flush = async (): Promise<void> => new Promise(resolve => {
 		setImmediate(resolve);
 	});
@@ -55,7 +57,22 @@
 		}
 
 		return reads;
-	});
+	}, {gapMs: 0, schedule: scheduleByTimer, now: () => 0});
 	await t.throwsAsync(read(), {message: 'no answer'});
 	t.is(await read(), 2);
 });
+
+test('reads that callers share begin more often than once in the gap, or a caller gets one that began before the call', async t => {
+	const clock = createManualClock();
+	let reads = 0;
+	const read = createSharedRead(async () => reads++, {gapMs: 100, schedule: clock.schedule, now: clock.now});
+	t.is(await read(), 0);
+	const others = Promise.all([read(), read()]);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	clock.advance(99);
+	t.is(reads, 1);
+	clock.advance(1);
+	t.deepEqual(await others, [1, 1]);
+});
--- a/packages/entry/src/test/create-version-ledger.test.ts
+++ b/packages/entry/src/test/create-version-ledger.test.ts
@@ -1,6 +1,7 @@
 /** Guards against a base version in the store that is not the one at which the streams without a stored origin began. */
 import test from 'ava';
 import type {ServiceVersions} from '../adapter/service-versions.js';
+import {scheduleByTimer} from '../lib/host/schedule-by-timer.js';
 import {createVersionLedger} from '../lib/stream-origins/create-version-ledger.js';
 import {mergeRestoredVersions} from '../lib/stream-origins/merge-restored-versions.js';
 import {planServiceVersions} from '../lib/stream-origins/plan-service-versions.js';
@@ -13,6 +14,9 @@
 	const host = {isSettled: false, listed: ['v1', 'v2']};
 	const ledger = createVersionLedger({
 		store: faulty.store,
+		readGapMs: 0,
+		schedule: scheduleByTimer,
+		now: () => 0,
 		onNamed(service, version) {
 			named.push(`${service} ${version}`);
 		},
