What the store keeps of streams is a part of its own

Moved, behaviour as before: stream-origins/stored/ has the ledger of versions, the recorder and the search; createStreamOrigins keeps what hosts tell each other.

--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -1,39 +1,22 @@
-import {groupBy} from '@deckwheel/core';
 import type {EventCounter} from '@deckwheel/host-kit';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {OriginStore} from '../../adapter/origin-store.js';
 import type {Schedule} from '../../adapter/schedule.js';
 import {createOriginExchange} from './create-origin-exchange.js';
-import {createOriginRecorder} from './create-origin-recorder.js';
 import {createOriginTable} from './create-origin-table.js';
 import {createServedVersions} from './create-served-versions.js';
 import {createServiceVersions} from './create-service-versions.js';
-import {createSharedRead} from './create-shared-read.js';
-import {createVersionLedger} from './create-version-ledger.js';
-import {findStoredOrigin} from './find-stored-origin.js';
+import {createStoredStreams} from './stored/create-stored-streams.js';
 import type {FoundOrigin} from './found-origin.js';
-import type {KeptOrigin} from './kept-origin.js';
-import {planWriteInterval} from './plan-write-interval.js';
-import type {StreamOrigin} from './stream-origin.js';
 import type {StreamOrigins} from './stream-origins.js';
 import type {TakenUp} from './taken-up.js';
 import {toWireOrigin} from './to-wire-origin.js';
-import {untilTimeout} from './until-timeout.js';
 import {versionMemoryMs} from './version-memory-ms.js';
 import type {OriginsMessage} from './wire/origins-message.js';
 import type {OriginsReply} from './wire/origins-reply.js';
 import type {WireOrigin} from './wire/wire-origin.js';
 import type {WireVersion} from './wire/wire-version.js';
 
-/** How long the first event of a stream waits for the store to have its origin, in ms: beyond that, callers lose more by the wait than by the risk that all hosts die. */
-const maxRecordWaitMs = 500;
-
-/** Who may have stored the origin of an earlier attempt of a stream. */
-type EarlierAttempts = 'nobody' | 'this_host' | 'any_host';
-
-/** The shortest time between two reads of the store for take-ups, in ms: after the death of all hosts they come all at once, at all hosts. */
-const readGapMs = 100;
-
 type Options = {
 	/** The name of this host, the same over its restarts. */
 	readonly host: string;
@@ -57,8 +40,7 @@
 told, when it is sent, to two hosts of each hall (`createOriginExchange`); streams that were under way when the second version came are told
 then. A host at which a caller takes a stream up asks these hosts.
 
-What must outlive all hosts is in the store: the base version of each service, at which every stream began whose origin is not stored, and
-the origins of streams of other versions (`createOriginRecorder`). A service with one version costs one read in a host's life.
+What must outlive all hosts is in the store (`createStoredStreams`). A service with one version costs one read in a host's life.
 */
 export const createStreamOrigins = ({host, store, writesPerSecond, schedule, counter, now, ...peers}: Options): StreamOrigins => {
 	const table = createOriginTable(now);
@@ -67,11 +49,11 @@
 	const startedAt = now();
 	/** Whether versions that nobody lists any more may have streams of which this host was not told: it started a short time ago. */
 	const isRecent = (): boolean => now() - startedAt < versionMemoryMs;
-	const ledger = createVersionLedger({
+	const stored = createStoredStreams({
+		host,
 		store,
-		readGapMs,
-		schedule,
-		now,
+		hostCount: () => peers.others().length + 1,
+		writesPerSecond,
 		onNamed(service, version) {
 			if (versions.hear(service, version, now() + versionMemoryMs)) {
 				tellOwn(service);
@@ -79,25 +61,10 @@
 		},
 		isSettled: (service, version) => !isRecent() && versions.isOnly(service, version),
 		isListed: versions.isListed,
+		schedule,
+		counter,
+		now,
 	});
-	const nameVersions = async (origins: readonly StreamOrigin[]): Promise<boolean> => {
-		for (const [service, ofService] of groupBy(origins, origin => origin.service)) {
-			for (const version of new Set(ofService.map(origin => origin.version))) {
-				if (await ledger.ensureNamed(service, version) === undefined) {
-					return false;
-				}
-			}
-		}
-
-		return true;
-	};
-
-	const recorder = createOriginRecorder({
-		host, store, nameVersions, onDropped() {
-			counter.increment('dropped');
-		}, intervalMs: () => planWriteInterval(peers.others().length + 1, writesPerSecond), schedule, now,
-	});
-	const readAllOrigins = createSharedRead(store.readAllOrigins, {gapMs: readGapMs, schedule, now});
 	/** When a peer last replied, and one that has been up for long, in monotonic ms. */
 	let repliedAt = Number.NEGATIVE_INFINITY;
 	let settledReplyAt = Number.NEGATIVE_INFINITY;
@@ -140,22 +107,16 @@
 		}
 	};
 
-	const findInStore = async (key: string, services: readonly string[], likely: string): Promise<FoundOrigin> => {
-		const found = await findStoredOrigin(key, {services, likely}, {ledger, readAllOrigins});
-		counter.increment(found.type === 'known' ? `found_by_${found.by}` : found.type);
-		return found;
-	};
-
 	/**
 	Makes sure that this host knows of all versions whose streams may be taken up, after it asked peers at `askedAt`. A host that has just started
 	does not know of versions that served before; one that lags, and reaches nobody, of those that came since.
 	*/
 	const ensureVersionsKnown = async (askedAt: number): Promise<boolean> => {
 		if (isRecent()) {
-			return settledReplyAt >= askedAt || ledger.ensureRead();
+			return settledReplyAt >= askedAt || stored.ensureRead();
 		}
 
-		return peers.others().length === 0 || repliedAt >= askedAt || await ledger.readAgain() !== undefined;
+		return peers.others().length === 0 || repliedAt >= askedAt || await stored.readAgain() !== undefined;
 	};
 
 	const findElsewhere = async (key: string, {services, likely, hasEvents}: TakenUp): Promise<FoundOrigin> => {
@@ -179,49 +140,14 @@
 			};
 		}
 
-		return hasEvents ? findInStore(key, services, likely) : {type: 'unknown'};
-	};
-
-	/** Whether the store need not have the origin of a stream, because it is that of all streams of which it has none. `earlier`: who may have stored the origin of an earlier attempt. */
-	const isUnderstood = ({service, version}: StreamOrigin, earlier: EarlierAttempts): boolean => {
-		const stored = ledger.trusted(service);
-		const isFirst = earlier === 'nobody' || (earlier === 'any_host' && stored?.versions.length === 1);
-		return stored?.base === version && isFirst;
-	};
-
-	const storeOrigin = async (kept: KeptOrigin, earlier: EarlierAttempts): Promise<boolean> => {
-		// While the store takes no writes, the recorder tries again for all.
-		if (!recorder.isAway()) {
-			await ledger.ensureNamed(kept.origin.service, kept.origin.version);
-		}
-
-		if (isUnderstood(kept.origin, earlier)) {
-			recorder.drop(kept);
-			return true;
-		}
-
-		return recorder.write();
-	};
-
-	const recordOrigin = async (kept: KeptOrigin, isTakeUp: boolean): Promise<void> => {
-		const earlierElsewhere = isTakeUp ? 'any_host' : 'nobody';
-		const earlier: EarlierAttempts = recorder.has(kept.key) ? 'this_host' : earlierElsewhere;
-		if (isUnderstood(kept.origin, earlier)) {
-			return;
-		}
-
-		// Kept before anything is awaited, so that a later attempt finds it.
-		recorder.keep(kept);
-		if (!await untilTimeout(storeOrigin(kept, earlier), maxRecordWaitMs, schedule)) {
-			counter.increment('unrecorded');
-		}
+		return hasEvents ? stored.find(key, services, likely) : {type: 'unknown'};
 	};
 
 	return {
 		list(endpoints) {
 			served.list(endpoints);
 			const mixed = versions.list(endpoints);
-			ledger.noteListed();
+			stored.noteListed();
 			for (const service of mixed) {
 				tellOwn(service);
 			}
@@ -233,13 +159,13 @@
 			};
 			table.keepOwn(kept);
 			await Promise.all([
-				recordOrigin(kept, sent.isTakeUp),
+				stored.record(kept, sent.isTakeUp),
 				versions.isMixed(origin.service) ? exchange.tell([kept]) : undefined,
 			]);
 		},
 		noteWhole(key) {
 			table.endOwn(key);
-			recorder.end(key);
+			stored.end(key);
 		},
 		async findOrigin(key, takenUp) {
 			const kept = table.get(key);
@@ -249,12 +175,9 @@
 				}
 				: findElsewhere(key, takenUp);
 		},
-		preferredVersion: service => recorder.isAway() ? ledger.trusted(service)?.base : undefined,
+		preferredVersion: stored.preferredVersion,
 		findGone: served.findGone,
-		noteRestored() {
-			ledger.noteRestored();
-			recorder.noteRestored();
-		},
+		noteRestored: stored.noteRestored,
 		answerOrigins({told, asked}) {
 			takeInAll(told);
 			return {
@@ -263,6 +186,6 @@
 				isSettled: !isRecent(),
 			};
 		},
-		close: recorder.close,
+		close: stored.close,
 	};
 };
--- a/packages/entry/src/lib/stream-origins/create-origin-recorder.ts
+++ b/packages/entry/src/lib/stream-origins/stored/create-origin-recorder.ts
@@ -1,11 +1,11 @@
 import {doublingDelay} from '@deckwheel/core';
 import {LRUCache} from 'lru-cache';
-import type {OriginStore} from '../../adapter/origin-store.js';
-import type {Schedule} from '../../adapter/schedule.js';
-import type {StoredOrigin} from '../../adapter/stored-origin.js';
-import type {KeptOrigin} from './kept-origin.js';
+import type {OriginStore} from '../../../adapter/origin-store.js';
+import type {Schedule} from '../../../adapter/schedule.js';
+import type {StoredOrigin} from '../../../adapter/stored-origin.js';
+import type {KeptOrigin} from '../kept-origin.js';
+import type {StreamOrigin} from '../stream-origin.js';
 import type {OriginRecorder} from './origin-recorder.js';
-import type {StreamOrigin} from './stream-origin.js';
 
 /** The delay after the first failed write, in ms. It doubles with each further one. */
 const firstRetryDelayMs = 100;
--- a/packages/entry/src/lib/stream-origins/create-shared-read.ts
+++ b/packages/entry/src/lib/stream-origins/stored/create-shared-read.ts
@@ -1,4 +1,4 @@
-import type {Schedule} from '../../adapter/schedule.js';
+import type {Schedule} from '../../../adapter/schedule.js';
 
 type Options = {
 	/** The shortest time between the beginnings of two reads, in ms. */
--- a/packages/entry/src/lib/stream-origins/create-version-ledger.ts
+++ b/packages/entry/src/lib/stream-origins/stored/create-version-ledger.ts
@@ -1,7 +1,7 @@
-import type {OriginStore} from '../../adapter/origin-store.js';
-import type {Schedule} from '../../adapter/schedule.js';
-import type {ServiceVersions} from '../../adapter/service-versions.js';
-import type {StoredVersions} from '../../adapter/stored-versions.js';
+import type {OriginStore} from '../../../adapter/origin-store.js';
+import type {Schedule} from '../../../adapter/schedule.js';
+import type {ServiceVersions} from '../../../adapter/service-versions.js';
+import type {StoredVersions} from '../../../adapter/stored-versions.js';
 import {createSharedRead} from './create-shared-read.js';
 import {mergeRestoredVersions} from './merge-restored-versions.js';
 import {planServiceVersions} from './plan-service-versions.js';
--- a/packages/entry/src/lib/stream-origins/find-stored-origin.ts
+++ b/packages/entry/src/lib/stream-origins/stored/find-stored-origin.ts
@@ -1,7 +1,7 @@
-import type {OriginStore} from '../../adapter/origin-store.js';
-import type {StoredOrigin} from '../../adapter/stored-origin.js';
-import type {FoundOrigin} from './found-origin.js';
-import type {TakenUp} from './taken-up.js';
+import type {OriginStore} from '../../../adapter/origin-store.js';
+import type {StoredOrigin} from '../../../adapter/stored-origin.js';
+import type {FoundOrigin} from '../found-origin.js';
+import type {TakenUp} from '../taken-up.js';
 import type {VersionLedger} from './version-ledger.js';
 
 type Options = {
--- a/packages/entry/src/lib/stream-origins/merge-restored-versions.ts
+++ b/packages/entry/src/lib/stream-origins/stored/merge-restored-versions.ts
@@ -1,4 +1,4 @@
-import type {ServiceVersions} from '../../adapter/service-versions.js';
+import type {ServiceVersions} from '../../../adapter/service-versions.js';
 
 /**
 Merges what a restored store holds of versions with what this host knew before, and returns `undefined` where nothing is lost. Pure.
--- a/packages/entry/src/lib/stream-origins/origin-recorder.ts
+++ b/packages/entry/src/lib/stream-origins/stored/origin-recorder.ts
@@ -1,4 +1,4 @@
-import type {KeptOrigin} from './kept-origin.js';
+import type {KeptOrigin} from '../kept-origin.js';
 
 /** Keeps the origins of this host's own streams in the store, with those of its earlier lives. */
 export type OriginRecorder = {
--- a/packages/entry/src/lib/stream-origins/plan-service-versions.ts
+++ b/packages/entry/src/lib/stream-origins/stored/plan-service-versions.ts
@@ -1,4 +1,4 @@
-import type {ServiceVersions} from '../../adapter/service-versions.js';
+import type {ServiceVersions} from '../../../adapter/service-versions.js';
 
 type Known = {
 	readonly service: string;
--- a/packages/entry/src/lib/stream-origins/until-timeout.ts
+++ b/packages/entry/src/lib/stream-origins/stored/until-timeout.ts
@@ -1,4 +1,4 @@
-import type {Schedule} from '../../adapter/schedule.js';
+import type {Schedule} from '../../../adapter/schedule.js';
 
 /** Resolves with what a promise resolves with, or with `undefined` after a time in ms, whichever comes first. */
 export const untilTimeout = async <T>(promise: Promise<T>, timeoutMs: number, schedule: Schedule): Promise<T | undefined> => {
--- a/packages/entry/src/lib/stream-origins/version-ledger.ts
+++ b/packages/entry/src/lib/stream-origins/stored/version-ledger.ts
@@ -1,4 +1,4 @@
-import type {ServiceVersions} from '../../adapter/service-versions.js';
+import type {ServiceVersions} from '../../../adapter/service-versions.js';
 
 /** What a host knows of the versions that the store holds. */
 export type VersionLedger = {
--- a/packages/entry/src/test/create-origin-recorder.test.ts
+++ b/packages/entry/src/test/create-origin-recorder.test.ts
@@ -1,7 +1,7 @@
 /** Guards against origins of streams that the store lacks after the death of all hosts, and against writes that the store need not take. */
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
-import {createOriginRecorder} from '../lib/stream-origins/create-origin-recorder.js';
+import {createOriginRecorder} from '../lib/stream-origins/stored/create-origin-recorder.js';
 import type {KeptOrigin} from '../lib/stream-origins/kept-origin.js';
 import {createFaultyOriginStore, type FaultyOriginStore} from './lib/create-faulty-origin-store.js';
 import {createManualClock} from './lib/create-manual-clock.js';
--- a/packages/entry/src/test/create-shared-read.test.ts
+++ b/packages/entry/src/test/create-shared-read.test.ts
@@ -1,7 +1,7 @@
 /** Guards against callers who get what was read before they asked, and against a read for each of them. */
 import test from 'ava';
 import {scheduleByTimer} from '../lib/host/schedule-by-timer.js';
-import {createSharedRead} from '../lib/stream-origins/create-shared-read.js';
+import {createSharedRead} from '../lib/stream-origins/stored/create-shared-read.js';
 import {createManualClock} from './lib/create-manual-clock.js';
 
 /** A read that ends when the test says so, with its number. */
--- a/packages/entry/src/test/create-version-ledger.test.ts
+++ b/packages/entry/src/test/create-version-ledger.test.ts
@@ -2,9 +2,9 @@
 import test from 'ava';
 import type {ServiceVersions} from '../adapter/service-versions.js';
 import {scheduleByTimer} from '../lib/host/schedule-by-timer.js';
-import {createVersionLedger} from '../lib/stream-origins/create-version-ledger.js';
-import {mergeRestoredVersions} from '../lib/stream-origins/merge-restored-versions.js';
-import {planServiceVersions} from '../lib/stream-origins/plan-service-versions.js';
+import {createVersionLedger} from '../lib/stream-origins/stored/create-version-ledger.js';
+import {mergeRestoredVersions} from '../lib/stream-origins/stored/merge-restored-versions.js';
+import {planServiceVersions} from '../lib/stream-origins/stored/plan-service-versions.js';
 import {createFaultyOriginStore, type FaultyOriginStore} from './lib/create-faulty-origin-store.js';
 
 const versionsOf = (base: string, ...others: readonly string[]): ServiceVersions => ({service: 's', base, versions: [base, ...others]});
--- a/packages/entry/src/test/find-stored-origin.test.ts
+++ b/packages/entry/src/test/find-stored-origin.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import type {ServiceVersions} from '../adapter/service-versions.js';
 import type {StoredOrigin} from '../adapter/stored-origin.js';
-import {findStoredOrigin} from '../lib/stream-origins/find-stored-origin.js';
+import {findStoredOrigin} from '../lib/stream-origins/stored/find-stored-origin.js';
 
 const stored = (key: string, version: string, attempt: number): StoredOrigin => ({
 	key, service: 's', version, attempt, keepMs: 1000,
--- a/packages/entry/src/test/plan-write-interval.test.ts
+++ b/packages/entry/src/test/plan-write-interval.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {planWriteInterval} from '../lib/stream-origins/plan-write-interval.js';
+import {planWriteInterval} from '../lib/stream-origins/stored/plan-write-interval.js';
 
 /** The longest that callers wait for a write, in ms. */
 const longestMs = 400;
