A host goes on without its log

Callers saw their requests break off at a host whose log had lost its reader, or whose disk was full: the process ended with code 1 at its next line.

Cause: nothing listened for errors of standard output, and an 'error' event without a listener ends a process. The same holds for standard error, to which the runtime writes, and for deckwheeld, whose log transport writes to the streams of the process.

Change: the logs listen for errors of both streams and ignore them.

--- a/packages/daemon/src/lib/process/create-log.ts
+++ b/packages/daemon/src/lib/process/create-log.ts
@@ -1,4 +1,5 @@
-import {formatLogLine, type LogFields} from '@deckwheel/host-kit';
+import process from 'node:process';
+import {formatLogLine, ignoreOutputErrors, type LogFields} from '@deckwheel/host-kit';
 import winston from 'winston';
 import type {Log} from './leveled-log.js';
 
@@ -8,6 +9,8 @@
 The entry host on a platform writes the same form of lines without winston (`createLineLog` in host-kit says why).
 */
 export const createLog = (level: string, common: LogFields): Log => {
+	// The transport writes to the streams of the process, and listens for no errors of theirs.
+	ignoreOutputErrors(process.stdout, process.stderr);
 	const line = winston.format.printf(({level: lineLevel, message, timestamp, ...fields}) =>
 		formatLogLine({
 			time: String(timestamp), level: lineLevel, event: String(message), ...fields as LogFields,
--- a/packages/host-kit/src/host-log-line.ts
+++ b/packages/host-kit/src/host-log-line.ts
@@ -4,8 +4,8 @@
 type HostLogEvent = {
 	/** Time of the event, in ISO 8601. */
 	readonly time: string;
-	/** The host that logs the event. */
-	readonly host: string;
+	/** The host that logs the event; `undefined` before it is known. */
+	readonly host: string | undefined;
 	readonly event: string;
 	readonly fields: LogFields;
 	/** Number of lines that were dropped since the last line that was written. */
--- a/packages/host-kit/src/index.ts
+++ b/packages/host-kit/src/index.ts
@@ -6,6 +6,7 @@
 export type {Framing} from './framing.js';
 export {framingOf} from './framing-of.js';
 export {hasCallerLeft} from './has-caller-left.js';
+export {ignoreOutputErrors} from './ignore-output-errors.js';
 export {listenAt} from './listen-at.js';
 export type {LogFields} from './log-fields.js';
 export {probeAddress} from './probe-address.js';
