A host whose port or address cannot be had tries again

Users saw processes that ended with code 1 half a second after a start: a port was still held by the process before, or the machine did not have its address yet.

Cause: an error of listen() was taken as one that no code expects. For callers and readiness it rejected the start; for peers the WebSocket server repeated it as an 'error' event without a listener. The server for readiness had no listener for errors later on either, so an error while it accepts a connection (EMFILE) would have ended the process as well; that case has no run.

Change: each listener tries again twice a second, with a line listen_failed each time, and without a limit. A limit would end the process, and the platform would start one that meets the same port: the line says the same and the host keeps its state, its links to peers and its log meanwhile. The start resolves after the first attempts, so the host can be stopped in order while it waits. It is ready only while it accepts connections of callers.

Evidence: the three tests of a taken port were red with EADDRINUSE and code 1, and are green: the process logs listen_failed, is not ready while the port for callers is taken, serves once the port is free and stops with code 0. The test of a missing address now logs EADDRNOTAVAIL and lives on; it stays in the list, since SIGTERM in that moment still meets a process that does not listen for it.

--- a/packages/entry/src/lib/host/create-caller-listener.ts
+++ b/packages/entry/src/lib/host/open-caller-listener.ts
@@ -1,22 +1,29 @@
 import type {Server} from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, type AddressInfo} from 'node:net';
 import {splitAddress} from '@deckwheel/core';
+import {untilTried} from '@deckwheel/host-kit';
 import type {Log} from '../../adapter/log.js';
 import type {CallerListener} from './caller-listener.js';
 
 type Options = {
-	/** The server for callers, which listens already. */
+	/** The server for callers, which does not listen yet. */
 	readonly server: Server;
-	/** The address at which it listens, as `ip:port`. */
+	/** The address at which it is to listen, as `ip:port`. */
 	readonly address: string;
 	/** How many requests are open. */
 	readonly open: () => number;
 	readonly log: Log;
 };
 
-/** Creates the listener of a server that accepts connections. */
-export const createCallerListener = ({server, address, open, log}: Options): CallerListener => {
-	let isListening = true;
+/**
+Opens the listener of a server that accepts connections. Resolves once it listens or has failed to for the first time; where it has failed,
+the next call of `setAccepting` tries again.
+*/
+export const openCallerListener = async ({server, address, open, log}: Options): Promise<CallerListener> => {
+	const {host, port: anyPort} = splitAddress(address);
+	/** The port, once the system has picked one. */
+	let port = anyPort;
+	let isListening = false;
 	let hasStopped = false;
 
 	const refuseConnections = (): void => {
@@ -26,21 +33,30 @@
 		NetServer.prototype.close.call(server);
 	};
 
-	const listenAgain = (): void => {
+	const listen = (): void => {
 		isListening = true;
-		const {host, port} = splitAddress(address);
 		server.listen(port, host);
 	};
 
-	server.on('listening', () => {
-		log('accepting', {accepting: true, open: open()});
-	});
+	const noteListening = (): void => {
+		({port} = server.address() as AddressInfo);
+		if (hasStopped) {
+			refuseConnections();
+		}
+	};
+
+	server.on('listening', noteListening);
 	server.on('error', error => {
-		// The next call of `setAccepting` tries again.
 		isListening = server.listening;
 		log('listen_failed', {address, error: error.message});
 	});
+	listen();
+	await untilTried(server);
+	server.on('listening', () => {
+		log('accepting', {accepting: true, open: open()});
+	});
 	return {
+		address: () => `${host}:${port}`,
 		isAccepting: () => isListening,
 		setAccepting(isAccepting) {
 			if (hasStopped || isAccepting === isListening) {
@@ -48,7 +64,7 @@
 			}
 
 			if (isAccepting) {
-				listenAgain();
+				listen();
 			} else {
 				refuseConnections();
 				log('accepting', {accepting: false, open: open()});
--- a/packages/entry/src/lib/host/servers.ts
+++ b/packages/entry/src/lib/host/servers.ts
@@ -2,7 +2,7 @@
 
 /** The two HTTP servers of a host: one for callers, and one at which the load balancer asks whether the host is ready. */
 export type Servers = {
-	/** The addresses at which the servers listen, as `ip:port`. */
+	/** The addresses at which the servers listen, or try to, as `ip:port`. */
 	readonly addresses: {readonly callers: string; readonly ready: string};
 	/** Applies the timeouts of the configuration to callers' connections. */
 	readonly setLimits: (limits: CallerLimits) => void;
--- a/packages/entry/src/lib/host/start-servers.ts
+++ b/packages/entry/src/lib/host/start-servers.ts
@@ -1,10 +1,10 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {httpStatus} from '@deckwheel/core';
-import {checkRequestChunks, listenAt} from '@deckwheel/host-kit';
+import {checkRequestChunks, keepListening} from '@deckwheel/host-kit';
 import type {Log} from '../../adapter/log.js';
 import type {CallerConnections} from './caller-connections.js';
-import {createCallerListener} from './create-caller-listener.js';
+import {openCallerListener} from './open-caller-listener.js';
 import type {RequestCounter} from './request-counter.js';
 import type {Servers} from './servers.js';
 
@@ -30,7 +30,10 @@
 	readonly closesAfter: (res: ServerResponse) => boolean;
 };
 
-/** Starts both servers, and resolves once they listen. */
+/**
+Starts both servers, and resolves once each of them listens or has failed to for the first time. A server that failed tries again, and
+the host is not ready until it accepts connections of callers.
+*/
 export const startServers = async ({listen, requestCounter, connections, onConnection, serve, isReady, closesAfter, log}: Options): Promise<Servers> => {
 	const callerServer = createServer({maxHeaderSize: maxHeaderBytes, keepAliveTimeout: initialKeepAliveMs, noDelay: true}, (req, res) => {
 		requestCounter.add(res);
@@ -52,15 +55,22 @@
 	checkRequestChunks(callerServer);
 	callerServer.on('connection', onConnection);
 	const readinessServer = createServer((_req, res) => {
-		res.writeHead(isReady() ? httpStatus.ok : httpStatus.serviceUnavailable, {'content-length': 0});
+		res.writeHead(callerServer.listening && isReady() ? httpStatus.ok : httpStatus.serviceUnavailable, {'content-length': 0});
 		res.end();
 	});
-	const [callersAddress, readyAddress] = await Promise.all([listenAt(callerServer, listen.callers), listenAt(readinessServer, listen.ready)]);
-	const listener = createCallerListener({
-		server: callerServer, address: callersAddress, open: requestCounter.count, log,
+	const readiness = keepListening(readinessServer, listen.ready, error => {
+		log('listen_failed', {address: listen.ready, error: error.message});
 	});
+	const [listener] = await Promise.all([
+		openCallerListener({
+			server: callerServer, address: listen.callers, open: requestCounter.count, log,
+		}),
+		readiness.tried,
+	]);
 	return {
-		addresses: {callers: callersAddress, ready: readyAddress},
+		get addresses() {
+			return {callers: listener.address(), ready: readiness.address()};
+		},
 		setLimits(limits) {
 			callerServer.keepAliveTimeout = limits.idleTimeoutMs;
 			callerServer.headersTimeout = limits.headerTimeoutMs;
@@ -75,7 +85,7 @@
 		kill() {
 			listener.kill();
 			readinessServer.closeAllConnections();
-			readinessServer.close();
+			readiness.close();
 		},
 	};
 };
--- a/packages/entry/src/lib/peers/create-registration.ts
+++ b/packages/entry/src/lib/peers/create-registration.ts
@@ -16,7 +16,7 @@
 	readonly directory: PeerDirectory;
 	/** This host, as peers find it. */
 	readonly self: () => ListedPeer;
-	/** Starts to listen for peers that know the secret. */
+	/** Starts to listen for peers that know the secret. Rejects where this host cannot listen. */
 	readonly listen: (secret: string) => Promise<void>;
 	/** Reads the listed hosts from the directory. Resolves with whether it answered. */
 	readonly readPeerList: () => Promise<boolean>;
@@ -54,6 +54,16 @@
 		}
 	};
 
+	const listenUntilOpen = async (secret: string): Promise<true | undefined> => retryUntilAnswered(async () => {
+		try {
+			await listen(secret);
+			return true;
+		} catch (error) {
+			log('listen_failed', {address: self().address, error: (error as Error).message});
+			return undefined;
+		}
+	});
+
 	// A read without an answer tells nothing of peers, so it is no reason to take this host for the only one.
 	const readUntilAnswered = async (): Promise<boolean> => await retryUntilAnswered(async () => await readPeerList() || undefined) ?? false;
 
@@ -73,7 +83,10 @@
 			}
 
 			// This host listens before it is listed, so that no peer finds it listed and cannot connect.
-			await listen(secret);
+			if (!await listenUntilOpen(secret)) {
+				return;
+			}
+
 			listeningSecret = secret;
 			isSettled = await register();
 			await sleep(lateReadDelayMs, undefined, {ref: false});
--- a/packages/mesh/src/open-mesh.ts
+++ b/packages/mesh/src/open-mesh.ts
@@ -25,7 +25,7 @@
 const upgradeRequiredStatus = 426;
 
 /**
-Listens for links and tunnels from peers, and keeps this host's links to them.
+Listens for links and tunnels from peers, and keeps this host's links to them. Rejects where the address cannot be had.
 
 @example
 const mesh = await openMesh({self, secret, listen: {host: '127.0.0.1', port: 0}, handlers});
@@ -39,6 +39,8 @@
 	const offers = createTunnelOffers();
 	const ends = createTunnelEnds(() => performance.now());
 	const tunnelPeers = new Set<Socket>();
+	// It repeats the errors of its HTTP server: one that cannot listen rejects below, and one that cannot accept a connection goes on.
+	server.on('error', () => undefined);
 	server.on('connection', (socket, req) => {
 		req.socket.setKeepAlive(true, keepAliveMs);
 		serveLink(socket, options);
