The line of a take-up names who showed that its service has one version

The line of a request said origin=single, and nothing of what that rested on: a peer's reply, the store, or no peer at all, and how old the host's list of endpoints was. It now has single_by and list_age_ms. The age is counted from the last proof that the list has all changes of the platform, in elapsed time, as that of the configuration is. No decision depends on it yet.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -25,6 +25,8 @@
 	readonly configUnread: (heardAt: number | undefined) => void;
 	/** Replaces the list of endpoints that the platform lists. */
 	readonly listEndpoints: (endpoints: readonly ListedEndpoint[]) => void;
+	/** Notes that the list has all changes that the platform made before the instant `at`, in elapsed ms. */
+	readonly endpointsConfirmed: (at: number) => void;
 	/** Replaces the set of evacuated halls. Their endpoints get no new requests; requests that already run there may finish. */
 	readonly evacuateHalls: (halls: ReadonlySet<string>) => void;
 	/** Notes that the platform's store was restored from an older copy, so that its latest writes may be lost. */
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -206,6 +206,7 @@
 		sendOrigins: async (peerAddress, message) => requestFromPeer(peerAddress, {type: 'origins', ...message}, originsReplySchema),
 		counter: createEventCounter('stream_origins', log),
 		now,
+		elapsed,
 	});
 	const registry = createChangeRegistry(elapsed);
 	const replies = createReplyTracker(now);
--- a/packages/entry/src/lib/request/origin-fields.ts
+++ b/packages/entry/src/lib/request/origin-fields.ts
@@ -9,6 +9,10 @@
 		return {begun_version: begunBy?.version};
 	}
 
+	if (origin.type === 'single') {
+		return {origin: origin.type, single_by: origin.by, list_age_ms: origin.listAgeMs === undefined ? undefined : Math.round(origin.listAgeMs)};
+	}
+
 	if (origin.type !== 'known') {
 		return {origin: origin.type};
 	}
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -2,6 +2,7 @@
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {OriginStore} from '../../adapter/origin-store.js';
 import type {Schedule} from '../../adapter/schedule.js';
+import {createListProof} from './create-list-proof.js';
 import {createOriginExchange} from './create-origin-exchange.js';
 import {createOriginTable} from './create-origin-table.js';
 import {createServedVersions} from './create-served-versions.js';
@@ -17,6 +18,8 @@
 import type {WireOrigin} from './wire/wire-origin.js';
 import type {WireVersion} from './wire/wire-version.js';
 
+type SingleProof = (FoundOrigin & {readonly type: 'single'})['by'];
+
 type Options = {
 	/** The name of this host, the same over its restarts. */
 	readonly host: string;
@@ -31,6 +34,8 @@
 	readonly counter: Pick<EventCounter, 'increment'>;
 	/** Monotonic ms. */
 	readonly now: () => number;
+	/** Elapsed ms, suspensions included. */
+	readonly elapsed: () => number;
 };
 
 /**
@@ -42,10 +47,11 @@
 
 What must outlive all hosts is in the store (`createStoredStreams`). A service with one version costs one read in a host's life.
 */
-export const createStreamOrigins = ({host, store, writesPerSecond, schedule, counter, now, ...peers}: Options): StreamOrigins => {
+export const createStreamOrigins = ({host, store, writesPerSecond, schedule, counter, now, elapsed, ...peers}: Options): StreamOrigins => {
 	const table = createOriginTable(now);
 	const versions = createServiceVersions(now);
 	const served = createServedVersions(now);
+	const listProof = createListProof(elapsed);
 	const startedAt = now();
 	/** Whether versions that nobody lists any more may have streams of which this host was not told: it started a short time ago. */
 	const isRecent = (): boolean => now() - startedAt < versionMemoryMs;
@@ -109,27 +115,41 @@
 
 	/**
 	Makes sure that this host knows of all versions whose streams may be taken up, after it asked peers at `askedAt`. A host that has just started
-	does not know of versions that served before; one that lags, and reaches nobody, of those that came since.
+	does not know of versions that served before; one that lags, and reaches nobody, of those that came since. Resolves with who showed it, and with
+	`undefined` where nobody could.
 	*/
-	const ensureVersionsKnown = async (askedAt: number): Promise<boolean> => {
+	const ensureVersionsKnown = async (askedAt: number): Promise<SingleProof | undefined> => {
 		if (isRecent()) {
-			return settledReplyAt >= askedAt || stored.ensureRead();
+			if (settledReplyAt >= askedAt) {
+				return 'peers';
+			}
+
+			return await stored.ensureRead() ? 'store' : undefined;
 		}
 
-		return peers.others().length === 0 || repliedAt >= askedAt || await stored.readAgain() !== undefined;
+		if (peers.others().length === 0) {
+			return 'nobody';
+		}
+
+		if (repliedAt >= askedAt) {
+			return 'peers';
+		}
+
+		return await stored.readAgain() === undefined ? undefined : 'store';
 	};
 
 	const findElsewhere = async (key: string, {services, likely, hasEvents}: TakenUp): Promise<FoundOrigin> => {
 		const isMixed = (): boolean => services.some(service => versions.isMixed(service));
 		const askedAt = now();
 		const near = isMixed() ? undefined : await exchange.ask(key, isRecent() ? 'all_halls' : 'own_hall');
-		if (!isMixed() && !await ensureVersionsKnown(askedAt)) {
-			counter.increment('unreadable');
-			return {type: 'unreadable'};
-		}
-
+		const by = isMixed() ? undefined : await ensureVersionsKnown(askedAt);
 		if (!isMixed()) {
-			return {type: 'single'};
+			if (by === undefined) {
+				counter.increment('unreadable');
+				return {type: 'unreadable'};
+			}
+
+			return {type: 'single', by, listAgeMs: listProof.ageMs()};
 		}
 
 		const found = near ?? await exchange.ask(key, 'all_halls');
@@ -152,6 +172,7 @@
 				tellOwn(service);
 			}
 		},
+		listConfirmed: listProof.confirm,
 		async noteSent(sent) {
 			const {key, origin, keepUntil} = sent;
 			const kept = {
--- a/packages/entry/src/lib/stream-origins/found-origin.ts
+++ b/packages/entry/src/lib/stream-origins/found-origin.ts
@@ -16,7 +16,13 @@
 		readonly ageMs?: number;
 	}
 	/** The services have one version each, so the stream may go on at any endpoint. */
-	| {readonly type: 'single'}
+	| {
+		readonly type: 'single';
+		/** Who showed that there is no other version, for the log: `peers`, `store`, or `nobody` where this host has no peers. */
+		readonly by: 'peers' | 'store' | 'nobody';
+		/** How long ago this host's list of endpoints was confirmed last, in ms; `undefined` where it never was. */
+		readonly listAgeMs?: number;
+	}
 	/** The services have several versions, and nobody knows which one began the stream. */
 	| {readonly type: 'unknown'}
 	/** The same, but the store, which may know, could not be read. */
--- a/packages/entry/src/lib/stream-origins/stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/stream-origins.ts
@@ -10,6 +10,8 @@
 export type StreamOrigins = {
 	/** Replaces the endpoints whose versions this host knows. */
 	readonly list: (endpoints: readonly ListedEndpoint[]) => void;
+	/** Notes that the list has all changes that the platform made before the instant `at`, in elapsed ms. */
+	readonly listConfirmed: (at: number) => void;
 	/**
 	Notes that an attempt of a stream is sent to an endpoint. Resolves once another host and the store keep the origin, or cannot in time, or
 	need not.
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -248,6 +248,7 @@
 		configConfirmed: configMonitor.confirm,
 		configUnread: configMonitor.noteUnread,
 		listEndpoints: listing.list,
+		endpointsConfirmed: peerTasks.streamOrigins.listConfirmed,
 		evacuateHalls(next) {
 			if (evacuatedHalls !== undefined && isDeepStrictEqual(next, evacuatedHalls)) {
 				return;
--- a/packages/entry/src/test/create-stream-origins.test.ts
+++ b/packages/entry/src/test/create-stream-origins.test.ts
@@ -31,6 +31,7 @@
 		},
 		counter: {increment: () => undefined},
 		now: () => time,
+		elapsed: () => time,
 	});
 	const send = async (key: string): Promise<void> => origins.noteSent({
 		key, origin: {service: 's', version: 'v1', attempt: 1}, keepUntil: time + 30_000, isTakeUp: false,
@@ -97,6 +98,7 @@
 			sendOrigins: async () => ({known: [], versions: [], isSettled}),
 			counter: {increment: () => undefined},
 			now: () => 1000,
+			elapsed: () => 1000,
 		});
 		origins.list(endpointsOf('v1'));
 		const found = await origins.findOrigin('a', {services: ['s'], likely: 's', hasEvents: true});
--- a/packages/entry/src/test/origins-in-the-store.test.ts
+++ b/packages/entry/src/test/origins-in-the-store.test.ts
@@ -33,6 +33,7 @@
 			},
 		},
 		now: clock.now,
+		elapsed: clock.now,
 	});
 	const pass = async (ms: number): Promise<void> => {
 		clock.advance(ms);
@@ -81,7 +82,9 @@
 		await pass(1000);
 		t.true(streams.every(({isReleased}) => isReleased));
 		origins.noteWhole(`${second}-0`);
-		t.deepEqual(await origins.findOrigin(`other ${second}`, {services: ['s'], likely: 's', hasEvents: true}), {type: 'single'});
+		t.deepEqual(await origins.findOrigin(`other ${second}`, {services: ['s'], likely: 's', hasEvents: true}), {
+			type: 'single', by: second < 59 ? 'store' : 'nobody', listAgeMs: undefined,
+		});
 		origins.list(endpointsOf('v1'));
 	}
 
--- a/packages/entry/src/test/stream-origins-model.test.ts
+++ b/packages/entry/src/test/stream-origins-model.test.ts
@@ -123,6 +123,7 @@
 			},
 			counter: {increment: () => undefined},
 			now,
+			elapsed: now,
 		});
 		return {
 			peer, origins, versions: [], lagsUntil: 0, isAlive: true, startedAt: now(),
