A service has one version only where hosts of all halls, with recent lists, say so

Callers saw: streams of a new software version that broke off, and were taken up at a host which was out of step with others of its hall, went on at the old version.

Cause: any reply of any peer counted as proof that this host knows all versions, and while a service had one version, only the own hall was asked. A peer that missed the same version replies too, and a reply held versions of a service only where the peer itself knew several. A host that had started within the last minute, and had once read the store, did not even need a reply.

Change: a take-up whose origin this host does not keep asks hosts of all halls at once, and for the versions of the services of its route. A reply says how long ago the peer's list of endpoints was confirmed. Hosts of an earlier release do not tell the age of their list, so that their replies prove nothing: the store is read while they are upgraded. The age is in elapsed ms, so it counts suspensions of the machine.

Why: a stream is told to hosts of each hall, and named in the store, before its first event; so a hall that replies has none that its hosts do not know of, and one that does not may have any.

In a calm fleet a take-up makes no call to the store as before, and where each hall has one host none instead of one. It sends up to 3 messages a hall in place of up to 3 in all, and waits for other halls: a round trip between halls, where it waited for one within its own.

--- a/packages/entry/src/adapter/bounds.ts
+++ b/packages/entry/src/adapter/bounds.ts
@@ -23,6 +23,11 @@
 	};
 	/** Within what time a change of the configuration must take effect, in ms; `undefined` where no bound is set. */
 	readonly configApplyMs?: number;
+	/**
+	Within what time a host confirms its list of endpoints again while the platform's store answers, in ms. What peers say of software versions
+	counts while their lists are no older. By default 5 s.
+	*/
+	readonly endpointsConfirmMs?: number;
 	/** The writes a second that the platform's store accepts of all hosts together. */
 	readonly storeWritesPerSecond: number;
 	/** The longest delay with which a host may relay an event of a stream, in ms. */
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -50,6 +50,8 @@
 	readonly rightsStore: RightsStore;
 	readonly directory: PeerDirectory;
 	readonly originStore: OriginStore;
+	/** As `endpointsConfirmMs` of `Bounds`. */
+	readonly endpointsConfirmMs: number;
 	/** The writes a second that the store accepts of all hosts together. */
 	readonly storeWritesPerSecond: number;
 	readonly timeouts: Timeouts;
@@ -101,7 +103,8 @@
 links that they use.
 */
 export const startPeerTasks = ({
-	host, hall, holder, address, rightsStore, directory, originStore, storeWritesPerSecond, timeouts, log, onLinkReplaced, onEndpointCrashed, tunnelling, onLimitChanged, onEnded, now, elapsed,
+	host, hall, holder, address, rightsStore, directory, originStore, endpointsConfirmMs, storeWritesPerSecond,
+	timeouts, log, onLinkReplaced, onEndpointCrashed, tunnelling, onLimitChanged, onEnded, now, elapsed,
 }: Options): PeerTasks => {
 	const loanClient = createLoanClient({
 		mesh: () => links.mesh(),
@@ -200,6 +203,7 @@
 		host,
 		store: originStore,
 		writesPerSecond: storeWritesPerSecond,
+		listConfirmMs: endpointsConfirmMs,
 		schedule: scheduleByTimer,
 		self: () => links.self(),
 		others: () => links.others(),
--- a/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
+++ b/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
@@ -3,6 +3,7 @@
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {KeptOrigin} from './kept-origin.js';
 import type {OriginTable} from './origin-table.js';
+import {hasHeardAllHalls} from './has-heard-all-halls.js';
 import {toWireOrigin} from './to-wire-origin.js';
 import type {OriginsMessage} from './wire/origins-message.js';
 import type {OriginsReply} from './wire/origins-reply.js';
@@ -24,6 +25,8 @@
 	/** Sends one peer a message and returns the peer's reply; `undefined` when no valid reply came in time. */
 	readonly sendOrigins: (address: string, message: Omit<OriginsMessage, 'type'>) => Promise<OriginsReply | undefined>;
 	readonly table: Pick<OriginTable, 'get'>;
+	/** The time within which a list of endpoints is confirmed again while its host gets answers of the store, in ms. */
+	readonly listConfirmMs: number;
 	/** Takes in what a peer replied. */
 	readonly onReply: (reply: OriginsReply) => void;
 	readonly counter: Pick<EventCounter, 'increment'>;
@@ -34,12 +37,23 @@
 /** An origin, and the address of the peer that knew it. */
 type FoundAtPeer = {readonly kept: KeptOrigin; readonly from: string};
 
+/** What came of a question for an origin. */
+type Answer = {
+	/** `undefined` where no asked peer knows it. */
+	readonly found: FoundAtPeer | undefined;
+	/** Whether peers of all halls replied that know of all versions (`hasHeardAllHalls`). */
+	readonly hasHeardAll: boolean;
+};
+
 /** Tells peers where streams began, and asks them. */
 type OriginExchange = {
 	/** Tells the keepers of each stream its origin; resolves once one of them has taken some in, or none can. */
 	readonly tell: (told: readonly KeptOrigin[]) => Promise<void>;
-	/** Asks hosts of each hall, or of the own one, for an origin; resolves with the first that one knows, and with `undefined` once all have replied, or had the time to. */
-	readonly ask: (key: string, where: 'all_halls' | 'own_hall') => Promise<FoundAtPeer | undefined>;
+	/**
+	Asks hosts of each hall for an origin, and for the versions of services. Resolves with the first origin that one knows, and otherwise once all have
+	replied, or had the time to.
+	*/
+	readonly ask: (key: string, services: readonly string[]) => Promise<Answer>;
 };
 
 /** Resolves with the first of some values that comes, and with `undefined` once none can come any more. */
@@ -53,12 +67,12 @@
 };
 
 /** Creates the exchange of a host with its peers. */
-export const createOriginExchange = ({self, others, sendOrigins, table, onReply, counter, now}: Options): OriginExchange => {
+export const createOriginExchange = ({self, others, sendOrigins, table, listConfirmMs, onReply, counter, now}: Options): OriginExchange => {
 	const peersFor = (key: string, perHall: number): readonly ListedPeer[] =>
 		pickInEachHall(key, [self(), ...others()], perHall).filter(({address}) => address !== self().address);
 
-	/** Sends a message to a peer and takes in the reply; rejects where none came. */
-	const exchange = async (address: string, message: Omit<OriginsMessage, 'type'>): Promise<void> => {
+	/** Sends a message to a peer, takes in the reply and returns it; rejects where none came. */
+	const exchange = async (address: string, message: Omit<OriginsMessage, 'type'>): Promise<OriginsReply> => {
 		const reply = await sendOrigins(address, message);
 		if (!reply) {
 			counter.increment('unanswered');
@@ -66,10 +80,15 @@
 		}
 
 		onReply(reply);
+		return reply;
 	};
 
-	const askPeer = async (address: string, key: string): Promise<FoundAtPeer> => {
-		await exchange(address, {told: [], asked: [key]});
+	const askPeer = async (address: string, {key, services, witnesses}: {readonly key: string; readonly services: readonly string[]; readonly witnesses: Set<string>}): Promise<FoundAtPeer> => {
+		const {listAgeMs = Number.POSITIVE_INFINITY} = await exchange(address, {told: [], asked: [key], services: [...services]});
+		if (listAgeMs <= listConfirmMs) {
+			witnesses.add(address);
+		}
+
 		const kept = table.get(key);
 		if (!kept) {
 			throw new Error('not known');
@@ -84,12 +103,14 @@
 			const messages = [...groupBy(copies, ({address}) => address)].flatMap(([address, entries]) =>
 				chunksOf(entries, maxPerMessage).map(chunk => ({address, told: chunk.map(({kept}) => toWireOrigin(kept, now()))})));
 			counter.increment('told', messages.length);
-			await firstOf(messages.map(async message => exchange(message.address, {told: message.told, asked: []})));
+			await firstOf(messages.map(async message => exchange(message.address, {told: message.told, asked: [], services: []})));
 		},
-		async ask(key, where) {
-			const peers = peersFor(key, askedPerHall).filter(({hall}) => where === 'all_halls' || hall === self().hall);
+		async ask(key, services) {
+			const peers = peersFor(key, askedPerHall);
 			counter.increment('asked', peers.length);
-			return firstOf(peers.map(async ({address}) => askPeer(address, key)));
+			const witnesses = new Set<string>();
+			const found = await firstOf(peers.map(async ({address}) => askPeer(address, {key, services, witnesses})));
+			return {found, hasHeardAll: hasHeardAllHalls(peers, witnesses)};
 		},
 	};
 };
--- a/packages/entry/src/lib/stream-origins/create-service-versions.ts
+++ b/packages/entry/src/lib/stream-origins/create-service-versions.ts
@@ -16,8 +16,8 @@
 	readonly isListed: (service: string, version: string) => boolean;
 	/** Whether that is the only version of the service whose streams may be taken up. */
 	readonly isOnly: (service: string, version: string) => boolean;
-	/** The versions of all services that have several, and until when at least their streams may be taken up, in monotonic ms. */
-	readonly mixed: () => ReadonlyArray<{readonly service: string; readonly version: string; readonly until: number}>;
+	/** The versions of all services that have several, and of the named ones, and until when at least their streams may be taken up, in monotonic ms. */
+	readonly tell: (named: readonly string[]) => ReadonlyArray<{readonly service: string; readonly version: string; readonly until: number}>;
 };
 
 const noVersions: VersionHistory = {listed: new Set(), recent: new Map()};
@@ -52,7 +52,7 @@
 			const known = versionsAt(historyOf(service), now());
 			return known.size === 1 && known.has(version);
 		},
-		mixed: () => [...histories.keys()].filter(service => isMixed(service)).flatMap(service =>
+		tell: named => [...histories.keys()].filter(service => named.includes(service) || isMixed(service)).flatMap(service =>
 			[...versionsAt(historyOf(service), now())].map(([version, until]) => ({service, version, until}))),
 	};
 };
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -23,10 +23,11 @@
 type Options = {
 	/** The name of this host, the same over its restarts. */
 	readonly host: string;
-	/** These three are as for `createOriginExchange`. */
+	/** These four are as for `createOriginExchange`. */
 	readonly self: () => ListedPeer;
 	readonly others: () => readonly ListedPeer[];
 	readonly sendOrigins: (address: string, message: Omit<OriginsMessage, 'type'>) => Promise<OriginsReply | undefined>;
+	readonly listConfirmMs: number;
 	readonly store: OriginStore;
 	/** The writes a second that the store accepts of all hosts together. */
 	readonly writesPerSecond: number;
@@ -43,9 +44,9 @@
 
 While a service has one version, this host remembers its own streams and tells nobody. Once it has several, each attempt of a stream is
 told, when it is sent, to two hosts of each hall (`createOriginExchange`); streams that were under way when the second version came are told
-then. A host at which a caller takes a stream up asks these hosts.
+then. A host at which a caller takes a stream up asks these hosts, and the store where they cannot show that there is no other version.
 
-What must outlive all hosts is in the store (`createStoredStreams`). A service with one version costs one read in a host's life.
+What must outlive all hosts is in the store (`createStoredStreams`). While hosts of all halls reply, a service with one version costs one read in a host's life.
 */
 export const createStreamOrigins = ({host, store, writesPerSecond, schedule, counter, now, elapsed, ...peers}: Options): StreamOrigins => {
 	const table = createOriginTable(now);
@@ -71,14 +72,12 @@
 		counter,
 		now,
 	});
-	/** When a peer last replied, and one that has been up for long, in monotonic ms. */
-	let repliedAt = Number.NEGATIVE_INFINITY;
+	/** When a peer that has been up for long last replied, in monotonic ms. */
 	let settledReplyAt = Number.NEGATIVE_INFINITY;
 	const exchange = createOriginExchange({
 		...peers,
 		table,
 		onReply(reply) {
-			repliedAt = now();
 			settledReplyAt = reply.isSettled ? now() : settledReplyAt;
 			for (const version of reply.versions) {
 				hear(version);
@@ -114,45 +113,26 @@
 	};
 
 	/**
-	Makes sure that this host knows of all versions whose streams may be taken up, after it asked peers at `askedAt`. A host that has just started
-	does not know of versions that served before; one that lags, and reaches nobody, of those that came since. Resolves with who showed it, and with
+	Makes sure that this host knows of all versions whose streams may be taken up, after it asked peers at `askedAt`. A host that lags does not
+	know of those that came since; one that has just started does not know of those that served before. Resolves with who showed it, and with
 	`undefined` where nobody could.
 	*/
-	const ensureVersionsKnown = async (askedAt: number): Promise<SingleProof | undefined> => {
-		if (isRecent()) {
-			if (settledReplyAt >= askedAt) {
-				return 'peers';
-			}
-
-			return await stored.ensureRead() ? 'store' : undefined;
+	const ensureVersionsKnown = async (askedAt: number, hasHeardAll: boolean): Promise<SingleProof | undefined> => {
+		if (!hasHeardAll) {
+			return await stored.readAgain() === undefined ? undefined : 'store';
 		}
 
-		if (peers.others().length === 0) {
-			return 'nobody';
-		}
-
-		if (repliedAt >= askedAt) {
-			return 'peers';
+		if (isRecent() && settledReplyAt < askedAt) {
+			return await stored.ensureRead() ? 'store' : undefined;
 		}
 
-		return await stored.readAgain() === undefined ? undefined : 'store';
+		return peers.others().length === 0 ? 'nobody' : 'peers';
 	};
 
 	const findElsewhere = async (key: string, {services, likely, hasEvents}: TakenUp): Promise<FoundOrigin> => {
 		const isMixed = (): boolean => services.some(service => versions.isMixed(service));
 		const askedAt = now();
-		const near = isMixed() ? undefined : await exchange.ask(key, isRecent() ? 'all_halls' : 'own_hall');
-		const by = isMixed() ? undefined : await ensureVersionsKnown(askedAt);
-		if (!isMixed()) {
-			if (by === undefined) {
-				counter.increment('unreadable');
-				return {type: 'unreadable'};
-			}
-
-			return {type: 'single', by, listAgeMs: listProof.ageMs()};
-		}
-
-		const found = near ?? await exchange.ask(key, 'all_halls');
+		const {found, hasHeardAll} = await exchange.ask(key, services);
 		if (found) {
 			counter.increment('found');
 			return {
@@ -160,7 +140,17 @@
 			};
 		}
 
-		return hasEvents ? stored.find(key, services, likely) : {type: 'unknown'};
+		const by = isMixed() ? undefined : await ensureVersionsKnown(askedAt, hasHeardAll);
+		if (isMixed()) {
+			return hasEvents ? stored.find(key, services, likely) : {type: 'unknown'};
+		}
+
+		if (by === undefined) {
+			counter.increment('unreadable');
+			return {type: 'unreadable'};
+		}
+
+		return {type: 'single', by, listAgeMs: listProof.ageMs()};
 	};
 
 	return {
@@ -199,12 +189,13 @@
 		preferredVersion: stored.preferredVersion,
 		findGone: served.findGone,
 		noteRestored: stored.noteRestored,
-		answerOrigins({told, asked}) {
+		answerOrigins({told, asked, services}) {
 			takeInAll(told);
 			return {
 				known: asked.map(key => table.get(key)).filter(kept => kept !== undefined).map(kept => toWireOrigin(kept, now())),
-				versions: versions.mixed().map(({service, version, until}) => ({service, version, keepMs: until - now()})),
+				versions: versions.tell(services).map(({service, version, until}) => ({service, version, keepMs: until - now()})),
 				isSettled: !isRecent(),
+				listAgeMs: listProof.ageMs(),
 			};
 		},
 		close: stored.close,
--- a/packages/entry/src/lib/stream-origins/stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/stream-origins.ts
@@ -32,8 +32,8 @@
 	readonly findGone: ServedVersions['findGone'];
 	/** Notes that the store was restored from an older copy. */
 	readonly noteRestored: () => void;
-	/** Takes in origins that a peer tells, and returns those that it asks for. */
-	readonly answerOrigins: (message: Pick<OriginsMessage, 'told' | 'asked'>) => OriginsReply;
+	/** Takes in origins that a peer tells, and returns those that it asks for, with the versions of services. */
+	readonly answerOrigins: (message: Omit<OriginsMessage, 'type'>) => OriginsReply;
 	/** Writes nothing to the store any more. */
 	readonly close: () => void;
 };
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -38,6 +38,9 @@
 import {createConnectionPool} from './lib/sending/create-connection-pool.js';
 import {createEndpointConnector} from './lib/sending/create-endpoint-connector.js';
 
+/** The default of `endpointsConfirmMs`. */
+const defaultEndpointsConfirmMs = 5000;
+
 const countBudgets = ({organisationsByKey}: FleetConfig): number =>
 	new Set([...organisationsByKey.values()].map(({name}) => name)).size;
 
@@ -59,7 +62,9 @@
 		serviceOf: name => config?.services.get(name), hasQuietSince: (endpoint, time) => pool.hasQuietSince(endpoint, time), instanceHeader: headerNames.instance, connectMs: timeouts.connectMs,
 	});
 	const peerTasks = startPeerTasks({
-		host, hall, holder, address: listen.peers, rightsStore, originStore, storeWritesPerSecond: bounds.storeWritesPerSecond, directory, timeouts, log, now, elapsed,
+		host, hall, holder, address: listen.peers, rightsStore, originStore, directory, timeouts, log, now, elapsed,
+		storeWritesPerSecond: bounds.storeWritesPerSecond,
+		endpointsConfirmMs: bounds.endpointsConfirmMs ?? defaultEndpointsConfirmMs,
 		// A fault that silences a link to a peer usually silences kept connections to endpoints as well.
 		onLinkReplaced() {
 			pool.keepOnly(new Set());
--- a/packages/entry/src/test/lib/create-origin-fleet.ts
+++ b/packages/entry/src/test/lib/create-origin-fleet.ts
@@ -62,6 +62,7 @@
 			host: peer.holder,
 			store: storeOf(() => host),
 			writesPerSecond: 400,
+			listConfirmMs: 4000,
 			schedule: clock.schedule,
 			self: () => peer,
 			others: () => peers.filter(other => other !== peer),
--- a/packages/entry/src/test/load-messages.test.ts
+++ b/packages/entry/src/test/load-messages.test.ts
@@ -25,6 +25,7 @@
 		address: '127.0.0.1:0',
 		rightsStore: createMemoryRightsStore(),
 		originStore: createMemoryOriginStore(),
+		endpointsConfirmMs: 5000,
 		storeWritesPerSecond: 400,
 		directory: {
 			shareSecret: async () => 'secret',
--- a/packages/entry/src/test/origins-in-the-store.test.ts
+++ b/packages/entry/src/test/origins-in-the-store.test.ts
@@ -23,6 +23,7 @@
 		host: 'h',
 		store: faulty.store,
 		writesPerSecond: 400,
+		listConfirmMs: 5000,
 		schedule: clock.schedule,
 		self: () => self,
 		others: () => [],
--- a/packages/entry/src/test/out-of-step-hosts.test.ts
+++ b/packages/entry/src/test/out-of-step-hosts.test.ts
@@ -14,8 +14,8 @@
 const halls = [3, 3];
 
 /** Begins streams at a version that joins while the first of some hosts are out of step. */
-const startOutOfStep = async (count: number, {isStoreAway = false, sizes = halls} = {}) => {
-	const fleet = createOriginFleet({halls: sizes});
+const startOutOfStep = async (count: number, {isStoreAway = false, forMs = lagMs} = {}) => {
+	const fleet = createOriginFleet({halls});
 	fleet.list(fleet.hosts, 'v1');
 	await fleet.pass(settleMs);
 	fleet.confirm(fleet.hosts);
@@ -32,7 +32,7 @@
 	await fleet.begin(inStep.at(-1)!, 'v1', ['first']);
 	fleet.list(inStep, 'v1', 'v2');
 	await fleet.begin(inStep.at(-1)!, 'v2', keys);
-	await fleet.pass(lagMs);
+	await fleet.pass(forMs);
 	fleet.confirm(inStep);
 	return {...fleet, lagging, inStep};
 };
@@ -60,6 +60,12 @@
 	});
 }
 
+for (const count of [2, 3]) {
+	test(`${count} hosts of a hall that were cut off a moment ago go on with a stream at another version`, async t => {
+		t.deepEqual(await versionsOf(await startOutOfStep(count, {isStoreAway: true, forMs: 0})), new Set(['unreadable']));
+	});
+}
+
 test('a whole hall that started a short time ago is out of step: a stream goes on at another version', async t => {
 	const fleet = createOriginFleet({halls});
 	fleet.list(fleet.hosts, 'v1');
@@ -131,3 +137,19 @@
 	t.deepEqual(new Set(found.map(({type}) => type)), new Set(['single']));
 	t.is(fleet.storeCalls(), before);
 });
+
+test('the reply of a host of an earlier version of this program, which does not tell the age of its list, counts as proof', async t => {
+	for (const isStoreAway of [false, true]) {
+		const fleet = createOriginFleet({halls, mapReply: ({listAgeMs, ...reply}) => reply});
+		fleet.list(fleet.hosts, 'v1');
+		await fleet.pass(settleMs);
+		fleet.confirm(fleet.hosts);
+		const [host] = fleet.hosts;
+		if (isStoreAway) {
+			fleet.withoutStore.add(host!);
+		}
+
+		const [found] = await fleet.takeUp(host!, ['a']);
+		t.like(found, isStoreAway ? {type: 'unreadable'} : {type: 'single', by: 'store'});
+	}
+});
--- a/packages/entry/src/test/stream-origins-model.test.ts
+++ b/packages/entry/src/test/stream-origins-model.test.ts
@@ -114,6 +114,7 @@
 			host: peer.holder,
 			store,
 			writesPerSecond: 400,
+			listConfirmMs: 5000,
 			schedule,
 			self: () => peer,
 			others: () => peers.filter(other => other !== peer),
