Failing test: a version that an old list lacks is said to be gone for good

A host whose list of endpoints is 5 s old learns from a peer that a stream began at v2, which its list lacks, and refuses the take-up with no time to come back, though v2 serves elsewhere.

--- a/packages/entry/src/test/out-of-step-hosts.test.ts
+++ b/packages/entry/src/test/out-of-step-hosts.test.ts
@@ -153,3 +153,24 @@
 		t.like(found, isStoreAway ? {type: 'unreadable'} : {type: 'single', by: 'store'});
 	}
 });
+
+const gone = {service: 's', version: 'v2'};
+
+test('a version that a list lacks because it is old is said to be gone for good', async t => {
+	const fleet = await startOutOfStep(3);
+	const {origins} = fleet.lagging[0]!;
+	t.not(origins.findGone(gone)?.retryAt, undefined);
+	await fleet.pass(settleMs);
+	t.not(origins.findGone(gone)?.retryAt, undefined);
+	fleet.list(fleet.lagging, 'v1', 'v2');
+	t.is(origins.findGone(gone), undefined);
+});
+
+test('a version that is gone by a list which is confirmed after a take-up is never said to be gone', async t => {
+	const fleet = await startOutOfStep(3);
+	const {origins} = fleet.lagging[0]!;
+	t.not(origins.findGone(gone)?.retryAt, undefined);
+	await fleet.pass(lagMs);
+	fleet.confirm(fleet.lagging);
+	t.deepEqual(origins.findGone(gone), {retryAt: undefined});
+});
