A version is gone for good only by a list that was confirmed after its stream was taken up

Callers saw: a stream of a version that had just joined, taken up at a host whose list of endpoints did not have it yet, was refused with no time to come back, as if the version had left (LOST).

Cause: a host that learned the version from a peer or the store looked it up in its own list only, however old that was. Three seconds after its first list it said 'gone for good'.

Change: without a confirmation of the list that covers the moment at which a stream of the version was first missed here, and that is recent, the refusal names a time to come back (1 s). A version that the list has meanwhile is asked for anew.

Cost: the first take-up of a version that really is gone is told to come back once, where it was told at once before; within 3 s after its last sight it was told so already.

The older tests of create-served-versions ask twice, with the list confirmed in between; all their assertions stay.

--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -48,11 +48,11 @@
 
 What must outlive all hosts is in the store (`createStoredStreams`). While hosts of all halls reply, a service with one version costs one read in a host's life.
 */
-export const createStreamOrigins = ({host, store, writesPerSecond, schedule, counter, now, elapsed, ...peers}: Options): StreamOrigins => {
+export const createStreamOrigins = ({host, store, listConfirmMs, writesPerSecond, schedule, counter, now, elapsed, ...peers}: Options): StreamOrigins => {
 	const table = createOriginTable(now);
 	const versions = createServiceVersions(now);
-	const served = createServedVersions(now);
-	const listProof = createListProof(elapsed);
+	const listProof = createListProof({confirmMs: listConfirmMs, elapsed});
+	const served = createServedVersions({listProof, now, elapsed});
 	const startedAt = now();
 	/** Whether versions that nobody lists any more may have streams of which this host was not told: it started a short time ago. */
 	const isRecent = (): boolean => now() - startedAt < versionMemoryMs;
@@ -77,6 +77,7 @@
 	const exchange = createOriginExchange({
 		...peers,
 		table,
+		listConfirmMs,
 		onReply(reply) {
 			settledReplyAt = reply.isSettled ? now() : settledReplyAt;
 			for (const version of reply.versions) {
--- a/packages/entry/src/test/create-served-versions.test.ts
+++ b/packages/entry/src/test/create-served-versions.test.ts
@@ -1,6 +1,7 @@
 /** Guards against streams that are refused for good while their version comes back, and against callers who come back for one that does not. */
 import test from 'ava';
 import type {ListedEndpoint} from '../adapter/listed-endpoint.js';
+import {createListProof} from '../lib/stream-origins/create-list-proof.js';
 import {createServedVersions} from '../lib/stream-origins/create-served-versions.js';
 
 /** The time after which a version is not expected to come back to the list, in ms. */
@@ -12,21 +13,38 @@
 
 const start = () => {
 	let time = 1000;
-	const served = createServedVersions(() => time);
+	const now = (): number => time;
+	const listProof = createListProof({confirmMs: settledMs, elapsed: now});
+	const served = createServedVersions({listProof, now, elapsed: now});
+	/** What a take-up is told whose version was missed before the list was confirmed last. */
+	const findGone = (service: string, version: string): ReturnType<typeof served.findGone> => {
+		served.findGone({service, version});
+		listProof.confirm(time);
+		return served.findGone({service, version});
+	};
+
 	return {
 		list(...endpoints: readonly ListedEndpoint[]) {
 			served.list(endpoints);
 		},
 		/** Whether no endpoint of the version takes requests, and none is expected to. */
 		isGone(version: string, service = 's') {
-			const gone = served.findGone({service, version});
+			const gone = findGone(service, version);
 			return gone !== undefined && gone.retryAt === undefined;
 		},
 		/** In how many ms the version is given up; `undefined` while it takes requests, and once it is gone. */
 		givenUpIn(version: string) {
-			const retryAt = served.findGone({service: 's', version})?.retryAt;
+			const retryAt = findGone('s', version)?.retryAt;
 			return retryAt === undefined ? undefined : retryAt - time;
 		},
+		/** The same by the list as it was confirmed last. */
+		isGoneAsConfirmed(version: string) {
+			const gone = served.findGone({service: 's', version});
+			return gone !== undefined && gone.retryAt === undefined;
+		},
+		confirm() {
+			listProof.confirm(time);
+		},
 		pass(ms: number) {
 			time += ms;
 		},
@@ -135,3 +153,35 @@
 	list(endpoint('v2'));
 	t.true(isGone('v1'));
 });
+
+test('a version is said to be gone by a list that was confirmed before its stream was taken up, or a long time ago', t => {
+	const {list, isGoneAsConfirmed, confirm, pass} = start();
+	list(endpoint('v1'));
+	pass(settledMs);
+	confirm();
+	pass(1);
+	t.false(isGoneAsConfirmed('v2'));
+	pass(1);
+	t.false(isGoneAsConfirmed('v2'));
+	confirm();
+	t.true(isGoneAsConfirmed('v2'));
+	pass(settledMs);
+	t.true(isGoneAsConfirmed('v2'));
+	pass(1);
+	t.false(isGoneAsConfirmed('v2'));
+});
+
+test('a version that came back and left the list again is said to be gone by what was confirmed before', t => {
+	const {list, isGoneAsConfirmed, confirm, pass} = start();
+	list(endpoint('v1'));
+	pass(settledMs);
+	isGoneAsConfirmed('v2');
+	confirm();
+	t.true(isGoneAsConfirmed('v2'));
+	list(endpoint('v1'), endpoint('v2'));
+	list(endpoint('v1'));
+	pass(settledMs);
+	t.false(isGoneAsConfirmed('v2'));
+	confirm();
+	t.true(isGoneAsConfirmed('v2'));
+});
