Why no endpoint was left for a request is in its line

A refusal with no_endpoint said that none could be chosen, not why: endpoints in lost halls, ejected ones, ones that leave or are of another version than the stream look the same. Take-ups that are refused while new streams begin have more than one cause, and the line could not tell them apart.

The line of such a request has excluded now: how many endpoints of its service were excluded, by the reason.

--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -1,6 +1,6 @@
 import {sampleOf} from '@deckwheel/core';
 import {
-	chooseAmongCandidates, chooseEndpoint, exclusionOfAll, scoreByAffinity, scoreByExpectedTime, smooth, stepEndpoints,
+	chooseAmongCandidates, chooseEndpoint, countExclusions, exclusionOfAll, scoreByAffinity, scoreByExpectedTime, smooth, stepEndpoints,
 	type AffinityRequest, type EndpointCandidates, type EndpointLoad, type EndpointTable, type WarmupRules,
 } from '@deckwheel/routing';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
@@ -126,6 +126,7 @@
 			}
 		},
 		exclusionOfAll: request => exclusionOfAll(table, constraintsOf(request), now()),
+		countExclusions: request => countExclusions(table, constraintsOf(request), now()),
 		note(event) {
 			const wasLeaving = table.get(event.endpoint)?.hasAnnouncedLeaving;
 			table = stepEndpoints(table, event, now());
--- a/packages/entry/src/lib/choice/endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/endpoint-chooser.ts
@@ -16,6 +16,8 @@
 	`undefined` otherwise.
 	*/
 	readonly exclusionOfAll: (request: Pick<ChoiceRequest, 'service' | 'version' | 'regions'>) => EndpointExclusion | undefined;
+	/** Counts the endpoints of a service that are excluded now, by the reason. */
+	readonly countExclusions: (request: Pick<ChoiceRequest, 'service' | 'version' | 'regions'>) => ReadonlyMap<EndpointExclusion['reason'], number>;
 	/** Notes that a request is sent to an endpoint, which will have the parts of the request's prompt in its cache. */
 	readonly noteStarted: (endpoint: string, parts: ChoiceRequest['parts']) => void;
 	/** Notes how long an endpoint took to serve a request, in ms. */
--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -24,6 +24,8 @@
 	readonly retryAt?: number;
 	/** For the log: why the endpoint of an answered request was chosen, or why the request was given up. The refusal depends on it. */
 	readonly reason: string;
+	/** How many endpoints of the service were excluded, by the reason, where none was left for the request. */
+	readonly excluded: ReadonlyMap<string, number> | undefined;
 	/** The endpoint of the last attempt; `undefined` where no attempt was made. */
 	readonly endpoint: ListedEndpoint | undefined;
 	/** The endpoint that wrote the first event that the caller got from this host; `undefined` without one. */
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -57,7 +57,7 @@
 	let progress: RequestProgress = initialProgress;
 	let trace: ResponseTrace | undefined;
 
-	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt}: Pick<RequestResult, 'status' | 'retryAt'> = {}): RequestResult => {
+	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt, excluded}: Partial<Pick<RequestResult, 'status' | 'retryAt' | 'excluded'>> = {}): RequestResult => {
 		requestEnd.close();
 		const {arrivals, misdirectedAttempts: misdirected, lostRuns, latest, begunBy, relayedEvents} = progress;
 		return {
@@ -68,6 +68,7 @@
 			status,
 			retryAt,
 			reason,
+			excluded,
 			endpoint: latest,
 			begunBy,
 			origin: plan.found,
@@ -83,12 +84,14 @@
 	const giveUp = (reason: string, retryAt?: number): RequestResult => {
 		const endedBy = requestEnd.endedBy();
 		const outcome = decideOutcome({progress, endedBy, hasResponseBegun: writer.hasBegun()});
-		const exclusion = outcome === 'not_run' && isLackOfEndpoints(reason) ? chooser.exclusionOfAll({service, version: stream.requiredVersion(progress), regions}) : undefined;
+		const constraints = {service, version: stream.requiredVersion(progress), regions};
+		const excluded = reason === 'no_endpoint' ? chooser.countExclusions(constraints) : undefined;
+		const exclusion = outcome === 'not_run' && isLackOfEndpoints(reason) ? chooser.exclusionOfAll(constraints) : undefined;
 		if (exclusion) {
-			return finish(outcome, `endpoints_${exclusion.reason}`, {retryAt: exclusion.until});
+			return finish(outcome, `endpoints_${exclusion.reason}`, {retryAt: exclusion.until, excluded});
 		}
 
-		return finish(outcome, outcome === 'not_run' && endedBy === 'deadline' ? 'deadline' : reason, {retryAt});
+		return finish(outcome, outcome === 'not_run' && endedBy === 'deadline' ? 'deadline' : reason, {retryAt, excluded});
 	};
 
 	const passOn = ({response, body}: AttemptEnd & {readonly type: 'whole' | 'server_error'}, reason: string): RequestResult => {
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -79,6 +79,7 @@
 		reserved,
 		used,
 		reason: result.reason,
+		excluded: result.excluded && [...result.excluded].map(([reason, count]) => `${reason}:${count}`).join(','),
 		...traceFields(result.trace),
 	};
 	if (result.outcome === 'answered') {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 export {chooseEndpoint} from './endpoints/choose-endpoint.js';
 export {chooseAmongCandidates} from './endpoints/choose-among-candidates.js';
+export {countExclusions} from './endpoints/count-exclusions.js';
 export {exclusionOfAll} from './endpoints/exclusion-of-all.js';
 export {isColdSender} from './endpoints/is-cold-sender.js';
 export type {EndpointExclusion} from './endpoints/endpoint-exclusion.js';
--- a/packages/routing/src/test/find-exclusion.test.ts
+++ b/packages/routing/src/test/find-exclusion.test.ts
@@ -2,6 +2,7 @@
 import type {EndpointEvent} from '../endpoints/endpoint-event.js';
 import type {EndpointInfo} from '../endpoints/endpoint-info.js';
 import type {EndpointRequest} from '../endpoints/endpoint-request.js';
+import {countExclusions} from '../endpoints/count-exclusions.js';
 import {exclusionOfAll} from '../endpoints/exclusion-of-all.js';
 import {coldRequestIntervalMs} from '../endpoints/cold-request-interval-ms.js';
 import {findExclusion} from '../endpoints/find-exclusion.js';
@@ -55,6 +56,12 @@
 	t.deepEqual(exclusionOfAll(table, {...request, warmup, version: 'v1'}, 0), {reason: 'cold', until: 300});
 });
 
+test('the exclusions of a service are counted by their reason, without open endpoints and those of other services', t => {
+	const endpoints = [{version: 'v1'}, {version: 'v1', isLeaving: true}, {version: 'v2'}, {version: 'v2'}, {serves: ['other']}].map((changes, index) => ({...info, id: `e${index}`, ...changes}));
+	const table = stepEndpoints(new Map(), {type: 'configured', endpoints}, 0);
+	t.deepEqual([...countExclusions(table, {...request, version: 'v1'}, 0)], [['leaving', 1], ['other_version', 2]]);
+});
+
 test('an evacuation also excludes endpoints of the host\'s own hall; an unreachable hall never means the own one', t => {
 	t.is(exclusionAt(tableOf(), {hall: 'hall-a', evacuatedHalls: new Set(['hall-a'])}, 0)?.reason, 'evacuated');
 	t.is(exclusionAt(tableOf(), {hall: 'hall-a', unreachableHalls: new Set(['hall-a'])}, 0), undefined);
