--- a/packages/entry/src/test/lib/start-versioned-fleet.ts
+++ b/packages/entry/src/test/lib/start-versioned-fleet.ts
@@ -12,7 +12,7 @@
 
 /**
 The header with which a caller asks the endpoint that begins its stream for trouble: `break` breaks the stream off after two events, `hold`
-writes one event and then nothing, and `crash` breaks the response off before the first event.
+writes one event and then nothing until `breakHeld`, and `crash` breaks the response off before the first event.
 */
 export const troubleHeader = 'x-trouble';
 
@@ -23,7 +23,7 @@
 };
 
 /** Responds with a stream whose events name the version that wrote them. It goes on after the event that the request names. */
-const answerWith = (version: string) => (req: IncomingMessage, res: ServerResponse): void => {
+const answerWith = (version: string, held: Set<ServerResponse>) => (req: IncomingMessage, res: ServerResponse): void => {
 	const after = Number(req.headers['last-event-id'] ?? 0);
 	const trouble = after === 0 ? req.headers[troubleHeader] : undefined;
 	if (trouble === 'crash') {
@@ -34,6 +34,7 @@
 	res.writeHead(200, {'content-type': 'text/event-stream'});
 	if (trouble === 'hold') {
 		writeEvents(res, 1, 1, version);
+		held.add(res);
 	} else if (trouble === 'break') {
 		res.write(`id: 1\ndata: ${version}\n\nid: 2\ndata: ${version}\n\n`, () => {
 			res.destroy();
@@ -59,9 +60,10 @@
 export const startVersionedFleet = async (t: ExecutionContext, {halls, versions, listedAtFirst = versions.length, seenAs}: Options) => {
 	const peers = new Map<string, ListedPeer>();
 	const originStore = createMemoryOriginStore();
+	const held = new Set<ServerResponse>();
 	const hallNames = [...new Set(halls)];
 	const endpoints = await Promise.all(versions.map(async (version, index) => {
-		const endpoint = await startEndpoint(`e${index}`, answerWith(version ?? 'none'), hallNames[index % hallNames.length]);
+		const endpoint = await startEndpoint(`e${index}`, answerWith(version ?? 'none', held), hallNames[index % hallNames.length]);
 		return {...endpoint, listed: {...endpoint.listed, version}};
 	}));
 	const startHosts = async (listed: readonly ListedEndpoint[]) => {
@@ -91,6 +93,14 @@
 		endpoints,
 		peers,
 		originStore,
+		/** Breaks the connections of all streams that are held, at one moment. The endpoints go on. */
+		breakHeld() {
+			for (const res of held) {
+				res.destroy();
+			}
+
+			held.clear();
+		},
 		/** Starts all hosts anew, under the same names and with nothing remembered. Those of before have to be killed first. */
 		async startAgain(listed: readonly ListedEndpoint[]) {
 			peers.clear();
