Requests that fail together count as one failure of their endpoint

When the connections of a host broke at one moment, each request that was under way counted as a failure of its own. Three of them ejected an endpoint that served, for a second, and each further one doubled that. With all endpoints ejected, the host refused all take-ups of the streams that had just broken, and new requests as well, while other hosts of its hall served.

Ruled out by the lines: a hall out of reach, endpoints that leave or have ended (excluded= names ejections); a late host (the breaks came within 60 ms, all of them ECONNRESET, endpoint_ended=false).

A failure counts now where its request was sent after the last one that counted. An endpoint that fails is still ejected after three failures one after the other. The same rule holds for the engines of deckwheeld.

--- a/packages/daemon/src/lib/placing/start-router.ts
+++ b/packages/daemon/src/lib/placing/start-router.ts
@@ -127,7 +127,7 @@
 				queue.pump();
 			},
 			failed() {
-				step({type: 'failed', endpoint});
+				step({type: 'failed', endpoint, startedAt});
 				queue.pump();
 			},
 			abandoned() {
--- a/packages/entry/src/lib/request/report-attempt-end.ts
+++ b/packages/entry/src/lib/request/report-attempt-end.ts
@@ -10,7 +10,7 @@
 		? {
 			type: 'succeeded', endpoint: id, durationMs: host.now() - startedAt, outputTokens,
 		}
-		: {type: verdict, endpoint: id});
+		: {type: verdict, endpoint: id, startedAt});
 	if (hasServed(end)) {
 		host.chooser.noteServed(id, host.now() - startedAt);
 	}
--- a/packages/routing/src/endpoints/endpoint-event.ts
+++ b/packages/routing/src/endpoints/endpoint-event.ts
@@ -8,8 +8,8 @@
 	| {readonly type: 'started'; readonly endpoint: string}
 	/** A request of this host at the endpoint ended successfully. */
 	| {readonly type: 'succeeded'; readonly endpoint: string; readonly durationMs: number; readonly outputTokens: number}
-	/** A request of this host failed at the endpoint. */
-	| {readonly type: 'failed'; readonly endpoint: string}
+	/** A request of this host failed at the endpoint. `startedAt`: when it was sent there, in monotonic ms. */
+	| {readonly type: 'failed'; readonly endpoint: string; readonly startedAt?: number}
 	/** A request of this host did not reach the endpoint, on no way that the host knows. */
 	| {readonly type: 'unreached'; readonly endpoint: string}
 	/** A different process responded at the endpoint's address, so the endpoint's process has ended. A later list will lack the endpoint. */
--- a/packages/routing/src/endpoints/endpoint-state.ts
+++ b/packages/routing/src/endpoints/endpoint-state.ts
@@ -31,8 +31,10 @@
 	readonly serviceMs: number;
 	/** The smoothed duration of a request divided by its output tokens, in ms per token. */
 	readonly msPerToken: number;
-	/** Failures since the last success. */
+	/** Failures since the last success, one after the other: those of requests that were under way together count once. */
 	readonly failures: number;
+	/** When the last one that counts was noted, in monotonic ms; `undefined` before one. */
+	readonly failedAt?: number;
 	/** The instant until which the endpoint is ejected and gets no new requests, in monotonic ms; 0 if it has not been ejected since its last success. */
 	readonly ejectedUntil: number;
 };
--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -72,6 +72,12 @@
 	...state, inFlight: state.inFlight - 1, failures, ejectedUntil: ejectedUntilAfter(failures, maxMs, now),
 });
 
+/**
+A fault of the way to the endpoint, or of this host, breaks all requests there at one moment. So a failure says more than the one before it only where its
+request was sent after that one.
+*/
+const isNewFailure = ({failedAt}: EndpointState, startedAt: number | undefined): boolean => startedAt === undefined || failedAt === undefined || startedAt >= failedAt;
+
 const asListed = (state: EndpointState, info: EndpointInfo, now: number): EndpointState => ({
 	...state, info: {...info, isLeaving: info.isLeaving || state.hasAnnouncedLeaving}, isListed: true, listedAt: now,
 });
@@ -107,7 +113,9 @@
 		}
 
 		case 'failed': {
-			return afterFailure(state, state.failures + 1, maxEjectionMs, now);
+			return isNewFailure(state, event.startedAt)
+				? {...afterFailure(state, state.failures + 1, maxEjectionMs, now), failedAt: now}
+				: {...state, inFlight: state.inFlight - 1};
 		}
 
 		case 'unreached': {
--- a/packages/routing/src/test/step-endpoints.test.ts
+++ b/packages/routing/src/test/step-endpoints.test.ts
@@ -36,6 +36,16 @@
 	t.is(chooseEndpoint(probed, {...request, tried: ['b']}, later, scoreByCost), undefined);
 });
 
+test('guards against an ejection for one fault: requests that were under way together and failed count as one failure', t => {
+	const started: readonly EndpointEvent[] = Array.from({length: 8}, () => ({type: 'started', endpoint: 'a'}));
+	const together: readonly EndpointEvent[] = started.map(() => ({type: 'failed', endpoint: 'a', startedAt: 0}));
+	const broken = applyEvents(applyEvents(twoEndpoints, started), together, 100);
+	t.deepEqual([broken.get('a')!.failures, broken.get('a')!.inFlight], [1, 0]);
+	t.is(chooseEndpoint(broken, {...request, tried: ['b']}, 100, scoreByCost)?.endpoint, 'a');
+	const again = [100, 200].flatMap((startedAt): readonly EndpointEvent[] => [{type: 'started', endpoint: 'a'}, {type: 'failed', endpoint: 'a', startedAt}]);
+	t.is(chooseEndpoint(applyEvents(broken, again, 200), {...request, tried: ['b']}, 200, scoreByCost), undefined);
+});
+
 test('guards against an ejection that outlasts a cut: an endpoint that no request reached for long is probed again within two seconds', t => {
 	const unreachedA: readonly EndpointEvent[] = [{type: 'started', endpoint: 'a'}, {type: 'unreached', endpoint: 'a'}];
 	const table = applyEvents(twoEndpoints, Array.from({length: 10}, () => unreachedA).flat());
