--- a/packages/entry/src/adapter/bounds.ts
+++ b/packages/entry/src/adapter/bounds.ts
@@ -21,6 +21,15 @@
 		/** A share of the time that the caller waits for the response, 0 to 1. */
 		readonly share: number;
 	};
+	/** How long callers of streams wait for an event, the first one as well, before they leave: the longest of three times. `undefined` where that is not known. */
+	readonly eventTimeout?: {
+		/** A fixed time, in ms. */
+		readonly ms: number;
+		/** A multiple of `goalMs` of the route. */
+		readonly goals: number;
+		/** A multiple of `maxPauseMs` of the route. */
+		readonly pauses: number;
+	};
 	/** Within what time a change of the configuration must take effect, in ms; `undefined` where no bound is set. */
 	readonly configApplyMs?: number;
 	/**
--- a/packages/entry/src/config/route.ts
+++ b/packages/entry/src/config/route.ts
@@ -15,6 +15,8 @@
 	readonly timeoutMs: number;
 	/** The time within which the first byte should reach the caller, in ms. */
 	readonly goalMs: number;
+	/** The longest pause between two events of a stream with which it is still in time, in ms; left out where none is set. */
+	readonly maxPauseMs?: number;
 	/** 0 is the most urgent. Rights of a nearly used-up budget are kept for requests of more urgent routes. */
 	readonly priority: number;
 	/** The maximum number of endpoints to which one request may be sent. */
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -68,13 +68,14 @@
 	readonly warmup?: Bounds['warmup'];
 	readonly hasEvacuations?: boolean;
 	readonly configApplyMs?: number;
+	readonly eventTimeout?: Bounds['eventTimeout'];
 	readonly placing?: PlacingSettings;
 };
 
 /** Starts an entry host with the event log that tests look at. */
 export const startHost = async (rightsStore: RightsStore, options: Options = {}) => {
 	const {
-		host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, configApplyMs, placing,
+		host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, configApplyMs, eventTimeout, placing,
 		originStore = createMemoryOriginStore(),
 	} = options;
 	const events: Array<{event: string; fields: Fields}> = [];
@@ -84,7 +85,7 @@
 		hall,
 		listen: {callers: anyPort, ready: anyPort, peers: anyPort},
 		bounds: {
-			retryRatio: 1, retryWindowMs: 10_000, storeWritesPerSecond: 400, relayMs: 60_000, stopGraceMs: 20_000, warmup, configApplyMs,
+			retryRatio: 1, retryWindowMs: 10_000, storeWritesPerSecond: 400, relayMs: 60_000, stopGraceMs: 20_000, warmup, configApplyMs, eventTimeout,
 		},
 		hasEvacuations,
 		headers: headerNames,
--- a/packages/entry/src/test/lib/start-versioned-fleet.ts
+++ b/packages/entry/src/test/lib/start-versioned-fleet.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ExecutionContext} from 'ava';
+import type {Bounds} from '../../adapter/bounds.js';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import {createMemoryOriginStore} from './memory-origin-store.js';
@@ -54,10 +55,14 @@
 	readonly listedAtFirst?: number;
 	/** As for `startHost`. */
 	readonly seenAs?: (peer: ListedPeer) => ListedPeer;
+	/** As in `Bounds`; not known by default. */
+	readonly eventTimeout?: Bounds['eventTimeout'];
+	/** As in `Route`. */
+	readonly goalMs?: number;
 };
 
 /** Starts whole hosts that know each other and list endpoints of several software versions, behind a route for streams that may be resumed. */
-export const startVersionedFleet = async (t: ExecutionContext, {halls, versions, listedAtFirst = versions.length, seenAs}: Options) => {
+export const startVersionedFleet = async (t: ExecutionContext, {halls, versions, listedAtFirst = versions.length, seenAs, eventTimeout, goalMs}: Options) => {
 	const peers = new Map<string, ListedPeer>();
 	const originStore = createMemoryOriginStore();
 	const held = new Set<ServerResponse>();
@@ -66,12 +71,15 @@
 		const endpoint = await startEndpoint(`e${index}`, answerWith(version ?? 'none', held), hallNames[index % hallNames.length]);
 		return {...endpoint, listed: {...endpoint.listed, version}};
 	}));
+	const route = makeRoute({
+		kind: 'stream', isResumable: true, maxAttempts: 4, ...(goalMs !== undefined && {goalMs}),
+	});
 	const startHosts = async (listed: readonly ListedEndpoint[]) => {
 		const started = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {
-			host: `edge-${index}`, hall, peers, originStore, seenAs,
+			host: `edge-${index}`, hall, peers, originStore, seenAs, eventTimeout,
 		})));
 		for (const {entry} of started) {
-			entry.configure(makeConfig({routes: [makeRoute({kind: 'stream', isResumable: true, maxAttempts: 4})]}));
+			entry.configure(makeConfig({routes: [route]}));
 			entry.listEndpoints(listed);
 		}
 
