A host listens for signals before it loads anything

Users saw processes that were not there, without a line in their log: SIGHUP in the first 0.3 s after a start ended them, and SIGTERM ended them by the signal instead of an orderly stop.

Cause: SIGHUP and SIGTERM had listeners only once the host had started, and the whole bundle was read, compiled and run before. SIGTERM had none between the moment at which the host listened for callers and the end of its start, so a request that was read then could have been broken off; that case has no run.

Change: the main module is small, listens for both signals and loads the host after that; the bundle puts it into a file of its own, since one file is read and compiled as a whole.

--- a/scripts/build-system.mjs
+++ b/scripts/build-system.mjs
@@ -1,9 +1,13 @@
-// Bundles the entry host for the users' platform into one file: a host starts on a slice of a core.
+// Bundles the entry host for the users' platform: a host starts on a slice of a core. The main module is a file of its own, which listens for
+// signals before the rest is loaded.
 import {build} from 'esbuild';
 
 await build({
-	entryPoints: ['platform/src/main.ts'],
-	outfile: 'target/deckwheel.mjs',
+	entryPoints: {deckwheel: 'platform/src/main.ts'},
+	outdir: 'target',
+	outExtension: {'.js': '.mjs'},
+	chunkNames: 'deckwheel-[name]',
+	splitting: true,
 	bundle: true,
 	platform: 'node',
 	format: 'esm',
