--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export {hasNoChunks} from './has-no-chunks.js';
 export {hash32} from './hash32.js';
 export {httpStatus} from './http-status.js';
+export {isNestedWithin} from './is-nested-within.js';
 export {isRecord} from './is-record.js';
 export {isSuccessStatus} from './is-success-status.js';
 export type {Result} from './result.js';
