A stream whose origin the store does not take begins at the base version

Callers got pieces of two versions in one stream: it began at the later version while the store took no writes, all hosts died, and the host at which it was taken up found no origin and sent it on to the base.

Cause: a fact that a later decision depends on (where the stream began) was kept by hosts alone. The first event waited 500 ms for the store and then went out; the base was preferred only after a write had failed, so what each host had sent until then began anywhere.

Change: where the store does not take the origin in time, nothing of the attempt is relayed, and the stream begins at the base version, whose streams need no entry. It is idempotent and its caller has no event. That happens only where an endpoint of the base can be chosen, the route allows another attempt, and the retry and its rights are had; otherwise the stream is relayed as before.

--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,3 +1,4 @@
+import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {ChosenEndpoint} from '../choice/chosen-endpoint.js';
 import {createResponseTimer} from '../relaying/create-response-timer.js';
 import {createResponseWriter} from '../relaying/create-response-writer.js';
@@ -55,6 +56,10 @@
 	const {service} = stream;
 	const tokensPerEvent = host.config()?.services.get(service)?.tokensPerEvent ?? 0;
 	let progress: RequestProgress = initialProgress;
+	/** The version at which a new stream is best begun, since the store took no other origin; `undefined` where it took them. */
+	let baseVersion: string | undefined;
+	/** Whether the request has what its next attempt needs already. */
+	let isRetryAcquired = false;
 	let trace: ResponseTrace | undefined;
 
 	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt, excluded}: Partial<Pick<RequestResult, 'status' | 'retryAt' | 'excluded'>> = {}): RequestResult => {
@@ -112,27 +117,52 @@
 			return next.type;
 		}
 
-		const isAcquired = mayForward() && host.retries.mayRetry(service) && (next.needs === 'retry' || await request.reserveRun());
+		const isAcquired = isRetryAcquired || await acquireRetry(next.needs);
+		isRetryAcquired = false;
 		return isAcquired && mayForward() ? next.type : next.otherwise;
 	};
 
+	const mayMove = (): boolean => isRetryable && progress.arrivals + 1 < route.maxAttempts;
+
+	const chooseOf = (version: string | undefined): ChosenEndpoint | undefined => chooser.choose({
+		service, parts, tried: progress.tried, avoidedHalls: progress.avoidedHalls, version, regions,
+	});
+
+	const acquireRetry = async (needs: 'retry' | 'retry_and_rights'): Promise<boolean> => {
+		const mayRetry = mayForward() && host.retries.mayRetry(service);
+		return needs === 'retry' || !mayRetry ? mayRetry : request.reserveRun();
+	};
+
+	/** Notes an attempt of a stream; resolves with whether it may be relayed: not where it can begin at a version whose origin need not be stored. */
+	const noteOrigin = async (endpoint: ListedEndpoint): Promise<boolean> => {
+		const attempt = progress.tried.length;
+		baseVersion = await stream.noteSent(endpoint, attempt);
+		const isLatest = progress.tried.length === attempt;
+		if (baseVersion === undefined || !isLatest || stream.requiredVersion(progress) !== undefined || !mayMove() || !chooseOf(baseVersion)) {
+			return true;
+		}
+
+		isRetryAcquired = await acquireRetry('retry_and_rights');
+		return !isRetryAcquired;
+	};
+
 	const attemptAt = async ({endpoint, uncachedTokens}: ChosenEndpoint): Promise<AttemptEnd> => {
 		progress = stepProgress(progress, {type: 'sent', endpoint});
 		chooser.noteStarted(endpoint.id, parts);
 		const startedAt = now();
 		timer.noteChosen();
-		const originTold = stream.noteSent(endpoint, progress.tried.length);
+		const mayRelay = noteOrigin(endpoint);
 		const end = await runAttempt({
 			request,
 			endpoint,
 			uncachedTokens,
-			originTold,
+			mayRelay,
 			writer,
 			isWanted: () => !requestEnd.isOver(),
 			onSent: timer.noteSent,
 			onEvents: timer.noteEvents,
 			lastEventId: progress.lastEventId,
-			mayMove: isRetryable && progress.arrivals + 1 < route.maxAttempts,
+			mayMove: mayMove(),
 			signal: requestEnd.signal,
 		}, host);
 		trace = ('trace' in end ? end.trace : undefined) ?? trace;
@@ -160,12 +190,8 @@
 	};
 
 	const chooseEndpoint = (): ChosenEndpoint | undefined => {
-		const {tried, avoidedHalls} = progress;
-		const chooseOf = (version: string | undefined): ChosenEndpoint | undefined => chooser.choose({
-			service, parts, tried, avoidedHalls, version, regions,
-		});
 		const required = stream.requiredVersion(progress);
-		const preferred = stream.preferredVersion(progress);
+		const preferred = required ?? baseVersion ?? stream.preferredVersion(progress);
 		return chooseOf(preferred) ?? (preferred === required ? undefined : chooseOf(required));
 	};
 
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -170,10 +170,11 @@
 				key, origin, keepUntil, notedAt: now(),
 			};
 			table.keepOwn(kept);
-			await Promise.all([
+			const [betterVersion] = await Promise.all([
 				stored.record(kept, sent.isTakeUp),
 				versions.isMixed(origin.service) ? exchange.tell([kept]) : undefined,
 			]);
+			return betterVersion;
 		},
 		noteWhole(key) {
 			table.endOwn(key);
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -89,7 +89,7 @@
 			isWanted: () => true,
 			onSent: () => undefined,
 			onEvents: () => undefined,
-			originTold: Promise.resolve(),
+			mayRelay: Promise.resolve(true),
 			lastEventId: undefined,
 			mayMove: false,
 			signal: controller.signal,
