A host reads a settings file that is being written again

Cause: the file was read once. A writer that does not replace a file in one step leaves it missing, empty or with a part of its text for a moment, and a process that starts in it gave up at once; it told the reason on standard error alone.

Change: invalid settings are read again each 50 ms for 3 s, at the start and at SIGHUP, which reported such a file as unsound. settings_unread says what the first read found; settings that stay invalid end the process with code 2 as before, now with a line settings_invalid for each fault as well. Every kind of fault is awaited, since a writer may also write a first draft; that delays the end by 3 s where nothing is written, and the process does no work then. SIGTERM in that time exits with 0.

Evidence: the tests of an empty and a half written file and of the reason in the log were red and are green; with the loop undone in the built code, the first two are red again.

--- a/packages/host-kit/src/index.ts
+++ b/packages/host-kit/src/index.ts
@@ -1,3 +1,4 @@
+export {awaitSettings} from './await-settings.js';
 export {checkChunks} from './chunk-framing/check-chunks.js';
 export {checkRequestChunks} from './chunk-framing/check-request-chunks.js';
 export {createLineLog} from './create-line-log.js';
