A reply without a value no longer costs the link between two hosts

Cause: undefined fields are left out when a frame is packed, and the schema of frames took a missing body for a fault (z.unknown() requires the field). So the reply to a request that a host cannot parse, as of another release, or to the question for a bundle where there is none, closed the link as an unexpected frame, and all requests that waited on it failed as unknown.

reply-without-value: red before, green; frames-that-end-early green.

--- a/packages/mesh/src/lib/frame.ts
+++ b/packages/mesh/src/lib/frame.ts
@@ -12,7 +12,7 @@
 		type: z.literal('prove'), version: z.literal(protocolVersion), identity, nonce: z.string().length(32), proof: z.string().length(64),
 	}),
 	z.object({type: z.literal('welcome'), identity, proof: z.string().length(64)}),
-	z.object({type: z.literal('request'), id: z.number(), body: z.unknown()}),
-	z.object({type: z.literal('reply'), id: z.number(), body: z.unknown()}),
-	z.object({type: z.literal('message'), body: z.unknown()}),
+	z.object({type: z.literal('request'), id: z.number(), body: z.unknown().optional()}),
+	z.object({type: z.literal('reply'), id: z.number(), body: z.unknown().optional()}),
+	z.object({type: z.literal('message'), body: z.unknown().optional()}),
 ]);
