An error on a request of a peer, or of a call to the directory, costs only itself

Cause: the mesh calls the handler of requests, and a host its registration and its reads of the list of hosts, without anyone who awaits them, so that an error in one of them ended the process.

The request gets a reply without a value and is logged (peer_request_failed); the call to the directory counts as unanswered and is repeated (registration_failed, peer_list_failed). stackOf is in core now.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,5 +30,6 @@
 export type {RunState} from './run-state.js';
 export {sampleOf} from './sample-of.js';
 export {splitAddress} from './split-address.js';
+export {stackOf} from './stack-of.js';
 export {succeed} from './succeed.js';
 export {systemClock} from './system-clock.js';
--- a/packages/entry/src/lib/peers/create-peer-request-handler.ts
+++ b/packages/entry/src/lib/peers/create-peer-request-handler.ts
@@ -1,9 +1,13 @@
+import {stackOf} from '@deckwheel/core';
 import type {Identity} from '@deckwheel/mesh';
+import type {z} from 'zod';
 import type {Log} from '../../adapter/log.js';
 import {createSparseLog} from './create-sparse-log.js';
 import type {PeerHandlers} from './peer-handlers.js';
 import {peerMessageSchema} from './peer-message-schema.js';
 
+type PeerMessage = z.infer<typeof peerMessageSchema>;
+
 type Options = PeerHandlers & {
 	/** The name of this incarnation of the host, as a holder of rights. */
 	readonly holder: string;
@@ -14,20 +18,13 @@
 
 /**
 Creates the function that checks a peer's request against the schema and passes it to its handler. The function resolves with the reply, and
-with `undefined` for a malformed request, which is logged.
+with `undefined` for a malformed request and for one whose handler throws, which are logged: a request may cost only itself.
 */
 export const createPeerRequestHandler = ({
 	lend, takeBack, answerChanges, answerPatch, answerSuspicions, answerPermit, answerLimits, answerLoad, answerOrigins, answerTunnel, answerReach, answerTunnelEnd, holder, log, now,
 }: Options) => {
 	const sparseLog = createSparseLog(log, now);
-	return async (from: Identity, body: unknown): Promise<unknown> => {
-		const message = peerMessageSchema.safeParse(body);
-		if (!message.success) {
-			sparseLog('peer_message_malformed', {from: from.incarnation});
-			return undefined;
-		}
-
-		const {data} = message;
+	const handle = async (from: Identity, data: PeerMessage): Promise<unknown> => {
 		switch (data.type) {
 			case 'hand_back': {
 				// `total` counts all rights that the peer ever gave to one incarnation of a host. Were it meant for an earlier incarnation at this
@@ -88,4 +85,19 @@
 			}
 		}
 	};
+
+	return async (from: Identity, body: unknown): Promise<unknown> => {
+		const message = peerMessageSchema.safeParse(body);
+		if (!message.success) {
+			sparseLog('peer_message_malformed', {from: from.incarnation});
+			return undefined;
+		}
+
+		try {
+			return await handle(from, message.data);
+		} catch (error) {
+			log('peer_request_failed', {from: from.incarnation, type: message.data.type, stack: stackOf(error)});
+			return undefined;
+		}
+	};
 };
--- a/packages/entry/src/lib/peers/create-registration.ts
+++ b/packages/entry/src/lib/peers/create-registration.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {stackOf} from '@deckwheel/core';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {Log} from '../../adapter/log.js';
 import type {PeerDirectory} from '../../adapter/peer-directory.js';
@@ -42,10 +43,20 @@
 	/** The secret with which this host listens for peers; `undefined` until it listens. */
 	let listeningSecret: string | undefined;
 
+	/** Calls the directory once. An error counts as no answer, so that it does not end the registration for good. */
+	const callOnce = async <T>(call: () => Promise<T | undefined>): Promise<T | undefined> => {
+		try {
+			return await call();
+		} catch (error) {
+			log('registration_failed', {stack: stackOf(error)});
+			return undefined;
+		}
+	};
+
 	/** Calls the directory until it answers or the registration is closed. */
 	const retryUntilAnswered = async <T>(call: () => Promise<T | undefined>): Promise<T | undefined> => {
 		for (;;) {
-			const result = await call();
+			const result = await callOnce(call);
 			if (result !== undefined || isClosed) {
 				return result;
 			}
@@ -90,7 +101,7 @@
 			listeningSecret = secret;
 			isSettled = await register();
 			await sleep(lateReadDelayMs, undefined, {ref: false});
-			await readPeerList();
+			await callOnce(readPeerList);
 		},
 		async renew() {
 			const ownSecret = listeningSecret;
--- a/packages/entry/src/lib/peers/start-peer-links.ts
+++ b/packages/entry/src/lib/peers/start-peer-links.ts
@@ -1,4 +1,4 @@
-import {splitAddress} from '@deckwheel/core';
+import {splitAddress, stackOf} from '@deckwheel/core';
 import {createEventCounter} from '@deckwheel/host-kit';
 import {openMesh, type Mesh, type Tunnels} from '@deckwheel/mesh';
 import type {ListedPeer} from '../../adapter/listed-peer.js';
@@ -57,10 +57,18 @@
 		return true;
 	};
 
+	const tryReadPeerList = async (): Promise<void> => {
+		try {
+			await readPeerList();
+		} catch (error) {
+			log('peer_list_failed', {stack: stackOf(error)});
+		}
+	};
+
 	const rereadPeerList = (): void => {
 		if (now() > nextReadAt) {
 			nextReadAt = now() + minReadIntervalMs;
-			void readPeerList();
+			void tryReadPeerList();
 		}
 	};
 
--- a/packages/entry/src/test/create-registration.test.ts
+++ b/packages/entry/src/test/create-registration.test.ts
@@ -49,3 +49,14 @@
 	t.true(await eventually(() => registration.isSettled()));
 	t.is(reads(), 2);
 });
+
+test('guards against a registration, and a process, that one error of a read ends', async t => {
+	const {registration} = startRegistration(t, read => {
+		if (read === 0) {
+			throw new Error('from a test');
+		}
+
+		return true;
+	});
+	t.true(await eventually(() => registration.isSettled()));
+});
