The model of stream origins lets hosts lag and stand still together

Hosts of a hall are now cut off and lag together, with the links back before the list, while a version joins or not; any hosts stand still, or their machines are suspended (their monotonic clock stands, the elapsed one goes on); and time leaps over a minute without trouble, so that services have one version again within a course. Lists are confirmed as the platform does it. A test with whole hosts: a hall that is cut off from the other one goes on with no stream of a version that joined there.

--- a/packages/entry/src/test/lib/start-versioned-fleet.ts
+++ b/packages/entry/src/test/lib/start-versioned-fleet.ts
@@ -53,8 +53,8 @@
 	readonly versions: ReadonlyArray<string | undefined>;
 	/** How many of the endpoints the hosts list at first; all by default. */
 	readonly listedAtFirst?: number;
-	/** As for `startHost`. */
-	readonly seenAs?: (peer: ListedPeer) => ListedPeer;
+	/** As for `startHost`, with the hall of the host that gets the entry. */
+	readonly seenAs?: (peer: ListedPeer, hall: string) => ListedPeer;
 	/** As in `Bounds`; not known by default. */
 	readonly eventTimeout?: Bounds['eventTimeout'];
 	/** As in `Route`. */
@@ -62,7 +62,7 @@
 };
 
 /** Starts whole hosts that know each other and list endpoints of several software versions, behind a route for streams that may be resumed. */
-export const startVersionedFleet = async (t: ExecutionContext, {halls, versions, listedAtFirst = versions.length, seenAs, eventTimeout, goalMs}: Options) => {
+export const startVersionedFleet = async (t: ExecutionContext, {halls, versions, listedAtFirst = versions.length, seenAs = peer => peer, eventTimeout, goalMs}: Options) => {
 	const peers = new Map<string, ListedPeer>();
 	const originStore = createMemoryOriginStore();
 	const held = new Set<ServerResponse>();
@@ -76,7 +76,7 @@
 	});
 	const startHosts = async (listed: readonly ListedEndpoint[]) => {
 		const started = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {
-			host: `edge-${index}`, hall, peers, originStore, seenAs, eventTimeout,
+			host: `edge-${index}`, hall, peers, originStore, seenAs: peer => seenAs(peer, hall), eventTimeout,
 		})));
 		for (const {entry} of started) {
 			entry.configure(makeConfig({routes: [route]}));
--- a/packages/entry/src/test/stream-origins-model.test.ts
+++ b/packages/entry/src/test/stream-origins-model.test.ts
@@ -1,4 +1,4 @@
-/** Guards against hosts that name the wrong version for a stream, or none, while hosts die, one or all, are cut off, start again and lag, and the store is away. */
+/** Guards against hosts that name the wrong version for a stream, or none, while hosts die, one or all, are cut off, stand still, start again and lag, alone and together, and the store is away. */
 import process from 'node:process';
 import {setImmediate} from 'node:timers/promises';
 import test from 'ava';
@@ -7,6 +7,7 @@
 import type {Schedule} from '../adapter/schedule.js';
 import {createStreamOrigins} from '../lib/stream-origins/create-stream-origins.js';
 import type {StreamOrigins} from '../lib/stream-origins/stream-origins.js';
+import {versionMemoryMs} from '../lib/stream-origins/version-memory-ms.js';
 import {createRandom} from './lib/create-random.js';
 import {createMemoryOriginStore} from './lib/memory-origin-store.js';
 
@@ -24,6 +25,9 @@
 /** How many steps a host may be behind the list of endpoints, as one that is cut off from the store. */
 const maxLagSteps = 100;
 
+/** How many steps a host may stand still. */
+const maxHaltSteps = 60;
+
 /** For how many steps the store has to be up before all hosts may die: what began while it was away is stored by then. */
 const settledSteps = 40;
 
@@ -40,6 +44,12 @@
 	versions: readonly string[];
 	/** The step up to which it gets no lists. */
 	lagsUntil: number;
+	/** The step up to which it stands still. */
+	haltsUntil: number;
+	/** Whether its machine is suspended while it stands still. */
+	isSuspended: boolean;
+	/** For how long its machine was suspended, which its monotonic clock does not count, in ms. */
+	suspendedMs: number;
 	isAlive: boolean;
 	startedAt: number;
 };
@@ -104,36 +114,54 @@
 	const {schedule, now, advance} = createStepTimers();
 	const store = createMemoryOriginStore();
 	let cutHall: string | undefined;
+	/** The addresses of hosts that are cut off from all others, and the step up to which. */
+	let apart = {addresses: new Set<string>(), until: 0};
+	let stepNow = 0;
+	/** Counts the leaps of time, over which no stream goes on. */
+	let calmCount = 0;
 	let listed: readonly string[] = ['v1'];
 	const hosts = new Map<string, Host>();
 
-	const isCut = (a: ListedPeer, b: ListedPeer): boolean => a.hall !== b.hall && (a.hall === cutHall || b.hall === cutHall);
+	const isCut = (a: ListedPeer, b: ListedPeer): boolean =>
+		(a.hall !== b.hall && (a.hall === cutHall || b.hall === cutHall))
+		|| (stepNow < apart.until && apart.addresses.has(a.address) !== apart.addresses.has(b.address));
+
+	const isHalted = ({haltsUntil}: Host): boolean => stepNow < haltsUntil;
+
+	/** The monotonic time of a host. */
+	const nowAt = (peer: ListedPeer): number => now() - (hosts.get(peer.address)?.suspendedMs ?? 0);
 
 	const start = (peer: ListedPeer): Host => {
 		const origins = createStreamOrigins({
 			host: peer.holder,
 			store,
 			writesPerSecond: 400,
-			listConfirmMs: 5000,
+			listConfirmMs: 3400,
 			schedule,
 			self: () => peer,
 			others: () => peers.filter(other => other !== peer),
 			async sendOrigins(address, message) {
 				const to = hosts.get(address)!;
-				return to.isAlive && hosts.get(peer.address)!.isAlive && !isCut(peer, to.peer) ? to.origins.answerOrigins(message) : undefined;
+				const from = hosts.get(peer.address)!;
+				const isInReach = to.isAlive && from.isAlive && !isHalted(to) && !isHalted(from) && !isCut(peer, to.peer);
+				return isInReach ? to.origins.answerOrigins(message) : undefined;
 			},
 			counter: {increment: () => undefined},
-			now,
+			now: () => nowAt(peer),
 			elapsed: now,
 		});
 		return {
-			peer, origins, versions: [], lagsUntil: 0, isAlive: true, startedAt: now(),
+			peer, origins, versions: [], lagsUntil: 0, haltsUntil: 0, isSuspended: false, suspendedMs: hosts.get(peer.address)?.suspendedMs ?? 0, isAlive: true, startedAt: now(),
 		};
 	};
 
 	const list = (host: Host): void => {
-		host.versions = listed;
-		host.origins.list(listed.map(version => makeEndpoint(version)));
+		if (host.versions !== listed) {
+			host.versions = listed;
+			host.origins.list(listed.map(version => makeEndpoint(version)));
+		}
+
+		host.origins.listConfirmed(now());
 	};
 
 	for (const peer of peers) {
@@ -145,7 +173,7 @@
 	const alive = (): readonly Host[] => [...hosts.values()].filter(({isAlive}) => isAlive);
 
 	/** A host that starts while the store is away has no list, and serves nothing. */
-	const serving = (): readonly Host[] => alive().filter(({versions}) => versions.length > 0);
+	const serving = (): readonly Host[] => alive().filter(host => host.versions.length > 0 && !isHalted(host));
 
 	const result: Result = {
 		takeUps: 0, found: 0, crossed: 0, unknown: 0, unreadable: 0, crossedUnstored: 0, lost: 0,
@@ -159,10 +187,11 @@
 	const begin = async (): Promise<void> => {
 		const host = pick(serving());
 		const {origins} = host;
+		const calmsBefore = calmCount;
 		const key = `stream-${nextStream++}`;
 		const preferred = origins.preferredVersion('s');
 		const version = preferred !== undefined && host.versions.includes(preferred) ? preferred : pick(host.versions);
-		const keepUntil = now() + (2 * streamMs);
+		const keepUntil = nowAt(host.peer) + (2 * streamMs);
 		// A first attempt that brought no event.
 		if (random() < 0.2) {
 			void origins.noteSent({
@@ -173,7 +202,7 @@
 		await origins.noteSent({
 			key, origin: {service: 's', version, attempt: 2}, keepUntil, isTakeUp: false,
 		});
-		if (host.isAlive && host.origins === origins) {
+		if (host.isAlive && host.origins === origins && calmCount === calmsBefore) {
 			streams = [...streams, {
 				key, version, begunAt: now(), isUnstored: store.faults.isDown || storeUpFor < noticedSteps,
 			}].filter(({begunAt}) => now() - begunAt < streamMs);
@@ -184,8 +213,9 @@
 		const {key, version, isUnstored} = pick(streams);
 		const host = pick(serving());
 		const {origins} = host;
+		const calmsBefore = calmCount;
 		const found = await origins.findOrigin(key, {services: ['s'], likely: 's', hasEvents: true});
-		if (!host.isAlive || host.origins !== origins) {
+		if (!host.isAlive || host.origins !== origins || calmCount !== calmsBefore) {
 			return;
 		}
 
@@ -209,6 +239,55 @@
 		host.origins.close();
 	};
 
+	/** Cuts hosts of a hall off together, and from the list; the links may be back before it. */
+	const lagTogether = (step: number): void => {
+		const {hall} = pick(alive()).peer;
+		const share = random();
+		const members = alive().filter(({peer}) => peer.hall === hall && random() <= share);
+		const lagsUntil = step + Math.floor(random() * maxLagSteps);
+		apart = {addresses: new Set(members.map(({peer}) => peer.address)), until: step + Math.floor(random() * (lagsUntil - step))};
+		for (const host of members) {
+			host.lagsUntil = lagsUntil;
+		}
+
+		if (random() < 0.5) {
+			listed = [...listed, `v${nextVersion++}`].slice(-3);
+		}
+	};
+
+	/** Lets time pass without trouble, with one version, until no stream of another one can be taken up. */
+	const calm = async (): Promise<void> => {
+		calmCount++;
+		cutHall = undefined;
+		apart.until = 0;
+		store.faults.isDown = false;
+		listed = listed.slice(-1);
+		for (const host of alive()) {
+			host.lagsUntil = 0;
+			host.haltsUntil = 0;
+			list(host);
+		}
+
+		await advance(versionMemoryMs + 1);
+		await advance(stepMs);
+		streams = [];
+		for (const host of alive()) {
+			list(host);
+		}
+	};
+
+	/** Lets hosts stand still, or suspends their machines. They get no list for a while after that. */
+	const halt = (step: number): void => {
+		const share = random();
+		const steps = Math.floor(random() * maxHaltSteps);
+		const isSuspended = random() < 0.5;
+		for (const host of alive().filter(() => random() <= share)) {
+			host.haltsUntil = step + steps;
+			host.lagsUntil = host.haltsUntil + Math.floor(random() * maxLagSteps / 5);
+			host.isSuspended = isSuspended;
+		}
+	};
+
 	const disturb = (step: number): void => {
 		const dice = random();
 		if (dice < 0.02) {
@@ -229,19 +308,33 @@
 			}
 		} else if (dice < 0.15) {
 			store.faults.isDown = !store.faults.isDown;
+		} else if (dice < 0.17 && alive().length > 0) {
+			lagTogether(step);
+		} else if (dice < 0.19 && alive().length > 0) {
+			halt(step);
 		}
 	};
 
 	for (let step = 0; step < stepCount; step++) {
+		stepNow = step;
+		for (const host of hosts.values()) {
+			host.suspendedMs += host.isSuspended && isHalted(host) ? stepMs : 0;
+		}
+
 		await advance(stepMs);
 		storeUpFor = store.faults.isDown ? 0 : storeUpFor + 1;
-		disturb(step);
+		if (random() < 0.01) {
+			await calm();
+		} else {
+			disturb(step);
+		}
+
 		for (const host of hosts.values()) {
 			if (!host.isAlive && random() < 0.1) {
 				Object.assign(host, start(host.peer));
 			}
 
-			if (host.isAlive && (host.versions.length === 0 ? !store.faults.isDown : step >= host.lagsUntil) && host.versions !== listed) {
+			if (host.isAlive && (host.versions.length === 0 ? !store.faults.isDown : step >= host.lagsUntil)) {
 				list(host);
 			}
 		}
@@ -260,7 +353,7 @@
 };
 
 for (const hallSizes of [[3, 2, 2], [20, 20, 21, 21]]) {
-	test(`a stream goes on at a wrong version, or at none, in ${hallSizes.reduce((sum, size) => sum + size)} hosts that die, are cut off, start again and lag`, async t => {
+	test(`a stream goes on at a wrong version, or at none, in ${hallSizes.reduce((sum, size) => sum + size)} hosts that die, are cut off, stand still, start again and lag`, async t => {
 		const total: Result = {
 			takeUps: 0, found: 0, crossed: 0, unknown: 0, unreadable: 0, crossedUnstored: 0, lost: 0,
 		};
--- a/packages/entry/src/test/take-up-of-streams.test.ts
+++ b/packages/entry/src/test/take-up-of-streams.test.ts
@@ -154,3 +154,30 @@
 		t.deepEqual(ids.filter(id => id.startsWith('b')).map(id => id.slice(1)), ids.filter(id => id.startsWith('a')).map(id => id.slice(1)));
 	}
 });
+
+test('a stream of a version that joined while a hall was cut off goes on there at another version', async t => {
+	const {hosts: [first, second, other], endpoints} = await startVersionedFleet(t, {
+		halls: ['hall-a', 'hall-a', 'hall-b'], versions: ['v1', 'v1', 'v2', 'v2'], listedAtFirst: 2,
+		seenAs: (peer, hall) => peer.hall === hall ? peer : {...peer, address: '127.0.0.1:1'},
+	});
+	for (const {callers} of [first!, second!]) {
+		await openStream(callers, 'before', takeUp('begun-before')).ended;
+	}
+
+	const listed = endpoints.map(endpoint => endpoint.listed);
+	other!.entry.listEndpoints(listed);
+	const begun = await Promise.all(Array.from({length: 12}, async (_, index) => openStream(other!.callers, `a${index}`, hold).first));
+	t.true(begun.some(event => event!.data === 'v2'));
+	for (const isListed of [false, true]) {
+		if (isListed) {
+			first!.entry.listEndpoints(listed);
+		}
+
+		for (const [index, event] of begun.entries()) {
+			const {status, events} = await openStream(first!.callers, `b${index}-${String(isListed)}`, takeUp(`a${index}`)).ended;
+			const goesOn = isListed || event!.data === 'v1';
+			t.is(status, goesOn ? 200 : 503);
+			t.deepEqual(events.map(({data}) => data), goesOn ? Array.from({length: 5}, () => event!.data) : []);
+		}
+	}
+});
