In an outage of the store, peers with old lists show that a service has one version

Found by reading: since a reply counts only while the peer's list was confirmed recently. In an outage of the store all lists grow old, so after some 3 s each take-up of a service with one version would have been refused until the store is back.

Hosts that cannot read the store get no new version, so nobody sends streams to one.

Figures: a new test (outage, one of three hosts of each hall dead) is red with this taken out of the built code.

--- a/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
+++ b/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
@@ -3,7 +3,8 @@
 import type {ListedPeer} from '../../adapter/listed-peer.js';
 import type {KeptOrigin} from './kept-origin.js';
 import type {OriginTable} from './origin-table.js';
-import {hasHeardAllHalls} from './has-heard-all-halls.js';
+import type {HeardHalls} from './heard-halls.js';
+import {judgeReplies} from './judge-replies.js';
 import {toWireOrigin} from './to-wire-origin.js';
 import type {OriginsMessage} from './wire/origins-message.js';
 import type {OriginsReply} from './wire/origins-reply.js';
@@ -41,8 +42,8 @@
 type Answer = {
 	/** `undefined` where no asked peer knows it. */
 	readonly found: FoundAtPeer | undefined;
-	/** Whether peers of all halls replied that know of all versions (`hasHeardAllHalls`). */
-	readonly hasHeardAll: boolean;
+	/** What the replies cover, as `judgeReplies` decides. */
+	readonly heard: HeardHalls;
 };
 
 /** Tells peers where streams began, and asks them. */
@@ -83,10 +84,10 @@
 		return reply;
 	};
 
-	const askPeer = async (address: string, {key, services, witnesses}: {readonly key: string; readonly services: readonly string[]; readonly witnesses: Set<string>}): Promise<FoundAtPeer> => {
-		const {listAgeMs = Number.POSITIVE_INFINITY} = await exchange(address, {told: [], asked: [key], services: [...services]});
-		if (listAgeMs <= listConfirmMs) {
-			witnesses.add(address);
+	const askPeer = async (address: string, {key, services, listAges}: {readonly key: string; readonly services: readonly string[]; readonly listAges: Map<string, number>}): Promise<FoundAtPeer> => {
+		const {listAgeMs} = await exchange(address, {told: [], asked: [key], services: [...services]});
+		if (listAgeMs !== undefined) {
+			listAges.set(address, listAgeMs);
 		}
 
 		const kept = table.get(key);
@@ -108,9 +109,9 @@
 		async ask(key, services) {
 			const peers = peersFor(key, askedPerHall);
 			counter.increment('asked', peers.length);
-			const witnesses = new Set<string>();
-			const found = await firstOf(peers.map(async ({address}) => askPeer(address, {key, services, witnesses})));
-			return {found, hasHeardAll: hasHeardAllHalls(peers, witnesses)};
+			const listAges = new Map<string, number>();
+			const found = await firstOf(peers.map(async ({address}) => askPeer(address, {key, services, listAges})));
+			return {found, heard: judgeReplies(peers, listAges, listConfirmMs)};
 		},
 	};
 };
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -7,6 +7,7 @@
 import {createOriginTable} from './create-origin-table.js';
 import {createServedVersions} from './create-served-versions.js';
 import {createServiceVersions} from './create-service-versions.js';
+import {createVersionProof} from './create-version-proof.js';
 import {createStoredStreams} from './stored/create-stored-streams.js';
 import type {FoundOrigin} from './found-origin.js';
 import type {StreamOrigins} from './stream-origins.js';
@@ -18,8 +19,6 @@
 import type {WireOrigin} from './wire/wire-origin.js';
 import type {WireVersion} from './wire/wire-version.js';
 
-type SingleProof = (FoundOrigin & {readonly type: 'single'})['by'];
-
 type Options = {
 	/** The name of this host, the same over its restarts. */
 	readonly host: string;
@@ -113,27 +112,18 @@
 		}
 	};
 
-	/**
-	Makes sure that this host knows of all versions whose streams may be taken up, after it asked peers at `askedAt`. A host that lags does not
-	know of those that came since; one that has just started does not know of those that served before. Resolves with who showed it, and with
-	`undefined` where nobody could.
-	*/
-	const ensureVersionsKnown = async (askedAt: number, hasHeardAll: boolean): Promise<SingleProof | undefined> => {
-		if (!hasHeardAll) {
-			return await stored.readAgain() === undefined ? undefined : 'store';
-		}
-
-		if (isRecent() && settledReplyAt < askedAt) {
-			return await stored.ensureRead() ? 'store' : undefined;
-		}
-
-		return peers.others().length === 0 ? 'nobody' : 'peers';
-	};
+	const proveVersions = createVersionProof({
+		isRecent,
+		hasSettledReply: since => settledReplyAt >= since,
+		hasPeers: () => peers.others().length > 0,
+		stored,
+		schedule,
+	});
 
 	const findElsewhere = async (key: string, {services, likely, hasEvents}: TakenUp): Promise<FoundOrigin> => {
 		const isMixed = (): boolean => services.some(service => versions.isMixed(service));
 		const askedAt = now();
-		const {found, hasHeardAll} = await exchange.ask(key, services);
+		const {found, heard} = await exchange.ask(key, services);
 		if (found) {
 			counter.increment('found');
 			return {
@@ -141,7 +131,7 @@
 			};
 		}
 
-		const by = isMixed() ? undefined : await ensureVersionsKnown(askedAt, hasHeardAll);
+		const by = isMixed() ? undefined : await proveVersions(askedAt, heard);
 		if (isMixed()) {
 			return hasEvents ? stored.find(key, services, likely) : {type: 'unknown'};
 		}
--- a/packages/entry/src/lib/stream-origins/found-origin.ts
+++ b/packages/entry/src/lib/stream-origins/found-origin.ts
@@ -18,8 +18,11 @@
 	/** The services have one version each, so the stream may go on at any endpoint. */
 	| {
 		readonly type: 'single';
-		/** Who showed that there is no other version, for the log: `peers`, `store`, or `nobody` where this host has no peers. */
-		readonly by: 'peers' | 'store' | 'nobody';
+		/**
+		Who showed that there is no other version, for the log: `peers`; `store`; `outdated_peers`: peers whose lists of endpoints were confirmed a while
+		ago, while the store could not be read; or `nobody` where this host has no peers.
+		*/
+		readonly by: 'peers' | 'store' | 'outdated_peers' | 'nobody';
 		/** How long ago this host's list of endpoints was confirmed last, in ms; `undefined` where it never was. */
 		readonly listAgeMs?: number;
 	}
--- a/packages/entry/src/test/out-of-step-hosts.test.ts
+++ b/packages/entry/src/test/out-of-step-hosts.test.ts
@@ -174,3 +174,21 @@
 	fleet.confirm(fleet.lagging);
 	t.deepEqual(origins.findGone(gone), {retryAt: undefined});
 });
+
+test('in an outage of the store, with a host of each hall dead, a take-up of a service with one version is refused', async t => {
+	const fleet = createOriginFleet({halls: [3, 3, 2]});
+	fleet.list(fleet.hosts, 'v1');
+	await fleet.pass(settleMs);
+	fleet.confirm(fleet.hosts);
+	for (const host of fleet.hosts) {
+		fleet.withoutStore.add(host);
+	}
+
+	for (const index of [1, 4, 6]) {
+		fleet.dead.add(fleet.hosts[index]!);
+	}
+
+	await fleet.pass(settleMs);
+	const found = await fleet.takeUp(fleet.hosts[0]!, keys);
+	t.deepEqual(new Set(found.map(({type}) => type)), new Set(['single']));
+});
