--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -37,6 +37,7 @@
 import {tunnelEndReplySchema} from '../tunnels/tunnel-end-reply-schema.js';
 import {tunnelReplySchema} from '../tunnels/tunnel-reply-schema.js';
 import type {TunnelServerOptions} from '../tunnels/tunnel-server-options.js';
+import {createStopMonitor} from './create-stop-monitor.js';
 import {repeatByTimer} from './repeat-by-timer.js';
 import {scheduleByTimer} from './schedule-by-timer.js';
 
@@ -199,6 +200,7 @@
 		// What a host knew before a suspension of the machine counts as old.
 		now: elapsed,
 	});
+	const stopMonitor = createStopMonitor({every: repeatByTimer, elapsed});
 	const streamOrigins = createStreamOrigins({
 		host,
 		store: originStore,
@@ -210,6 +212,7 @@
 		sendOrigins: async (peerAddress, message) => requestFromPeer(peerAddress, {type: 'origins', ...message}, originsReplySchema),
 		counter: createEventCounter('stream_origins', log),
 		now,
+		resumedAt: stopMonitor.resumedAt,
 		elapsed,
 	});
 	const registry = createChangeRegistry(elapsed);
@@ -262,6 +265,7 @@
 			loadSharing.close();
 			rights.close();
 			streamOrigins.close();
+			stopMonitor.close();
 			await links.close();
 		},
 	};
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -34,6 +34,8 @@
 	readonly counter: Pick<EventCounter, 'increment'>;
 	/** Monotonic ms. */
 	readonly now: () => number;
+	/** When this process resumed after its last stop, in elapsed ms. */
+	readonly resumedAt: () => number;
 	/** Elapsed ms, suspensions included. */
 	readonly elapsed: () => number;
 };
@@ -47,10 +49,10 @@
 
 What must outlive all hosts is in the store (`createStoredStreams`). While hosts of all halls reply, a service with one version costs one read in a host's life.
 */
-export const createStreamOrigins = ({host, store, listConfirmMs, writesPerSecond, schedule, counter, now, elapsed, ...peers}: Options): StreamOrigins => {
+export const createStreamOrigins = ({host, store, listConfirmMs, writesPerSecond, schedule, counter, now, resumedAt, elapsed, ...peers}: Options): StreamOrigins => {
 	const table = createOriginTable(now);
 	const versions = createServiceVersions(now);
-	const listProof = createListProof({confirmMs: listConfirmMs, elapsed});
+	const listProof = createListProof({confirmMs: listConfirmMs, resumedAt, elapsed});
 	const served = createServedVersions({listProof, now, elapsed});
 	const startedAt = now();
 	/** Whether versions that nobody lists any more may have streams of which this host was not told: it started a short time ago. */
@@ -187,7 +189,7 @@
 				known: asked.map(key => table.get(key)).filter(kept => kept !== undefined).map(kept => toWireOrigin(kept, now())),
 				versions: versions.tell(services).map(({service, version, until}) => ({service, version, keepMs: until - now()})),
 				isSettled: !isRecent(),
-				listAgeMs: listProof.ageMs(),
+				listAgeMs: listProof.toldAgeMs(),
 			};
 		},
 		close: stored.close,
--- a/packages/entry/src/test/create-served-versions.test.ts
+++ b/packages/entry/src/test/create-served-versions.test.ts
@@ -14,7 +14,7 @@
 const start = () => {
 	let time = 1000;
 	const now = (): number => time;
-	const listProof = createListProof({confirmMs: settledMs, elapsed: now});
+	const listProof = createListProof({confirmMs: settledMs, resumedAt: () => Number.NEGATIVE_INFINITY, elapsed: now});
 	const served = createServedVersions({listProof, now, elapsed: now});
 	/** What a take-up is told whose version was missed before the list was confirmed last. */
 	const findGone = (service: string, version: string): ReturnType<typeof served.findGone> => {
--- a/packages/entry/src/test/create-stream-origins.test.ts
+++ b/packages/entry/src/test/create-stream-origins.test.ts
@@ -32,6 +32,7 @@
 		},
 		counter: {increment: () => undefined},
 		now: () => time,
+		resumedAt: () => Number.NEGATIVE_INFINITY,
 		elapsed: () => time,
 	});
 	const send = async (key: string): Promise<void> => {
@@ -105,6 +106,7 @@
 			}),
 			counter: {increment: () => undefined},
 			now: () => 1000,
+			resumedAt: () => Number.NEGATIVE_INFINITY,
 			elapsed: () => 1000,
 		});
 		origins.list(endpointsOf('v1'));
--- a/packages/entry/src/test/lib/create-origin-fleet.ts
+++ b/packages/entry/src/test/lib/create-origin-fleet.ts
@@ -32,6 +32,7 @@
 	const cut = new Set<FleetHost>();
 	const dead = new Set<FleetHost>();
 	const withoutStore = new Set<FleetHost>();
+	const resumedAt = new Map<ListedPeer, number>();
 	let suspendedMs = 0;
 	let messages = 0;
 	const elapsed = (): number => clock.now() + suspendedMs;
@@ -74,6 +75,7 @@
 			},
 			counter: {increment: () => undefined},
 			now: clock.now,
+			resumedAt: () => resumedAt.get(peer) ?? Number.NEGATIVE_INFINITY,
 			elapsed,
 		});
 		const host: FleetHost = {peer, origins};
@@ -97,6 +99,12 @@
 			hosts[hosts.indexOf(host)] = next;
 			return next;
 		},
+		/** Notes that hosts were stopped until now. */
+		resume(stopped: Iterable<FleetHost>) {
+			for (const {peer} of stopped) {
+				resumedAt.set(peer, elapsed());
+			}
+		},
 		/** Suspends the machines of all hosts. */
 		suspend(ms: number) {
 			suspendedMs += ms;
--- a/packages/entry/src/test/origins-in-the-store.test.ts
+++ b/packages/entry/src/test/origins-in-the-store.test.ts
@@ -34,6 +34,7 @@
 			},
 		},
 		now: clock.now,
+		resumedAt: () => Number.NEGATIVE_INFINITY,
 		elapsed: clock.now,
 	});
 	const pass = async (ms: number): Promise<void> => {
--- a/packages/entry/src/test/out-of-step-hosts.test.ts
+++ b/packages/entry/src/test/out-of-step-hosts.test.ts
@@ -192,3 +192,11 @@
 	const found = await fleet.takeUp(fleet.hosts[0]!, keys);
 	t.deepEqual(new Set(found.map(({type}) => type)), new Set(['single']));
 });
+
+test('all hosts but one were stopped a moment ago: a stream goes on at another version', async t => {
+	const fleet = await startOutOfStep(5, {forMs: 0});
+	fleet.cut.clear();
+	fleet.dead.add(fleet.inStep[0]!);
+	fleet.resume(fleet.lagging);
+	t.deepEqual(await versionsOf(fleet), new Set(['v2']));
+});
--- a/packages/entry/src/test/stream-origins-model.test.ts
+++ b/packages/entry/src/test/stream-origins-model.test.ts
@@ -46,6 +46,8 @@
 	lagsUntil: number;
 	/** The step up to which it stands still. */
 	haltsUntil: number;
+	/** When it last went on after it had stood still, in ms. */
+	resumedAt: number;
 	/** Whether its machine is suspended while it stands still. */
 	isSuspended: boolean;
 	/** For how long its machine was suspended, which its monotonic clock does not count, in ms. */
@@ -148,10 +150,12 @@
 			},
 			counter: {increment: () => undefined},
 			now: () => nowAt(peer),
+			resumedAt: () => hosts.get(peer.address)?.resumedAt ?? Number.NEGATIVE_INFINITY,
 			elapsed: now,
 		});
 		return {
-			peer, origins, versions: [], lagsUntil: 0, haltsUntil: 0, isSuspended: false, suspendedMs: hosts.get(peer.address)?.suspendedMs ?? 0, isAlive: true, startedAt: now(),
+			peer, origins, versions: [], lagsUntil: 0, haltsUntil: 0,
+			resumedAt: Number.NEGATIVE_INFINITY, isSuspended: false, suspendedMs: hosts.get(peer.address)?.suspendedMs ?? 0, isAlive: true, startedAt: now(),
 		};
 	};
 
@@ -319,6 +323,7 @@
 		stepNow = step;
 		for (const host of hosts.values()) {
 			host.suspendedMs += host.isSuspended && isHalted(host) ? stepMs : 0;
+			host.resumedAt = host.haltsUntil === step && step > 0 ? now() + stepMs : host.resumedAt;
 		}
 
 		await advance(stepMs);
