Failing test: a take-up goes on at a version that joins while it is under way

Callers get pieces of two versions in one stream. The host of the take-up knew one version when it looked for the origin, and rightly: it was the only one. But a take-up with origin=single is tied to no version (`findStreamPlan` makes it a plan of type `any`), and the endpoint is chosen later: after peers have replied, after a wait, or for another attempt. A version that is listed meanwhile is chosen like any other.

No host had died, the store was sound, and no list was older than the release. Ruled out with that: an old list, an origin that was not stored.

--- /dev/null
+++ b/packages/entry/src/test/take-ups-while-a-version-joins.test.ts
@@ -0,0 +1,48 @@
+/** Guards against streams that go on at a version that joins while their take-up is under way, at a host that knew one version when it came. */
+import test from 'ava';
+import {headerNames} from './lib/header-names.js';
+import {createMemoryOriginStore} from './lib/memory-origin-store.js';
+import {createMemoryRightsStore} from './lib/memory-rights-store.js';
+import {openStream} from './lib/open-stream.js';
+import {startEndpoint} from './lib/start-endpoint.js';
+import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
+
+test('a stream goes on at a version that joins after its host found one version, and before the take-up is sent again', async t => {
+	let joinVersion = (): void => undefined;
+	const first = await startEndpoint('e0', (req, res) => {
+		if (req.headers[headerNames.lastEventId] === undefined) {
+			res.writeHead(200, {'content-type': 'text/event-stream'}).write('id: 1\ndata: v1\n\n');
+			return;
+		}
+
+		joinVersion();
+		res.destroy();
+	});
+	const second = await startEndpoint('e1', (_req, res) => {
+		res.writeHead(200, {'content-type': 'text/event-stream'}).end('id: 2\ndata: v2\n\n');
+	});
+	const listedAtFirst = [{...first.listed, version: 'v1'}];
+	const peers = new Map();
+	const originStore = createMemoryOriginStore();
+	const hosts = await Promise.all(['hall-a', 'hall-b'].map(async (hall, index) => startHost(createMemoryRightsStore(), {
+		host: `edge-${index}`, hall, peers, originStore,
+	})));
+	t.teardown(async () => {
+		await Promise.all(hosts.map(async ({entry}) => entry.kill()));
+		first.close();
+		second.close();
+	});
+	for (const {entry} of hosts) {
+		entry.configure(makeConfig({routes: [makeRoute({kind: 'stream', isResumable: true, maxAttempts: 4})]}));
+		entry.listEndpoints(listedAtFirst);
+	}
+
+	await Promise.all(hosts.map(async ({logged}) => logged('peers_listed', ({count}) => count === hosts.length)));
+	joinVersion = () => {
+		hosts[1]!.entry.listEndpoints([...listedAtFirst, {...second.listed, version: 'v2'}]);
+	};
+
+	await openStream(hosts[0]!.callers, 's').first;
+	const {events} = await openStream(hosts[1]!.callers, 't', {[headerNames.resumes]: 's', [headerNames.lastEventId]: '1'}).ended;
+	t.deepEqual(events.map(({data}) => data).filter(version => version !== 'v1'), []);
+});
