A stream that has begun waits for an endpoint of its version

A take-up whose version had no endpoint in reach for a moment was refused within milliseconds, with a Retry-After of .3 to .45 s, again and again until its caller's tries were used up (three refusals in 1.3 to 1.5 s), although new streams began at another version at the same host. The endpoints had crashed and were listed again after 2.2 s, or were behind a cut. Its caller can do nothing but come back for the rest, which only that version can write; a new stream has other endpoints.

Such a request, and a stream whose run broke off within its answer, waits now: until an endpoint of its version is open, its version is gone for good, or the caller's patience leaves the first event no more than the route's objective. It does not wait where all endpoints state when they are free, where it is not known how long callers wait, and at a host that can use no other endpoint of the service either, since that host may be the one that is cut off. A version that is no longer listed is refused at once only when it is gone for good.

Nothing goes on at another version: the wait looks for the version that the choice requires. Nothing runs more often: each attempt after a wait passes the same bounds on attempts, retries and rights.

Ruled out as ways: a peer's tunnel (the peers of the hall lack the endpoint as well, those behind the cut cannot be reached), endpoints that leave (their time to take requests is over). endpoint_wait_ms in the line of the request says how long it waited.

--- a/packages/entry/src/lib/choice/create-endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/create-endpoint-chooser.ts
@@ -126,6 +126,12 @@
 			}
 		},
 		exclusionOfAll: request => exclusionOfAll(table, constraintsOf(request), now()),
+		isOpen({tried, ...request}) {
+			const anyPrompt = {
+				...constraintsOf(request), cachedTokens: () => 0, promptTokens: 0, avoidedHalls: [], tried,
+			};
+			return chooseEndpoint(table, anyPrompt, now(), scoreByAffinity) !== undefined;
+		},
 		countExclusions: request => countExclusions(table, constraintsOf(request), now()),
 		note(event) {
 			const wasLeaving = table.get(event.endpoint)?.hasAnnouncedLeaving;
--- a/packages/entry/src/lib/choice/endpoint-chooser.ts
+++ b/packages/entry/src/lib/choice/endpoint-chooser.ts
@@ -16,6 +16,8 @@
 	`undefined` otherwise.
 	*/
 	readonly exclusionOfAll: (request: Pick<ChoiceRequest, 'service' | 'version' | 'regions'>) => EndpointExclusion | undefined;
+	/** Whether an endpoint is open to a request now. */
+	readonly isOpen: (request: Pick<ChoiceRequest, 'service' | 'version' | 'regions' | 'tried'>) => boolean;
 	/** Counts the endpoints of a service that are excluded now, by the reason. */
 	readonly countExclusions: (request: Pick<ChoiceRequest, 'service' | 'version' | 'regions'>) => ReadonlyMap<EndpointExclusion['reason'], number>;
 	/** Notes that a request is sent to an endpoint, which will have the parts of the request's prompt in its cache. */
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -52,6 +52,8 @@
 	readonly isCallerSeen: (res: ServerResponse) => boolean;
 	/** How long callers wait for their request to be read before they send it elsewhere; `undefined` where that is not known. */
 	readonly unreadTimeout: Bounds['unreadTimeout'];
+	/** How long callers of streams wait for an event; `undefined` where that is not known. */
+	readonly eventTimeout: Bounds['eventTimeout'];
 	/** Counts an attempt that reached no endpoint, for the log, by the code or message of its error. */
 	readonly countUnsent: (reason: string) => void;
 	readonly headerNames: HeaderNames;
--- a/packages/entry/src/lib/request/refusal-of-plan.ts
+++ b/packages/entry/src/lib/request/refusal-of-plan.ts
@@ -1,9 +1,14 @@
-import type {StreamOrigins} from '../stream-origins/stream-origins.js';
+import type {HostContext} from './host-context.js';
 import type {RequestResult} from './request-result.js';
 import type {StreamPlan} from './stream-plan.js';
 
-/** Returns why a request is refused before anything is reserved for it, since its stream cannot go on at any endpoint; `undefined` where it may. */
-export const refusalOfPlan = (plan: StreamPlan, {findGone}: Pick<StreamOrigins, 'findGone'>): Pick<RequestResult, 'outcome' | 'reason' | 'retryAt'> | undefined => {
+type PlanRefusal = Pick<RequestResult, 'outcome' | 'reason' | 'retryAt'>;
+
+/**
+Returns why a request is refused before anything is reserved for it, since its stream cannot go on at any endpoint; `undefined` where it may.
+A version that may come back is waited for, where it is known how long callers wait (`waitForEndpoint`).
+*/
+export const refusalOfPlan = (plan: StreamPlan, {streamOrigins, eventTimeout}: Pick<HostContext, 'streamOrigins' | 'eventTimeout'>): PlanRefusal | undefined => {
 	switch (plan.type) {
 		case 'unknown':
 		case 'unreadable': {
@@ -11,8 +16,9 @@
 		}
 
 		case 'resumed': {
-			const gone = findGone(plan.origin);
-			return gone && {outcome: 'not_run', reason: 'stream_version_gone', retryAt: gone.retryAt};
+			const gone = streamOrigins.findGone(plan.origin);
+			const mayReturn = gone?.retryAt !== undefined && eventTimeout !== undefined;
+			return gone && !mayReturn ? {outcome: 'not_run', reason: 'stream_version_gone', retryAt: gone.retryAt} : undefined;
 		}
 
 		case 'any': {
--- a/packages/entry/src/lib/request/request-inputs.ts
+++ b/packages/entry/src/lib/request/request-inputs.ts
@@ -11,6 +11,8 @@
 	readonly res: ServerResponse;
 	readonly body: Uint8Array;
 	readonly admitted: AdmittedRequest;
+	/** When the request began to wait at this host, in monotonic ms. */
+	readonly receivedAt: number;
 	/** Which endpoints it may be sent to, by where its stream began. */
 	readonly plan: StreamPlan;
 	/** What crashes of endpoints under the request are held against (`fingerprintOf`, `sharedPartsOf`). */
--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -26,6 +26,8 @@
 	readonly reason: string;
 	/** How many endpoints of the service were excluded, by the reason, where none was left for the request. */
 	readonly excluded: ReadonlyMap<string, number> | undefined;
+	/** How long the request waited for an endpoint of the version that began its stream, in ms. */
+	readonly endpointWaitMs: number;
 	/** The endpoint of the last attempt; `undefined` where no attempt was made. */
 	readonly endpoint: ListedEndpoint | undefined;
 	/** The endpoint that wrote the first event that the caller got from this host; `undefined` without one. */
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -5,6 +5,7 @@
 import {isRetryableRoute} from '../admission/is-retryable-route.js';
 import type {ResponseTrace} from '../response-ends/response-trace.js';
 import {regionsOf} from '../choice/regions-of.js';
+import {createVersionWait} from '../endpoint-waits/create-version-wait.js';
 import {acquirePermit} from '../request-limits/acquire-permit.js';
 import type {AttemptEnd} from './attempt-end.js';
 import {createRequestEnd} from './create-request-end.js';
@@ -74,6 +75,7 @@
 			retryAt,
 			reason,
 			excluded,
+			endpointWaitMs: versionWait.waitedMs(),
 			endpoint: latest,
 			begunBy,
 			origin: plan.found,
@@ -99,6 +101,12 @@
 		return finish(outcome, outcome === 'not_run' && endedBy === 'deadline' ? 'deadline' : reason, {retryAt, excluded});
 	};
 
+	// A version that is not listed any more may come back for a moment longer; the caller of a take-up is told when that ends.
+	const giveUpUnplaced = (): RequestResult => {
+		const gone = plan.type === 'resumed' && !writer.hasBegun() ? streamOrigins.findGone(plan.origin) : undefined;
+		return gone ? giveUp('stream_version_gone', gone.retryAt) : giveUp('no_endpoint');
+	};
+
 	const passOn = ({response, body}: AttemptEnd & {readonly type: 'whole' | 'server_error'}, reason: string): RequestResult => {
 		const status = response.statusCode!;
 		// The caller got the beginning of a stream from an earlier run, and no other response can follow that.
@@ -160,7 +168,10 @@
 			writer,
 			isWanted: () => !requestEnd.isOver(),
 			onSent: timer.noteSent,
-			onEvents: timer.noteEvents,
+			onEvents() {
+				versionWait.noteEvents();
+				timer.noteEvents();
+			},
 			lastEventId: progress.lastEventId,
 			mayMove: mayMove(),
 			signal: requestEnd.signal,
@@ -189,6 +200,8 @@
 		return mayForward() ? undefined : 'host_stopping';
 	};
 
+	const versionWait = createVersionWait({request, isOver: () => findEndReason() !== undefined}, host);
+
 	const chooseEndpoint = (): ChosenEndpoint | undefined => {
 		const required = stream.requiredVersion(progress);
 		const preferred = required ?? baseVersion ?? stream.preferredVersion(progress);
@@ -208,7 +221,14 @@
 
 		const choice = chooseEndpoint();
 		if (!choice) {
-			return giveUp('no_endpoint');
+			const wanted = {
+				service, version: stream.requiredVersion(progress), regions, tried: progress.tried,
+			};
+			if (await versionWait.wait(wanted)) {
+				continue;
+			}
+
+			return giveUpUnplaced();
 		}
 
 		if (host.limits.isLimited(choice.endpoint.id)) {
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -42,7 +42,7 @@
 	}
 
 	const plan = await findStreamPlan(received.id, admitted, host);
-	const planRefusal = refusalOfPlan(plan, host.streamOrigins);
+	const planRefusal = refusalOfPlan(plan, host);
 	if (planRefusal) {
 		requestLog.refused(refusalOfResult(planRefusal, host.now()), {
 			route: admitted.route.name, budget, resumes: admitted.resumes, ...originFields({origin: plan.found, begunBy: undefined}),
@@ -79,6 +79,7 @@
 		reserved,
 		used,
 		reason: result.reason,
+		endpoint_wait_ms: Math.round(result.endpointWaitMs) || undefined,
 		excluded: result.excluded && [...result.excluded].map(([reason, count]) => `${reason}:${count}`).join(','),
 		...traceFields(result.trace),
 	};
@@ -156,6 +157,6 @@
 		method: req.method!, hostHeader: req.headers.host ?? '', path: req.url!, organisation: organisation?.name, body,
 	});
 	await serveReceivedRequest({
-		id, req, res, body, admitted: admitted.value, subjects: {fingerprint, parts: sharedPartsOf(prompt)},
+		id, req, res, body, admitted: admitted.value, receivedAt, subjects: {fingerprint, parts: sharedPartsOf(prompt)},
 	}, requestLog, host);
 };
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -171,6 +171,7 @@
 		waitedMs: connections.waitedMs,
 		isCallerSeen: res => isCallerSeen({readUpTo: overload.readUpTo(), arrival: connections.arrivalOf(res), now: now()}),
 		unreadTimeout: bounds.unreadTimeout,
+		eventTimeout: bounds.eventTimeout,
 		countUnsent: createEventCounter('unsent_attempts', log).increment,
 		headerNames,
 		chooser,
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -79,6 +79,7 @@
 				admitted: {
 					route: makeRoute({kind: 'stream'}), organisation: undefined, prompt: undefined, deadline: now() + 60_000,
 				},
+				receivedAt: now(),
 				subjects: {fingerprint: () => '', parts: []},
 				plan: {type: 'any', service: 's'},
 				reserveRun: async () => true,
--- a/packages/entry/src/test/take-ups-without-endpoint.test.ts
+++ b/packages/entry/src/test/take-ups-without-endpoint.test.ts
@@ -13,10 +13,11 @@
 		halls: ['hall-a'], versions: ['v1', 'v1', 'v2'], listedAtFirst: 1, goalMs: 1000, eventTimeout: {ms: 60_000, goals: 4, pauses: 8},
 	});
 	const [host] = fleet.hosts;
-	await openStream(host!.callers, 'a', {[troubleHeader]: 'hold'}).first;
+	const begun = openStream(host!.callers, 'a', {[troubleHeader]: 'hold'});
+	await begun.first;
 	const [first, second, other] = fleet.endpoints.map(({listed}) => listed);
 	return {
-		...fleet, host: host!, first: first!, second: second!, other: other!,
+		...fleet, begun, host: host!, first: first!, second: second!, other: other!,
 	};
 };
 
@@ -48,3 +49,36 @@
 	const {events} = await again;
 	t.deepEqual(events.map(({data}) => data), Array.from({length: 5}, () => 'v1'));
 });
+
+test('a stream is broken off while its version is not listed, though an endpoint of it comes back at once', async t => {
+	const {host, begun, breakHeld, second, other} = await beginStream(t);
+	host.entry.listEndpoints([other]);
+	breakHeld();
+	await host.logged('run_lost');
+	await afterRequests(host.callers);
+	host.entry.listEndpoints([other, second]);
+	const {events, isWhole} = await begun.ended;
+	t.true(isWhole);
+	t.deepEqual(events, Array.from({length: 6}, (_, index) => ({id: index + 1, data: 'v1'})));
+});
+
+test('a take-up waits on after its version is gone for good', async t => {
+	const {host, endpoints, other} = await beginStream(t);
+	host.entry.listEndpoints([other]);
+	const {status} = await openStream(host.callers, 'b', takeUp).ended;
+	t.is(status, 503);
+	await host.logged('request_refused', ({code, ran, retry_after_s}) => code === 'stream_version_gone' && ran === 'not_run' && retry_after_s === undefined);
+	t.deepEqual(endpoints.flatMap(({seen}) => seen.map(({id}) => id)), ['a']);
+});
+
+test('a take-up waits at a host that reaches no endpoint at all, though another host may serve it', async t => {
+	const {host, endpoints, first, second} = await beginStream(t);
+	host.entry.listEndpoints([first, second]);
+	for (const endpoint of endpoints) {
+		endpoint.close();
+	}
+
+	const {status} = await openStream(host.callers, 'b', takeUp).ended;
+	t.is(status, 503);
+	await host.logged('request_refused', ({id, code, endpoint_wait_ms}) => id === 'b' && code === 'no_endpoint' && endpoint_wait_ms === undefined);
+});
