A take-up for which one version was found goes on at that version only

Callers got pieces of two versions in one stream. The host knew one version when the stream was taken up, rightly; but the take-up was tied to none, and its endpoint was chosen later: after a wait, after peers had replied, or for another attempt. A version that was listed meanwhile was chosen like any other.

Change: the answer that there is a single version names it, and the take-up requires it, as one whose origin was found does. Where no endpoint of the service was ever listed, the take-up is refused for now (stream_origin_unreadable).

Two tests expect the version in the answer now.

--- a/packages/entry/src/lib/request/create-stream-record.ts
+++ b/packages/entry/src/lib/request/create-stream-record.ts
@@ -2,12 +2,10 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import {takeUpMs} from '../stream-origins/take-up-ms.js';
 import type {StreamOrigins} from '../stream-origins/stream-origins.js';
+import {attemptsBeforeTakeUp} from './attempts-before-take-up.js';
 import type {RequestProgress} from './request-progress.js';
 import type {StreamPlan} from './stream-plan.js';
 
-/** The number before the first attempt of a take-up whose stream was not found: above those of any request, so that it replaces what an earlier one may still store. */
-const attemptsBeforeTakeUp = 1000;
-
 /** Ties the attempts of one request to the software version that began its stream. */
 type StreamRecord = {
 	/** The service of the endpoints that the request may be sent to. */
--- a/packages/entry/src/lib/request/find-stream-plan.ts
+++ b/packages/entry/src/lib/request/find-stream-plan.ts
@@ -2,6 +2,7 @@
 import type {AdmittedRequest} from '../admission/admitted-request.js';
 import {pickService} from '../choice/pick-service.js';
 import {streamKeyOf} from '../stream-origins/stream-key-of.js';
+import {attemptsBeforeTakeUp} from './attempts-before-take-up.js';
 import type {HostContext} from './host-context.js';
 import type {StreamPlan} from './stream-plan.js';
 
@@ -16,13 +17,20 @@
 	}
 
 	// A caller that names no event has got none, so the stream begins anew.
-	return found.type === 'single' || !isContinued
-		? {
+	if (!isContinued) {
+		return {
 			type: 'any', service, key, found,
-		}
-		: {
-			type: found.type === 'unreadable' ? 'unreadable' : 'unknown', service, found,
 		};
+	}
+
+	// Another version may be listed before an endpoint is chosen.
+	if (found.type === 'single' && found.version !== undefined) {
+		return {
+			type: 'resumed', key, origin: {service, version: found.version, attempt: attemptsBeforeTakeUp}, found,
+		};
+	}
+
+	return {type: found.type === 'unknown' ? 'unknown' : 'unreadable', service, found};
 };
 
 /** Turns the key of a stream into a number from 0 up to but not including 1, the same on every host. */
--- a/packages/entry/src/lib/stream-origins/create-service-versions.ts
+++ b/packages/entry/src/lib/stream-origins/create-service-versions.ts
@@ -14,8 +14,8 @@
 	readonly isMixed: (service: string) => boolean;
 	/** Whether endpoints of the version are listed. */
 	readonly isListed: (service: string, version: string) => boolean;
-	/** Whether that is the only version of the service whose streams may be taken up. */
-	readonly isOnly: (service: string, version: string) => boolean;
+	/** The only version of the service whose streams may be taken up; `undefined` where there is none, or several. */
+	readonly onlyOf: (service: string) => string | undefined;
 	/** The versions of all services that have several, and of the named ones, and until when at least their streams may be taken up, in monotonic ms. */
 	readonly tell: (named: readonly string[]) => ReadonlyArray<{readonly service: string; readonly version: string; readonly until: number}>;
 };
@@ -48,9 +48,9 @@
 		hear: (service, version, until) => !historyOf(service).listed.has(version) && step(service, {type: 'heard', version, until}),
 		isMixed,
 		isListed: (service, version) => historyOf(service).listed.has(version),
-		isOnly(service, version) {
-			const known = versionsAt(historyOf(service), now());
-			return known.size === 1 && known.has(version);
+		onlyOf(service) {
+			const [first, ...others] = versionsAt(historyOf(service), now()).keys();
+			return others.length === 0 ? first : undefined;
 		},
 		tell: named => [...histories.keys()].filter(service => named.includes(service) || isMixed(service)).flatMap(service =>
 			[...versionsAt(historyOf(service), now())].map(([version, until]) => ({service, version, until}))),
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -67,7 +67,7 @@
 				tellOwn(service);
 			}
 		},
-		isSettled: (service, version) => !isRecent() && versions.isOnly(service, version),
+		isSettled: (service, version) => !isRecent() && versions.onlyOf(service) === version,
 		isListed: versions.isListed,
 		schedule,
 		counter,
@@ -143,7 +143,9 @@
 			return {type: 'unreadable'};
 		}
 
-		return {type: 'single', by, listAgeMs: listProof.ageMs()};
+		return {
+			type: 'single', version: versions.onlyOf(likely), by, listAgeMs: listProof.ageMs(),
+		};
 	};
 
 	return {
--- a/packages/entry/src/lib/stream-origins/found-origin.ts
+++ b/packages/entry/src/lib/stream-origins/found-origin.ts
@@ -15,9 +15,11 @@
 		/** How long ago the host that kept it had noted it, in ms; `undefined` where the store told. */
 		readonly ageMs?: number;
 	}
-	/** The services have one version each, so the stream may go on at any endpoint. */
+	/** The services have one version each, so the stream began at that of its service. */
 	| {
 		readonly type: 'single';
+		/** The version of the likely service; `undefined` where no endpoint of it was ever listed. */
+		readonly version: string | undefined;
 		/**
 		Who showed that there is no other version, for the log: `peers`; `store`; `outdated_peers`: peers whose lists of endpoints were confirmed a while
 		ago, while the store could not be read; or `nobody` where this host has no peers.
--- a/packages/entry/src/test/origin-fields.test.ts
+++ b/packages/entry/src/test/origin-fields.test.ts
@@ -8,7 +8,11 @@
 test('the version that goes on with a stream is logged as the one that began it', t => {
 	const origin = {service: 's', version: 'v1', attempt: 1};
 	t.deepEqual(originFields({origin: undefined, begunBy}), {begun_version: 'v2'});
-	t.deepEqual(originFields({origin: {type: 'single', by: 'peers', listAgeMs: 12.4}, begunBy}), {origin: 'single', single_by: 'peers', list_age_ms: 12});
+	t.deepEqual(originFields({
+		origin: {
+			type: 'single', version: 'v1', by: 'peers', listAgeMs: 12.4,
+		}, begunBy,
+	}), {origin: 'single', single_by: 'peers', list_age_ms: 12});
 	t.deepEqual(originFields({origin: {type: 'unknown'}, begunBy: undefined}), {origin: 'unknown'});
 	t.deepEqual(originFields({
 		origin: {
--- a/packages/entry/src/test/origins-in-the-store.test.ts
+++ b/packages/entry/src/test/origins-in-the-store.test.ts
@@ -85,7 +85,7 @@
 		t.true(streams.every(({isReleased}) => isReleased));
 		origins.noteWhole(`${second}-0`);
 		t.deepEqual(await origins.findOrigin(`other ${second}`, {services: ['s'], likely: 's', hasEvents: true}), {
-			type: 'single', by: second < 59 ? 'store' : 'nobody', listAgeMs: undefined,
+			type: 'single', version: 'v1', by: second < 59 ? 'store' : 'nobody', listAgeMs: undefined,
 		});
 		origins.list(endpointsOf('v1'));
 	}
