--- a/packages/entry/src/test/garbling-soak.test.ts
+++ b/packages/entry/src/test/garbling-soak.test.ts
@@ -142,6 +142,7 @@
 	const peers = new Map<string, ListedPeer>();
 	const endpoints = await startEndpoints(random, runsOf);
 	const host = await startHost(createMemoryRightsStore(), {peers});
+	await host.logged('peers_listed', ({count}) => count === 1);
 	host.entry.listEndpoints(endpoints.map(({listed}) => listed));
 	host.entry.configure(makeConfig({routes, organisationsByKey: new Map(organisations.slice(0, 1))}));
 	const calls: Call[] = [];
