--- a/packages/host-kit/src/keep-listening.ts
+++ b/packages/host-kit/src/keep-listening.ts
@@ -36,6 +36,11 @@
 			retryTimer = setTimeout(listen, retryDelayMs);
 		}
 	});
+	server.on('listening', () => {
+		if (isClosed) {
+			server.close();
+		}
+	});
 	listen();
 	return {
 		tried: untilTried(server),
