--- a/packages/daemon/src/lib/gateway/start-gateway.ts
+++ b/packages/daemon/src/lib/gateway/start-gateway.ts
@@ -129,7 +129,7 @@
 
 	const app = new Koa();
 	app.use(router.routes());
-	const {server, port} = await serveApp(app, settings.listen.callers);
+	const {server, port, stopListening} = await serveApp(app, {address: settings.listen.callers, log});
 	return {
 		port,
 		open: openRequests.count,
@@ -138,10 +138,11 @@
 			await openRequests.idle();
 		},
 		async close() {
+			const closed = once(server, 'close');
 			server.closeIdleConnections();
-			server.close();
+			stopListening();
 			server.closeAllConnections();
-			await once(server, 'close');
+			await closed;
 		},
 	};
 };
--- a/packages/daemon/src/lib/operating/start-operators.ts
+++ b/packages/daemon/src/lib/operating/start-operators.ts
@@ -32,7 +32,7 @@
 
 /** Serves operators: status, budgets, explanations, drain. */
 export const startOperators = async (context: Context, options: Options) => {
-	const {settings, clock} = context;
+	const {settings, clock, log} = context;
 	const {bundle, askSlot, drain} = options;
 
 	const authorize = async (ctx: KoaContext, next: Next): Promise<void> => {
@@ -87,13 +87,14 @@
 
 	const app = new Koa();
 	app.use(routes.routes());
-	const {server, port} = await serveApp(app, settings.listen.operators);
+	const {server, port, stopListening} = await serveApp(app, {address: settings.listen.operators, log});
 	return {
 		port,
 		async close() {
-			server.close();
+			const closed = once(server, 'close');
+			stopListening();
 			server.closeAllConnections();
-			await once(server, 'close');
+			await closed;
 		},
 	};
 };
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -17,6 +17,7 @@
 import {createTracing} from './lib/process/create-tracing.js';
 import type {HostStatus} from './lib/membership/host-status.js';
 import type {MembershipTask} from './lib/membership/membership-task.js';
+import {openWhenFree} from './lib/process/open-when-free.js';
 import {newIncarnation} from './lib/membership/new-incarnation.js';
 import {pairMapSchema} from './lib/slots/pair-map-schema.js';
 import type {PeerSlotRequest} from './lib/peers/peer-slot-request.js';
@@ -51,13 +52,15 @@
 const defaultKeepMs = 600_000;
 
 /**
-Starts a daemon: an entry host of the fleet.
+Starts a daemon: an entry host of the fleet. `stopSignal` begins its planned stop.
+
+@returns The daemon; `undefined` if it was to stop before it could listen for peers.
 
 @example
-const daemon = await startDaemon(settings);
-await daemon.stop();
+const daemon = await startDaemon(settings, stopping.signal);
+await daemon?.stopped;
 */
-export const startDaemon = async (settings: DaemonSettings): Promise<Daemon> => {
+export const startDaemon = async (settings: DaemonSettings, stopSignal: AbortSignal): Promise<Daemon | undefined> => {
 	const clock = systemClock;
 	const self = newIncarnation(settings.host, clock.wall());
 	const log = createLog(settings.logLevel, {host: settings.host, hall: settings.hall});
@@ -74,8 +77,7 @@
 	const keepMs = (): number => (currentBundle()?.limits.keepSeconds ?? defaultKeepMs / 1000) * 1000;
 	const serve = async (slot: number, request: PeerSlotRequest) => tasks.serve!(slot, request);
 
-	const poison = startPoisonWatch(context, {mesh: () => mesh, membership: () => tasks.membership!, address: () => address});
-	const mesh = await openMesh({
+	const opened = await openWhenFree(async () => openMesh({
 		self: {incarnation: self, hall: settings.hall},
 		secret: settings.secret,
 		listen: {host: settings.listen.peers.ip, port: settings.listen.peers.port},
@@ -90,8 +92,13 @@
 				return outcome.ok ? outcome.value : undefined;
 			},
 		}),
-	});
+	}), {address: `${settings.listen.peers.ip}:${settings.listen.peers.port}`, log, stopSignal});
+	if (!opened) {
+		return undefined;
+	}
 
+	const mesh: Awaited<ReturnType<typeof openMesh>> = opened;
+	const poison = startPoisonWatch(context, {mesh: () => mesh, membership: () => tasks.membership!, address: () => address});
 	const address = settings.advertise ?? `${settings.listen.peers.ip}:${mesh.port}`;
 	const catchUpWith = async (status: HostStatus): Promise<void> => {
 		if (status.bundleVersion > (currentBundle()?.version ?? 0)) {
@@ -193,6 +200,13 @@
 			void stop();
 		},
 	});
+	stopSignal.addEventListener('abort', () => {
+		void stop();
+	});
+	if (stopSignal.aborted) {
+		void stop();
+	}
+
 	log('info', 'ready', {
 		incarnation: self,
 		callers: `${settings.listen.callers.ip}:${gateway.port}`,
