A planned stop of deckwheeld does not fail by its last spans

Cause: the stop waits until the spans that are left are exported, and that rejects where the collector is away or the file has no room. Nothing caught it: the process ended with code 1 after all work was done, before its line stopped.

Change: a stop goes on without the last spans, which are best effort as metrics are. Evidence: both tests of closing were red (ENOSPC, ECONNREFUSED) and are green; the end of a whole process by this was not run, since a daemon needs a bundle before it makes spans.

--- a/packages/daemon/src/lib/process/create-tracing.ts
+++ b/packages/daemon/src/lib/process/create-tracing.ts
@@ -60,6 +60,12 @@
 	propagation.setGlobalPropagator(new W3CTraceContextPropagator());
 	return {
 		tracer: provider.getTracer('deckwheel'),
-		close: async () => provider.shutdown(),
+		async close() {
+			try {
+				await provider.shutdown();
+			} catch {
+				// Spans are best effort: a planned stop goes on without the last ones.
+			}
+		},
 	};
 };
