--- a/packages/mesh/src/open-mesh.ts
+++ b/packages/mesh/src/open-mesh.ts
@@ -39,7 +39,7 @@
 	const offers = createTunnelOffers();
 	const ends = createTunnelEnds(() => performance.now());
 	const tunnelPeers = new Set<Socket>();
-	// It repeats the errors of its HTTP server: one that cannot listen rejects below, and one that cannot accept a connection goes on.
+	// It repeats the errors of its HTTP server: one that cannot listen rejects below.
 	server.on('error', () => undefined);
 	server.on('connection', (socket, req) => {
 		req.socket.setKeepAlive(true, keepAliveMs);
