A host that cannot read the store lets peers of its hall read it for a take-up

A take-up in a hall that is cut off from another one needs the store. A host that has lost the store itself would refuse all take-ups of services with one version, though hosts that replied to it reach the store.

Change: where replies do not cover all halls and the own read brings nothing within 500 ms, up to two of the peers that replied with a recent list read the versions first and then reply (wantsStored, isStoreRead; a host of an earlier release does not read, and its reply does not count).

--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -209,7 +209,7 @@
 		schedule: scheduleByTimer,
 		self: () => links.self(),
 		others: () => links.others(),
-		sendOrigins: async (peerAddress, message) => requestFromPeer(peerAddress, {type: 'origins', ...message}, originsReplySchema),
+		sendOrigins: async (peerAddress, message, timeoutMs) => requestFromPeer(peerAddress, {type: 'origins', ...message}, originsReplySchema, timeoutMs),
 		counter: createEventCounter('stream_origins', log),
 		now,
 		resumedAt: stopMonitor.resumedAt,
--- a/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
+++ b/packages/entry/src/lib/stream-origins/create-origin-exchange.ts
@@ -15,6 +15,12 @@
 /** The number of hosts in each hall that are asked: one more, since a host that joins takes the place of one that was told. */
 const askedPerHall = keepersPerHall + 1;
 
+/** The number of peers that are asked to read the store for this host. */
+const storeReaderCount = 2;
+
+/** How long they may take, in ms. */
+const storeReadMs = 500;
+
 /** The most origins that are sent in one message. */
 const maxPerMessage = 100;
 
@@ -23,8 +29,8 @@
 	readonly self: () => ListedPeer;
 	/** All other listed hosts, of every hall. */
 	readonly others: () => readonly ListedPeer[];
-	/** Sends one peer a message and returns the peer's reply; `undefined` when no valid reply came in time. */
-	readonly sendOrigins: (address: string, message: Omit<OriginsMessage, 'type'>) => Promise<OriginsReply | undefined>;
+	/** Sends one peer a message and returns the peer's reply; `undefined` when no valid reply came in time, or within `timeoutMs`. */
+	readonly sendOrigins: (address: string, message: Omit<OriginsMessage, 'type'>, timeoutMs?: number) => Promise<OriginsReply | undefined>;
 	readonly table: Pick<OriginTable, 'get'>;
 	/** The time within which a list of endpoints is confirmed again while its host gets answers of the store, in ms. */
 	readonly listConfirmMs: number;
@@ -35,6 +41,10 @@
 	readonly now: () => number;
 };
 
+const emptyMessage: Omit<OriginsMessage, 'type'> = {
+	told: [], asked: [], services: [], wantsStored: false,
+};
+
 /** An origin, and the address of the peer that knew it. */
 type FoundAtPeer = {readonly kept: KeptOrigin; readonly from: string};
 
@@ -44,6 +54,8 @@
 	readonly found: FoundAtPeer | undefined;
 	/** What the replies cover, as `judgeReplies` decides. */
 	readonly heard: HeardHalls;
+	/** The addresses of peers that replied whose lists were confirmed recently, so that they reach the store. */
+	readonly recent: readonly string[];
 };
 
 /** Tells peers where streams began, and asks them. */
@@ -55,6 +67,8 @@
 	replied, or had the time to.
 	*/
 	readonly ask: (key: string, services: readonly string[]) => Promise<Answer>;
+	/** Asks some of these peers to read the versions of services in the store; resolves with whether one of them has. */
+	readonly readAtPeers: (addresses: readonly string[], services: readonly string[]) => Promise<boolean>;
 };
 
 /** Resolves with the first of some values that comes, and with `undefined` once none can come any more. */
@@ -73,8 +87,8 @@
 		pickInEachHall(key, [self(), ...others()], perHall).filter(({address}) => address !== self().address);
 
 	/** Sends a message to a peer, takes in the reply and returns it; rejects where none came. */
-	const exchange = async (address: string, message: Omit<OriginsMessage, 'type'>): Promise<OriginsReply> => {
-		const reply = await sendOrigins(address, message);
+	const exchange = async (address: string, message: Partial<Omit<OriginsMessage, 'type'>>, timeoutMs?: number): Promise<OriginsReply> => {
+		const reply = await sendOrigins(address, {...emptyMessage, ...message}, timeoutMs);
 		if (!reply) {
 			counter.increment('unanswered');
 			throw new Error('no reply');
@@ -85,7 +99,7 @@
 	};
 
 	const askPeer = async (address: string, {key, services, listAges}: {readonly key: string; readonly services: readonly string[]; readonly listAges: Map<string, number>}): Promise<FoundAtPeer> => {
-		const {listAgeMs} = await exchange(address, {told: [], asked: [key], services: [...services]});
+		const {listAgeMs} = await exchange(address, {asked: [key], services: [...services]});
 		if (listAgeMs !== undefined) {
 			listAges.set(address, listAgeMs);
 		}
@@ -104,14 +118,20 @@
 			const messages = [...groupBy(copies, ({address}) => address)].flatMap(([address, entries]) =>
 				chunksOf(entries, maxPerMessage).map(chunk => ({address, told: chunk.map(({kept}) => toWireOrigin(kept, now()))})));
 			counter.increment('told', messages.length);
-			await firstOf(messages.map(async message => exchange(message.address, {told: message.told, asked: [], services: []})));
+			await firstOf(messages.map(async message => exchange(message.address, {told: message.told})));
 		},
 		async ask(key, services) {
 			const peers = peersFor(key, askedPerHall);
 			counter.increment('asked', peers.length);
 			const listAges = new Map<string, number>();
 			const found = await firstOf(peers.map(async ({address}) => askPeer(address, {key, services, listAges})));
-			return {found, heard: judgeReplies(peers, listAges, listConfirmMs)};
+			const recent = [...listAges].filter(([, ageMs]) => ageMs <= listConfirmMs).map(([address]) => address);
+			return {found, heard: judgeReplies(peers, listAges, listConfirmMs), recent};
+		},
+		async readAtPeers(addresses, services) {
+			const replies = await Promise.allSettled(addresses.slice(0, storeReaderCount).map(async address =>
+				exchange(address, {services: [...services], wantsStored: true}, storeReadMs)));
+			return replies.some(reply => reply.status === 'fulfilled' && reply.value.isStoreRead);
 		},
 	};
 };
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -25,7 +25,7 @@
 	/** These four are as for `createOriginExchange`. */
 	readonly self: () => ListedPeer;
 	readonly others: () => readonly ListedPeer[];
-	readonly sendOrigins: (address: string, message: Omit<OriginsMessage, 'type'>) => Promise<OriginsReply | undefined>;
+	readonly sendOrigins: (address: string, message: Omit<OriginsMessage, 'type'>, timeoutMs?: number) => Promise<OriginsReply | undefined>;
 	readonly listConfirmMs: number;
 	readonly store: OriginStore;
 	/** The writes a second that the store accepts of all hosts together. */
@@ -125,7 +125,7 @@
 	const findElsewhere = async (key: string, {services, likely, hasEvents}: TakenUp): Promise<FoundOrigin> => {
 		const isMixed = (): boolean => services.some(service => versions.isMixed(service));
 		const askedAt = now();
-		const {found, heard} = await exchange.ask(key, services);
+		const {found, heard, recent} = await exchange.ask(key, services);
 		if (found) {
 			counter.increment('found');
 			return {
@@ -133,7 +133,7 @@
 			};
 		}
 
-		const by = isMixed() ? undefined : await proveVersions(askedAt, heard);
+		const by = isMixed() ? undefined : await proveVersions(askedAt, heard, async () => exchange.readAtPeers(recent, services));
 		if (isMixed()) {
 			return hasEvents ? stored.find(key, services, likely) : {type: 'unknown'};
 		}
@@ -185,13 +185,15 @@
 		preferredVersion: stored.preferredVersion,
 		findGone: served.findGone,
 		noteRestored: stored.noteRestored,
-		answerOrigins({told, asked, services}) {
+		async answerOrigins({told, asked, services, wantsStored}) {
 			takeInAll(told);
+			const isStoreRead = wantsStored && await stored.readAgain() !== undefined;
 			return {
 				known: asked.map(key => table.get(key)).filter(kept => kept !== undefined).map(kept => toWireOrigin(kept, now())),
 				versions: versions.tell(services).map(({service, version, until}) => ({service, version, keepMs: until - now()})),
 				isSettled: !isRecent(),
 				listAgeMs: listProof.toldAgeMs(),
+				isStoreRead,
 			};
 		},
 		close: stored.close,
--- a/packages/entry/src/lib/stream-origins/stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/stream-origins.ts
@@ -34,7 +34,7 @@
 	/** Notes that the store was restored from an older copy. */
 	readonly noteRestored: () => void;
 	/** Takes in origins that a peer tells, and returns those that it asks for, with the versions of services. */
-	readonly answerOrigins: (message: Omit<OriginsMessage, 'type'>) => OriginsReply;
+	readonly answerOrigins: (message: Omit<OriginsMessage, 'type'>) => Promise<OriginsReply>;
 	/** Writes nothing to the store any more. */
 	readonly close: () => void;
 };
--- a/packages/entry/src/lib/stream-origins/wire/origins-message-schema.ts
+++ b/packages/entry/src/lib/stream-origins/wire/origins-message-schema.ts
@@ -14,4 +14,6 @@
 	asked: z.array(z.string().max(64)).max(maxOrigins),
 	/** Earlier versions of this program do not send it. */
 	services: z.array(z.string()).max(maxServices).default([]),
+	/** Whether the receiver reads the versions in the store before it replies, since the sender cannot. */
+	wantsStored: z.boolean().default(false),
 });
--- a/packages/entry/src/lib/stream-origins/wire/origins-reply-schema.ts
+++ b/packages/entry/src/lib/stream-origins/wire/origins-reply-schema.ts
@@ -11,4 +11,6 @@
 	isSettled: z.boolean().default(false),
 	/** How long ago the peer's list of endpoints was confirmed, in ms. Left out where it never was, and by earlier versions of this program. */
 	listAgeMs: z.number().nonnegative().optional(),
+	/** Whether the peer has read the versions in the store since it was asked. */
+	isStoreRead: z.boolean().default(false),
 });
--- a/packages/entry/src/test/create-stream-origins.test.ts
+++ b/packages/entry/src/test/create-stream-origins.test.ts
@@ -28,7 +28,9 @@
 		others: () => peers.slice(1),
 		async sendOrigins() {
 			messages++;
-			return {known: [], versions: [], isSettled: true};
+			return {
+				known: [], versions: [], isSettled: true, isStoreRead: false,
+			};
 		},
 		counter: {increment: () => undefined},
 		now: () => time,
@@ -102,7 +104,7 @@
 			self: () => self!,
 			others: () => others,
 			sendOrigins: async () => ({
-				known: [], versions: [], isSettled, listAgeMs: 0,
+				known: [], versions: [], isSettled, listAgeMs: 0, isStoreRead: false,
 			}),
 			counter: {increment: () => undefined},
 			now: () => 1000,
--- a/packages/entry/src/test/lib/create-origin-fleet.ts
+++ b/packages/entry/src/test/lib/create-origin-fleet.ts
@@ -71,7 +71,7 @@
 				messages++;
 				await nextTurn();
 				const to = hosts.find(other => other.peer.address === address)!;
-				return cut.has(host) === cut.has(to) && !dead.has(to) ? mapReply(to.origins.answerOrigins(message)) : undefined;
+				return cut.has(host) === cut.has(to) && !dead.has(to) ? mapReply(await to.origins.answerOrigins(message)) : undefined;
 			},
 			counter: {increment: () => undefined},
 			now: clock.now,
--- a/packages/entry/src/test/out-of-step-hosts.test.ts
+++ b/packages/entry/src/test/out-of-step-hosts.test.ts
@@ -200,3 +200,27 @@
 	fleet.resume(fleet.lagging);
 	t.deepEqual(await versionsOf(fleet), new Set(['v2']));
 });
+
+test('a host without the store, in a hall that is cut off, refuses a take-up although hosts of its hall reach the store', async t => {
+	const fleet = createOriginFleet({halls});
+	fleet.list(fleet.hosts, 'v1');
+	await fleet.pass(settleMs);
+	fleet.confirm(fleet.hosts);
+	const [host, ...others] = fleet.hosts.slice(0, 3);
+	for (const member of [host!, ...others]) {
+		fleet.cut.add(member);
+	}
+
+	fleet.withoutStore.add(host!);
+	await fleet.pass(lagMs);
+	fleet.confirm(others);
+	const [single] = await fleet.takeUp(host!, ['a']);
+	t.like(single, {type: 'single', by: 'store'});
+	const inStep = fleet.hosts.slice(3);
+	await fleet.begin(inStep[0]!, 'v1', ['first']);
+	fleet.list(inStep, 'v1', 'v2');
+	await fleet.begin(inStep[0]!, 'v2', keys);
+	fleet.confirm(others);
+	const found = await fleet.takeUp(host!, keys);
+	t.deepEqual(new Set(found.map(({type}) => type)), new Set(['unreadable']));
+});
