--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,6 +18,7 @@
 export {isRecord} from './is-record.js';
 export {isSuccessStatus} from './is-success-status.js';
 export type {Result} from './result.js';
+export {longestTimerMs} from './longest-timer-ms.js';
 export {ownValue} from './own-value.js';
 export {parseJson} from './parse-json.js';
 export {pickInEachHall} from './pick-in-each-hall.js';
