Take-ups while a version joins are tested with the host of the beginning dead as well

With that host alive, the host of the take-up learns of the origin from it, and what ties a take-up with a single known version is not reached.

--- a/packages/entry/src/test/take-ups-while-a-version-joins.test.ts
+++ b/packages/entry/src/test/take-ups-while-a-version-joins.test.ts
@@ -1,5 +1,5 @@
 /** Guards against streams that go on at a version that joins while their take-up is under way, at a host that knew one version when it came. */
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {headerNames} from './lib/header-names.js';
 import {createMemoryOriginStore} from './lib/memory-origin-store.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
@@ -7,7 +7,10 @@
 import {startEndpoint} from './lib/start-endpoint.js';
 import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
 
-test('a stream goes on at a version that joins after its host found one version, and before the take-up is sent again', async t => {
+const halls = ['hall-a', 'hall-b', 'hall-a', 'hall-b'];
+
+/** Takes a stream of the only version up at another host, at which a second version is listed before the take-up is sent again; returns the versions of the events that come. */
+const takeUpWhileVersionJoins = async (t: ExecutionContext, isFirstHostDead: boolean): Promise<readonly string[]> => {
 	let joinVersion = (): void => undefined;
 	const first = await startEndpoint('e0', (req, res) => {
 		if (req.headers[headerNames.lastEventId] === undefined) {
@@ -24,7 +27,7 @@
 	const listedAtFirst = [{...first.listed, version: 'v1'}];
 	const peers = new Map();
 	const originStore = createMemoryOriginStore();
-	const hosts = await Promise.all(['hall-a', 'hall-b'].map(async (hall, index) => startHost(createMemoryRightsStore(), {
+	const hosts = await Promise.all(halls.map(async (hall, index) => startHost(createMemoryRightsStore(), {
 		host: `edge-${index}`, hall, peers, originStore,
 	})));
 	t.teardown(async () => {
@@ -43,6 +46,18 @@
 	};
 
 	await openStream(hosts[0]!.callers, 's').first;
+	if (isFirstHostDead) {
+		await hosts[0]!.entry.kill();
+	}
+
 	const {events} = await openStream(hosts[1]!.callers, 't', {[headerNames.resumes]: 's', [headerNames.lastEventId]: '1'}).ended;
-	t.deepEqual(events.map(({data}) => data).filter(version => version !== 'v1'), []);
+	return events.map(({data}) => data);
+};
+
+test('a stream goes on at a version that joins after its host found one version, and before the take-up is sent again', async t => {
+	t.deepEqual(await takeUpWhileVersionJoins(t, false), []);
+});
+
+test('a stream whose host died goes on at a version that joins after another host found one version, and before the take-up is sent again', async t => {
+	t.deepEqual(await takeUpWhileVersionJoins(t, true), []);
 });
