--- a/packages/entry/src/lib/relaying/create-gate.ts
+++ b/packages/entry/src/lib/relaying/create-gate.ts
@@ -7,7 +7,7 @@
 };
 
 /** Creates a gate that opens once a promise is resolved, and stays open. */
-export const createGate = (opened: Promise<unknown>): Gate => {
+export const createGate = (opened: Promise<void>): Gate => {
 	let isOpen = false;
 	let waiting: ReadonlyArray<() => void> = [];
 
--- a/packages/entry/src/lib/relaying/create-intake.ts
+++ b/packages/entry/src/lib/relaying/create-intake.ts
@@ -6,7 +6,7 @@
 const maxHeldBytes = 64 * 1024;
 
 /** Creates the intake of one response. Nothing is relayed before `ready` is resolved. */
-export const createIntake = (ready: Promise<unknown>, flow: FlowControl, relay: (chunk: Uint8Array) => void): Intake => {
+export const createIntake = (ready: Promise<void>, flow: FlowControl, relay: (chunk: Uint8Array) => void): Intake => {
 	let heldBytes = 0;
 	const gate = createGate(ready);
 
--- a/packages/entry/src/lib/relaying/relay-stream.ts
+++ b/packages/entry/src/lib/relaying/relay-stream.ts
@@ -11,11 +11,8 @@
 	readonly lastId: string | undefined;
 	/** The id of the event after which this run resumes the stream, which its first one has to be above; `undefined` where it begins one. */
 	readonly resumedAfter: string | undefined;
-	/**
-	Resolves with whether the stream may be relayed; nothing is before. What the endpoint writes until then is relayed afterwards, also if its
-	connection has closed. A stream that may not be relayed counts as broken.
-	*/
-	readonly ready: Promise<boolean>;
+	/** Nothing is relayed before it is resolved. What the endpoint writes until then is relayed afterwards, also if its connection has closed. */
+	readonly ready: Promise<void>;
 	/** Aborted when the attempt is given up. A response that is complete by then is still relayed. */
 	readonly signal: AbortSignal;
 	/** Called when bytes arrive from the endpoint. */
@@ -79,13 +76,6 @@
 		return;
 	}
 
-	const breakOffUnlessReady = async (): Promise<void> => {
-		if (!await ready && !isFinished) {
-			breakOff('broken');
-		}
-	};
-
-	void breakOffUnlessReady();
 	const intake = createIntake(ready, flow, relay);
 	response.on('data', (chunk: Uint8Array) => {
 		onChunk();
--- a/packages/entry/src/lib/request/create-stream-record.ts
+++ b/packages/entry/src/lib/request/create-stream-record.ts
@@ -15,7 +15,7 @@
 	/** The version of the endpoints that the request is best sent to; `undefined` where any will do. */
 	readonly preferredVersion: (progress: Pick<RequestProgress, 'begunBy'>) => string | undefined;
 	/** Notes the request's `attempt`th attempt, which is sent to an endpoint. Resolves as `noteSent` of `StreamOrigins` does. */
-	readonly noteSent: (endpoint: ListedEndpoint, attempt: number) => Promise<string | undefined>;
+	readonly noteSent: (endpoint: ListedEndpoint, attempt: number) => Promise<void>;
 	/** Notes that the caller has the whole stream. */
 	readonly noteWhole: () => void;
 };
@@ -36,14 +36,12 @@
 		requiredVersion,
 		preferredVersion: progress => requiredVersion(progress) ?? (key === undefined ? undefined : origins.preferredVersion(service)),
 		async noteSent(endpoint, attempt) {
-			if (key === undefined) {
-				return undefined;
+			if (key !== undefined) {
+				const origin = {service, version: versionOf(endpoint), attempt: attemptsBefore + attempt};
+				await origins.noteSent({
+					key, origin, keepUntil: deadline + takeUpMs, isTakeUp: plan.found !== undefined,
+				});
 			}
-
-			const origin = {service, version: versionOf(endpoint), attempt: attemptsBefore + attempt};
-			return origins.noteSent({
-				key, origin, keepUntil: deadline + takeUpMs, isTakeUp: plan.found !== undefined,
-			});
 		},
 		noteWhole() {
 			if (key !== undefined) {
--- a/packages/entry/src/lib/request/receive-response.ts
+++ b/packages/entry/src/lib/request/receive-response.ts
@@ -26,8 +26,8 @@
 	readonly endpoint: ListedEndpoint;
 	/** When the request was sent, in monotonic ms. */
 	readonly sentAt: number;
-	/** Resolves with whether a stream may be relayed, once it is known whether other hosts would find where it begins. */
-	readonly mayRelay: Promise<boolean>;
+	/** Resolves once another host keeps where the stream begins, or none can or needs to be told. */
+	readonly originTold: Promise<void>;
 	/** The id of the last event that the caller got, after which a stream is resumed; `undefined` where it got none. */
 	readonly lastEventId: string | undefined;
 	readonly writer: ResponseWriter;
@@ -70,12 +70,12 @@
 };
 
 const relayToCaller = async (received: FramedResponse, host: HostContext): Promise<AttemptEnd> => {
-	const {response, request, writer, mayRelay, lastEventId, onEvents, run, tracked} = received;
+	const {response, request, writer, originTold, lastEventId, onEvents, run, tracked} = received;
 	const relayed = await relayStream(response, request.res, {
 		lastId: lastEventId,
 		resumedAfter: lastEventId ?? eventOfCaller(request, host),
 		// Should this host end right after the first event, its caller takes the stream up at a host that has to find where it began.
-		ready: mayRelay,
+		ready: originTold,
 		signal: tracked.signal,
 		onChunk: tracked.noteHeard,
 		beforeWrite(events) {
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -22,8 +22,8 @@
 	readonly endpoint: ListedEndpoint;
 	/** The tokens of the prompt that the endpoint probably has to prefill. */
 	readonly uncachedTokens: number;
-	/** Resolves with whether a stream may be relayed, once it is known whether other hosts would find where it begins. */
-	readonly mayRelay: Promise<boolean>;
+	/** Resolves once another host keeps where the stream begins, or none can or needs to be told. */
+	readonly originTold: Promise<void>;
 	readonly writer: ResponseWriter;
 	/** Whether the caller still waits for the request and its deadline has not passed. */
 	readonly isWanted: () => boolean;
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,4 +1,3 @@
-import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {ChosenEndpoint} from '../choice/chosen-endpoint.js';
 import {createResponseTimer} from '../relaying/create-response-timer.js';
 import {createResponseWriter} from '../relaying/create-response-writer.js';
@@ -57,10 +56,6 @@
 	const {service} = stream;
 	const tokensPerEvent = host.config()?.services.get(service)?.tokensPerEvent ?? 0;
 	let progress: RequestProgress = initialProgress;
-	/** The version at which a new stream is best begun, since the store took no other origin; `undefined` where it took them. */
-	let baseVersion: string | undefined;
-	/** Whether the request has what its next attempt needs already. */
-	let isRetryAcquired = false;
 	let trace: ResponseTrace | undefined;
 
 	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt, excluded}: Partial<Pick<RequestResult, 'status' | 'retryAt' | 'excluded'>> = {}): RequestResult => {
@@ -125,46 +120,21 @@
 			return next.type;
 		}
 
-		const isAcquired = isRetryAcquired || await acquireRetry(next.needs);
-		isRetryAcquired = false;
+		const isAcquired = mayForward() && host.retries.mayRetry(service) && (next.needs === 'retry' || await request.reserveRun());
 		return isAcquired && mayForward() ? next.type : next.otherwise;
 	};
 
-	const mayMove = (): boolean => isRetryable && progress.arrivals + 1 < route.maxAttempts;
-
-	const chooseOf = (version: string | undefined): ChosenEndpoint | undefined => chooser.choose({
-		service, parts, tried: progress.tried, avoidedHalls: progress.avoidedHalls, version, regions,
-	});
-
-	const acquireRetry = async (needs: 'retry' | 'retry_and_rights'): Promise<boolean> => {
-		const mayRetry = mayForward() && host.retries.mayRetry(service);
-		return needs === 'retry' || !mayRetry ? mayRetry : request.reserveRun();
-	};
-
-	/** Notes an attempt of a stream; resolves with whether it may be relayed: not where it can begin at a version whose origin need not be stored. */
-	const noteOrigin = async (endpoint: ListedEndpoint): Promise<boolean> => {
-		const attempt = progress.tried.length;
-		baseVersion = await stream.noteSent(endpoint, attempt);
-		const isLatest = progress.tried.length === attempt;
-		if (baseVersion === undefined || !isLatest || stream.requiredVersion(progress) !== undefined || !mayMove() || !chooseOf(baseVersion)) {
-			return true;
-		}
-
-		isRetryAcquired = await acquireRetry('retry_and_rights');
-		return !isRetryAcquired;
-	};
-
 	const attemptAt = async ({endpoint, uncachedTokens}: ChosenEndpoint): Promise<AttemptEnd> => {
 		progress = stepProgress(progress, {type: 'sent', endpoint});
 		chooser.noteStarted(endpoint.id, parts);
 		const startedAt = now();
 		timer.noteChosen();
-		const mayRelay = noteOrigin(endpoint);
+		const originTold = stream.noteSent(endpoint, progress.tried.length);
 		const end = await runAttempt({
 			request,
 			endpoint,
 			uncachedTokens,
-			mayRelay,
+			originTold,
 			writer,
 			isWanted: () => !requestEnd.isOver(),
 			onSent: timer.noteSent,
@@ -173,7 +143,7 @@
 				timer.noteEvents();
 			},
 			lastEventId: progress.lastEventId,
-			mayMove: mayMove(),
+			mayMove: isRetryable && progress.arrivals + 1 < route.maxAttempts,
 			signal: requestEnd.signal,
 		}, host);
 		trace = ('trace' in end ? end.trace : undefined) ?? trace;
@@ -203,8 +173,12 @@
 	const versionWait = createVersionWait({request, isOver: () => findEndReason() !== undefined}, host);
 
 	const chooseEndpoint = (): ChosenEndpoint | undefined => {
+		const {tried, avoidedHalls} = progress;
+		const chooseOf = (version: string | undefined): ChosenEndpoint | undefined => chooser.choose({
+			service, parts, tried, avoidedHalls, version, regions,
+		});
 		const required = stream.requiredVersion(progress);
-		const preferred = required ?? baseVersion ?? stream.preferredVersion(progress);
+		const preferred = stream.preferredVersion(progress);
 		return chooseOf(preferred) ?? (preferred === required ? undefined : chooseOf(required));
 	};
 
--- a/packages/entry/src/lib/stream-origins/create-stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/create-stream-origins.ts
@@ -164,11 +164,10 @@
 				key, origin, keepUntil, notedAt: now(),
 			};
 			table.keepOwn(kept);
-			const [betterVersion] = await Promise.all([
+			await Promise.all([
 				stored.record(kept, sent.isTakeUp),
 				versions.isMixed(origin.service) ? exchange.tell([kept]) : undefined,
 			]);
-			return betterVersion;
 		},
 		noteWhole(key) {
 			table.endOwn(key);
--- a/packages/entry/src/lib/stream-origins/stored/create-stored-streams.ts
+++ b/packages/entry/src/lib/stream-origins/stored/create-stored-streams.ts
@@ -13,7 +13,7 @@
 import {untilTimeout} from './until-timeout.js';
 import type {VersionLedger} from './version-ledger.js';
 
-/** How long the first event of a stream waits for the store to have its origin, in ms: beyond that, the stream begins at the base version, and where that has no endpoint, callers lose more by the wait than by the risk that all hosts die. */
+/** How long the first event of a stream waits for the store to have its origin, in ms: beyond that, callers lose more by the wait than by the risk that all hosts die. */
 const maxRecordWaitMs = 500;
 
 /** The shortest time between two reads of the store for take-ups, in ms: after the death of all hosts they come all at once, at all hosts. */
@@ -100,18 +100,14 @@
 			const earlierElsewhere = isTakeUp ? 'any_host' : 'nobody';
 			const earlier: EarlierAttempts = recorder.has(kept.key) ? 'this_host' : earlierElsewhere;
 			if (isUnderstood(kept.origin, earlier)) {
-				return undefined;
+				return;
 			}
 
 			// Kept before anything is awaited, so that a later attempt finds it.
 			recorder.keep(kept);
-			if (await untilTimeout(storeOrigin(kept, earlier), maxRecordWaitMs, schedule)) {
-				return undefined;
+			if (!await untilTimeout(storeOrigin(kept, earlier), maxRecordWaitMs, schedule)) {
+				counter.increment('unrecorded');
 			}
-
-			counter.increment('unrecorded');
-			const base = ledger.trusted(kept.origin.service)?.base;
-			return base === kept.origin.version ? undefined : base;
 		},
 		async find(key, services, likely) {
 			const found = await findStoredOrigin(key, {services, likely}, {ledger, readAllOrigins});
--- a/packages/entry/src/lib/stream-origins/stored/stored-streams.ts
+++ b/packages/entry/src/lib/stream-origins/stored/stored-streams.ts
@@ -4,11 +4,8 @@
 
 /** What a host knows and stores of streams in the store, which outlives all hosts. */
 export type StoredStreams = {
-	/**
-	Resolves once the store has the origin of a stream, or need not have it, or does not take it in time: then with the base version of the service,
-	unless that is not known or is the version of the stream.
-	*/
-	readonly record: (kept: KeptOrigin, isTakeUp: boolean) => Promise<string | undefined>;
+	/** Resolves once the store has the origin of a stream, or need not have it, or does not take it in time. */
+	readonly record: (kept: KeptOrigin, isTakeUp: boolean) => Promise<void>;
 	/** Finds where a stream of one of these services began; at the base of `likely` where its origin is not stored. */
 	readonly find: (key: string, services: readonly string[], likely: string) => Promise<FoundOrigin>;
 	/** As `ensureRead` of `VersionLedger`. */
--- a/packages/entry/src/lib/stream-origins/stream-origins.ts
+++ b/packages/entry/src/lib/stream-origins/stream-origins.ts
@@ -14,10 +14,9 @@
 	readonly listConfirmed: (at: number) => void;
 	/**
 	Notes that an attempt of a stream is sent to an endpoint. Resolves once another host and the store keep the origin, or cannot in time, or
-	need not. Where the store should keep it and does not, resolves with the version at which the stream would better begin, since the origins of its
-	streams need not be stored.
+	need not.
 	*/
-	readonly noteSent: (sent: SentStream) => Promise<string | undefined>;
+	readonly noteSent: (sent: SentStream) => Promise<void>;
 	/** Notes that the caller has the whole stream, so that nobody takes it up. */
 	readonly noteWhole: (key: string) => void;
 	/**
