Failures of one endpoint count as one only where they come together

Since failures of requests that overlap counted once, however far apart they came.

They count as one now only where they come within 250 ms of the one that counted: one fault breaks its requests at one moment (60 ms were seen), and a busy host reads them little by little.

Tried and not kept: not to wait for an endpoint of a version where one that the request has tried is open again.

--- a/packages/routing/src/endpoints/step-endpoints.ts
+++ b/packages/routing/src/endpoints/step-endpoints.ts
@@ -72,11 +72,15 @@
 	...state, inFlight: state.inFlight - 1, failures, ejectedUntil: ejectedUntilAfter(failures, maxMs, now),
 });
 
+/** Within what time failures of requests that were under way together count as one, in ms: one fault breaks them at one moment, and a busy host reads them little by little. */
+const sameFaultMs = 250;
+
 /**
-A fault of the way to the endpoint, or of this host, breaks all requests there at one moment. So a failure says more than the one before it only where its
-request was sent after that one.
+A fault of the way to the endpoint, or of this host, breaks all requests there at one moment. So a failure that follows at once says more than the one
+before it only where its request was sent after that one.
 */
-const isNewFailure = ({failedAt}: EndpointState, startedAt: number | undefined): boolean => startedAt === undefined || failedAt === undefined || startedAt >= failedAt;
+const isNewFailure = ({failedAt}: EndpointState, startedAt: number | undefined, now: number): boolean =>
+	startedAt === undefined || failedAt === undefined || startedAt >= failedAt || now - failedAt >= sameFaultMs;
 
 const asListed = (state: EndpointState, info: EndpointInfo, now: number): EndpointState => ({
 	...state, info: {...info, isLeaving: info.isLeaving || state.hasAnnouncedLeaving}, isListed: true, listedAt: now,
@@ -113,7 +117,7 @@
 		}
 
 		case 'failed': {
-			return isNewFailure(state, event.startedAt)
+			return isNewFailure(state, event.startedAt, now)
 				? {...afterFailure(state, state.failures + 1, maxEjectionMs, now), failedAt: now}
 				: {...state, inFlight: state.inFlight - 1};
 		}
