--- a/packages/entry/src/test/take-ups-without-endpoint.test.ts
+++ b/packages/entry/src/test/take-ups-without-endpoint.test.ts
@@ -65,6 +65,12 @@
 test('a take-up waits on after its version is gone for good', async t => {
 	const {host, endpoints, other} = await beginStream(t);
 	host.entry.listEndpoints([other]);
+	const confirming = setInterval(() => {
+		host.entry.endpointsConfirmed(performance.now());
+	}, 50);
+	t.teardown(() => {
+		clearInterval(confirming);
+	});
 	const {status} = await openStream(host.callers, 'b', takeUp).ended;
 	t.is(status, 503);
 	await host.logged('request_refused', ({code, ran, retry_after_s}) => code === 'stream_version_gone' && ran === 'not_run' && retry_after_s === undefined);
