Both programs read and report their settings by the same code

run-on-platform and run-daemon had each written the reading at the start, the reading at SIGHUP and the text of faults; a third copy of that text stood in the reader of the configuration. readSettingsAtStart and rereadSettings (host-kit) and formatIssue (core) serve all.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export type {ValidationIssue} from './validation-issue.js';
 export {findValidationIssues} from './find-validation-issues.js';
 export {firstByRendezvous} from './first-by-rendezvous.js';
+export {formatIssue} from './format-issue.js';
 export {groupBy} from './group-by.js';
 export {hasNoChunks} from './has-no-chunks.js';
 export {hash32} from './hash32.js';
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -1,8 +1,7 @@
 import {parseArgs} from 'node:util';
-import {awaitSettings} from '@deckwheel/host-kit';
+import {formatIssue} from '@deckwheel/core';
+import {readSettingsAtStart, rereadSettings} from '@deckwheel/host-kit';
 import type {ReceivedSignals} from '@deckwheel/host-kit/receive-signals';
-import type {ValidationIssue} from '@deckwheel/core';
-import type {DaemonSettings} from './daemon-settings.js';
 import {createLog} from './lib/process/create-log.js';
 import {loadDaemonSettings} from './load-daemon-settings.js';
 import {startDaemon} from './start-daemon.js';
@@ -30,8 +29,6 @@
 	}
 };
 
-const formatFault = ({path, message}: ValidationIssue): string => `${path}: ${message}`;
-
 /** Checks the settings of a file once. Returns the exit code. */
 const check = (file: string): number => {
 	const settings = loadDaemonSettings(file);
@@ -41,43 +38,33 @@
 	}
 
 	for (const fault of settings.error) {
-		console.error(`${file}: ${formatFault(fault)}`);
+		console.error(`${file}: ${formatIssue(fault)}`);
 	}
 
 	return exitFaulty;
 };
 
-const readAtStart = async (file: string): Promise<DaemonSettings | undefined> => {
-	const log = createLog('info', {});
-	const settings = await awaitSettings(() => loadDaemonSettings(file), {
-		onUnread(faults) {
-			log('warn', 'settings_unread', {file, faults: faults.map(fault => formatFault(fault)).join('; ')});
-		},
-	});
-	if (settings.ok) {
-		return settings.value;
-	}
-
-	for (const fault of settings.error) {
-		log('error', 'settings_invalid', {file, path: fault.path, message: fault.message});
-		console.error(`${file}: ${formatFault(fault)}`);
-	}
-
-	return undefined;
-};
-
 /** Runs until a planned stop. Returns the exit code. */
 const runUntilStopped = async (file: string, signals: ReceivedSignals, stopSignal: AbortSignal): Promise<number> => {
-	const settings = await readAtStart(file);
+	const read = () => loadDaemonSettings(file);
+	const logAtStart = createLog('info', {});
+	const settings = await readSettingsAtStart({
+		file, read, log(event, fields) {
+			logAtStart(event === 'settings_invalid' ? 'error' : 'warn', event, fields);
+		},
+	});
 	if (!settings) {
 		return exitFaulty;
 	}
 
 	const daemon = await startDaemon(settings, stopSignal);
 	const log = createLog(settings.logLevel, {host: settings.host, hall: settings.hall});
-	signals.on('SIGHUP', async () => {
-		const reread = await awaitSettings(() => loadDaemonSettings(file));
-		log('info', 'settings_reread', reread.ok ? {isSound: true} : {isSound: false, faults: reread.error.map(fault => formatFault(fault)).join('; ')});
+	signals.on('SIGHUP', () => {
+		void rereadSettings({
+			read, log(event, fields) {
+				log('info', event, fields);
+			},
+		});
 	});
 	await daemon?.stopped;
 	return 0;
--- a/packages/host-kit/src/index.ts
+++ b/packages/host-kit/src/index.ts
@@ -1,4 +1,3 @@
-export {awaitSettings} from './await-settings.js';
 export {checkChunks} from './chunk-framing/check-chunks.js';
 export {checkRequestChunks} from './chunk-framing/check-request-chunks.js';
 export {createLineLog} from './create-line-log.js';
@@ -15,5 +14,7 @@
 export {probeListener} from './probe-listener.js';
 export type {ProbeResult} from './probe-result.js';
 export {readSettings} from './read-settings.js';
+export {readSettingsAtStart} from './read-settings-at-start.js';
+export {rereadSettings} from './reread-settings.js';
 export {untilTried} from './until-tried.js';
 export type {EventCounter} from './event-counter.js';
