--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {systemClock} from '@deckwheel/core';
-import {openMesh} from '@deckwheel/mesh';
+import {openMesh, type Mesh} from '@deckwheel/mesh';
 import {connectPlatform} from '@deckwheel/store-client';
 import type {AskSlot} from './lib/slots/ask-slot.js';
 import type {BundleTask} from './lib/operating/bundle-task.js';
@@ -97,7 +97,7 @@
 		return undefined;
 	}
 
-	const mesh: Awaited<ReturnType<typeof openMesh>> = opened;
+	const mesh: Mesh = opened;
 	const poison = startPoisonWatch(context, {mesh: () => mesh, membership: () => tasks.membership!, address: () => address});
 	const address = settings.advertise ?? `${settings.listen.peers.ip}:${mesh.port}`;
 	const catchUpWith = async (status: HostStatus): Promise<void> => {
--- a/packages/entry/src/lib/host/open-caller-listener.ts
+++ b/packages/entry/src/lib/host/open-caller-listener.ts
@@ -15,6 +15,12 @@
 	readonly log: Log;
 };
 
+// `close` of the HTTP server would also destroy the connections that Node.js counts as idle, among them those with responses that callers are
+// still reading.
+const closeListeningSocket = (server: Server): void => {
+	NetServer.prototype.close.call(server);
+};
+
 /**
 Opens the listener of a server that accepts connections. Resolves once it listens or has failed to for the first time; where it has failed,
 the next call of `setAccepting` tries again.
@@ -28,9 +34,7 @@
 
 	const refuseConnections = (): void => {
 		isListening = false;
-		// `close` of the HTTP server would also destroy the connections that Node.js counts as idle, among them those with responses that
-		// callers are still reading.
-		NetServer.prototype.close.call(server);
+		closeListeningSocket(server);
 	};
 
 	const listen = (): void => {
@@ -38,14 +42,12 @@
 		server.listen(port, host);
 	};
 
-	const noteListening = (): void => {
+	server.on('listening', () => {
 		({port} = server.address() as AddressInfo);
 		if (hasStopped) {
 			refuseConnections();
 		}
-	};
-
-	server.on('listening', noteListening);
+	});
 	server.on('error', error => {
 		isListening = server.listening;
 		log('listen_failed', {address, error: error.message});
--- a/packages/entry/src/lib/host/start-peer-tasks.ts
+++ b/packages/entry/src/lib/host/start-peer-tasks.ts
@@ -37,7 +37,7 @@
 import {tunnelEndReplySchema} from '../tunnels/tunnel-end-reply-schema.js';
 import {tunnelReplySchema} from '../tunnels/tunnel-reply-schema.js';
 import type {TunnelServerOptions} from '../tunnels/tunnel-server-options.js';
-import {createStopMonitor} from './create-stop-monitor.js';
+import {createStopMonitor} from '../own-health/create-stop-monitor.js';
 import {repeatByTimer} from './repeat-by-timer.js';
 import {scheduleByTimer} from './schedule-by-timer.js';
 
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -47,8 +47,10 @@
 const monotonicMs = (): number => performance.now();
 
 /**
-Starts an entry host. A server whose address cannot be had yet tries again, also after this function resolved. The host is ready once it has a configuration, a list of endpoints and, where operators may order evacuations,
-the set of evacuated halls. While it is overloaded, stops, has an outdated configuration, or lets new connections wait too long, it is not ready.
+Starts an entry host. A server whose address cannot be had yet tries again, also after this function resolved.
+
+The host is ready once it has a configuration, a list of endpoints and, where operators may order evacuations, the set of evacuated halls. While
+it is overloaded, stops, has an outdated configuration, or lets new connections wait too long, it is not ready.
 
 This function holds the configuration in force and the evacuated halls. All other state belongs to the components that it connects.
 */
--- a/packages/entry/src/test/create-stop-monitor.test.ts
+++ b/packages/entry/src/test/create-stop-monitor.test.ts
@@ -1,6 +1,6 @@
 /** Guards against hosts that answer, after a stop, by what they knew before it. */
 import test from 'ava';
-import {createStopMonitor} from '../lib/host/create-stop-monitor.js';
+import {createStopMonitor} from '../lib/own-health/create-stop-monitor.js';
 
 const start = () => {
 	let time = 5000;
