--- a/packages/daemon/src/lib/process/create-log.ts
+++ b/packages/daemon/src/lib/process/create-log.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {formatLogLine, ignoreOutputErrors, type LogFields} from '@deckwheel/host-kit';
+import {formatLogLine, ignoreErrorEvents, type LogFields} from '@deckwheel/host-kit';
 import winston from 'winston';
 import type {Log} from './leveled-log.js';
 
@@ -10,7 +10,7 @@
 */
 export const createLog = (level: string, common: LogFields): Log => {
 	// The transport writes to the streams of the process, and listens for no errors of theirs.
-	ignoreOutputErrors(process.stdout, process.stderr);
+	ignoreErrorEvents(process.stdout, process.stderr);
 	const line = winston.format.printf(({level: lineLevel, message, timestamp, ...fields}) =>
 		formatLogLine({
 			time: String(timestamp), level: lineLevel, event: String(message), ...fields as LogFields,
--- a/packages/entry/src/lib/own-health/start-accept-probe.ts
+++ b/packages/entry/src/lib/own-health/start-accept-probe.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {splitAddress} from '@deckwheel/core';
+import {ignoreErrorEvents} from '@deckwheel/host-kit';
 import type {AcceptProbe} from './accept-probe.js';
 
 type Options = {
@@ -40,6 +41,7 @@
 	client.once('error', () => {
 		end();
 	});
+	ignoreErrorEvents(client);
 	return {
 		startedAt,
 		noteAccepted({remotePort}) {
--- a/packages/host-kit/src/create-line-log.ts
+++ b/packages/host-kit/src/create-line-log.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import type {EventEmitter} from 'node:events';
 import {hostLogLine} from './host-log-line.js';
-import {ignoreOutputErrors} from './ignore-output-errors.js';
+import {ignoreErrorEvents} from './ignore-error-events.js';
 import type {LogFields} from './log-fields.js';
 
 /**
@@ -28,7 +28,7 @@
 export const createLineLog = (host: string | undefined, output: LogOutput = process.stdout): (event: string, fields?: LogFields) => void => {
 	let droppedLines = 0;
 	// An error that ends the process is written to standard error, which often has the same reader.
-	ignoreOutputErrors(output, process.stderr);
+	ignoreErrorEvents(output, process.stderr);
 	return (event, fields = {}) => {
 		if (output.writableLength > maxPendingBytes) {
 			droppedLines++;
--- a/packages/host-kit/src/index.ts
+++ b/packages/host-kit/src/index.ts
@@ -6,7 +6,7 @@
 export type {Framing} from './framing.js';
 export {framingOf} from './framing-of.js';
 export {hasCallerLeft} from './has-caller-left.js';
-export {ignoreOutputErrors} from './ignore-output-errors.js';
+export {ignoreErrorEvents} from './ignore-error-events.js';
 export {keepListening} from './keep-listening.js';
 export {listenAt} from './listen-at.js';
 export type {LogFields} from './log-fields.js';
