An account of the bytes that a host holds of responses and bodies, bounded by its machine's memory

Nothing bounds what a host holds of responses before they are whole, and nothing looks at their sum. This is the account alone: nothing is charged to it yet. The bound is a tenth of the machine's memory (limits.memory-mb of the settings), at most 32 MB; where none is stated, that of a machine of 160 MB. The most that was held, and how often there was no room, is logged every ten seconds (held_bytes).

--- a/packages/entry/src/adapter/bounds.ts
+++ b/packages/entry/src/adapter/bounds.ts
@@ -41,6 +41,8 @@
 	readonly storeWritesPerSecond: number;
 	/** The longest delay with which a host may relay an event of a stream, in ms. */
 	readonly relayMs: number;
+	/** The memory of the host's machine, in MB; 0, or `undefined`, where it is not stated. What the host may hold of responses and bodies depends on it. */
+	readonly memoryMb?: number;
 	/** The time from the signal to stop a host until its process is killed, in ms. */
 	readonly stopGraceMs: number;
 };
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -6,6 +6,7 @@
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
 import type {ConfigProof} from '../admission/config-proof.js';
+import type {HeldBytes} from '../held-bytes/held-bytes.js';
 import type {OverloadMonitor} from '../own-health/overload-monitor.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
 import type {createEndCheck} from '../response-ends/create-end-check.js';
@@ -69,6 +70,8 @@
 	readonly poison: PoisonDetector;
 	readonly rights: RightsManager;
 	readonly pool: ConnectionPool;
+	/** The account of the bytes of responses and bodies that this host holds. */
+	readonly heldBytes: HeldBytes;
 	/** Finds out whether an endpoint itself ended a response of which only the end of its connection tells that it is whole. */
 	readonly checkEnd: ReturnType<typeof createEndCheck>;
 	readonly retries: RetryLimiter;
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -14,6 +14,8 @@
 import {createEndpointEnds} from './lib/choice/create-endpoint-ends.js';
 import {createEndpointListing} from './lib/choice/create-endpoint-listing.js';
 import {createWarmupRules} from './lib/choice/create-warmup-rules.js';
+import {createHeldBytes} from './lib/held-bytes/create-held-bytes.js';
+import {planMaxHeldBytes} from './lib/held-bytes/plan-max-held-bytes.js';
 import {createCallerConnections} from './lib/host/create-caller-connections.js';
 import {createRequestCounter} from './lib/host/create-request-counter.js';
 import {createRetryLimiter} from './lib/host/create-retry-limiter.js';
@@ -190,6 +192,7 @@
 		rights,
 		streamOrigins: peerTasks.streamOrigins,
 		pool,
+		heldBytes: createHeldBytes(planMaxHeldBytes(bounds.memoryMb ?? 0), createEventCounter('held_bytes', log)),
 		checkEnd: createEndCheck({
 			askHealth,
 			confirmTunnelEnd: peerTasks.tunnels.confirmEnd,
