Logs tell how many bytes came of a response that broke, and metrics how many a host held

With response_broken alone, a response that never ends reads like one that is cut at its deadline. It now has the bytes of its body (bytes), and deckwheel_held_bytes shows the most that the host held at once.

--- a/packages/entry/src/lib/relaying/read-response-body.ts
+++ b/packages/entry/src/lib/relaying/read-response-body.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 
-/** Reads the body of a response; `undefined` if the connection broke before the body was complete. */
-export const readResponseBody = async (response: IncomingMessage): Promise<Uint8Array | undefined> => new Promise(resolve => {
+/** Reads the body of a response; `undefined` if the connection broke before the body was complete. `onChunk` gets the length of each of its parts, in bytes. */
+export const readResponseBody = async (response: IncomingMessage, onChunk: (bytes: number) => void = () => undefined): Promise<Uint8Array | undefined> => new Promise(resolve => {
 	// It may have closed before this function was called, and then emits no further event.
 	if (response.closed) {
 		resolve(undefined);
@@ -11,6 +11,7 @@
 
 	const chunks: Uint8Array[] = [];
 	response.on('data', (chunk: Uint8Array) => {
+		onChunk(chunk.length);
 		chunks.push(chunk);
 	});
 	response.on('end', () => {
--- a/packages/entry/src/lib/relaying/relay-stream.ts
+++ b/packages/entry/src/lib/relaying/relay-stream.ts
@@ -15,8 +15,8 @@
 	readonly ready: Promise<void>;
 	/** Aborted when the attempt is given up. A response that is complete by then is still relayed. */
 	readonly signal: AbortSignal;
-	/** Called when bytes arrive from the endpoint. */
-	readonly onChunk: () => void;
+	/** Called when bytes arrive from the endpoint, with their number. */
+	readonly onChunk: (bytes: number) => void;
 	/** Called each time before events are written to the caller, with their number. */
 	readonly beforeWrite: (events: number) => void;
 	/** Called when an event came that cannot be one of the stream. Neither it nor anything after it is relayed, and the stream counts as broken. */
@@ -78,7 +78,7 @@
 
 	const intake = createIntake(ready, flow, relay);
 	response.on('data', (chunk: Uint8Array) => {
-		onChunk();
+		onChunk(chunk.length);
 		intake.take(chunk);
 	});
 	response.on('end', () => {
--- a/packages/entry/src/lib/request/receive-response.ts
+++ b/packages/entry/src/lib/request/receive-response.ts
@@ -3,6 +3,7 @@
 import {framingOf, type Framing} from '@deckwheel/host-kit';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {TrackedRun} from '../load-sharing/tracked-run.js';
+import {createByteCount, type ByteCount} from '../relaying/create-byte-count.js';
 import {readResponseBody} from '../relaying/read-response-body.js';
 import {relayStream} from '../relaying/relay-stream.js';
 import type {RelayEnd} from '../relaying/relay-end.js';
@@ -37,7 +38,11 @@
 	readonly run: Pick<TrackedRun, 'noteEvent'>;
 };
 
-type FramedResponse = Received & {readonly framing: Framing};
+type FramedResponse = Received & {
+	readonly framing: Framing;
+	/** Counts the bytes of the body that came. */
+	readonly size: ByteCount;
+};
 
 const traceOf = ({framing, tunnel}: FramedResponse, end: ResponseTrace['end'], relayed?: RelayEnd): ResponseTrace =>
 	({
@@ -57,7 +62,9 @@
 
 const breakOff = (received: FramedResponse, end: ResponseTrace['end'], host: HostContext, relayed?: RelayEnd): AttemptEnd => {
 	const trace = traceOf(received, end, relayed);
-	host.log('response_broken', {id: received.request.id, endpoint: received.endpoint.id, ...traceFields(trace)});
+	host.log('response_broken', {
+		id: received.request.id, endpoint: received.endpoint.id, bytes: received.size.bytes(), ...traceFields(trace),
+	});
 	return {
 		type: 'lost', reason: 'broken', relayed, trace,
 	};
@@ -70,14 +77,17 @@
 };
 
 const relayToCaller = async (received: FramedResponse, host: HostContext): Promise<AttemptEnd> => {
-	const {response, request, writer, originTold, lastEventId, onEvents, run, tracked} = received;
+	const {response, request, writer, originTold, lastEventId, onEvents, run, tracked, size} = received;
 	const relayed = await relayStream(response, request.res, {
 		lastId: lastEventId,
 		resumedAfter: lastEventId ?? eventOfCaller(request, host),
 		// Should this host end right after the first event, its caller takes the stream up at a host that has to find where it began.
 		ready: originTold,
 		signal: tracked.signal,
-		onChunk: tracked.noteHeard,
+		onChunk(bytes) {
+			size.add(bytes);
+			tracked.noteHeard();
+		},
 		beforeWrite(events) {
 			onEvents();
 			for (let event = 0; event < events; event++) {
@@ -113,7 +123,7 @@
 */
 export const receiveResponse = async (inputs: Received, host: HostContext): Promise<AttemptEnd> => {
 	const {response, request} = inputs;
-	const received = {...inputs, framing: framingOf(response, request.req.method!)};
+	const received = {...inputs, framing: framingOf(response, request.req.method!), size: createByteCount()};
 	const status = response.statusCode!;
 	const isSuccess = isSuccessStatus(status);
 	// A success without the endpoint's stamp comes from another process, to which the endpoint's address may have been given.
@@ -126,7 +136,7 @@
 		return relayToCaller(received, host);
 	}
 
-	const body = await readResponseBody(response);
+	const body = await readResponseBody(response, received.size.add);
 	if (body === undefined) {
 		return breakOff(received, breakReasonOf(response), host);
 	}
--- a/packages/entry/src/metrics/create-event-metrics.ts
+++ b/packages/entry/src/metrics/create-event-metrics.ts
@@ -1,4 +1,6 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 import type {EventMetrics} from './event-metrics.js';
 
 /** Upper bounds of the latency histogram, in ms. */
@@ -28,6 +30,9 @@
 	const turnedAwayCounter = new Counter({
 		name: 'deckwheel_turned_away_total', help: 'Requests that this host turned away for its own load, by cause and by rank (0 the most urgent).', labelNames: ['cause', 'rank'], registers,
 	});
+	const heldBytesGauge = new Gauge({
+		name: 'deckwheel_held_bytes', help: 'Most bytes of responses and bodies that this host held at once, in the latest ten seconds in which it held any.', registers,
+	});
 	const usedTokenCounter = new Counter({
 		name: 'deckwheel_tokens_used_total', help: 'Tokens charged to budgets.', registers,
 	});
@@ -47,6 +52,10 @@
 				firstByteHistogram.observe({route: String(fields.route ?? '')}, fields.first_ms);
 			}
 
+			if (event === 'held_bytes' && typeof fields.max === 'number') {
+				heldBytesGauge.set(fields.max);
+			}
+
 			arrivalCounter.inc(Number(fields.arrivals ?? 0));
 			usedTokenCounter.inc(Math.max(0, Number(fields.used ?? 0)));
 			if (rightsTransferEvents.has(event)) {
--- a/packages/entry/src/test/create-event-metrics.test.ts
+++ b/packages/entry/src/test/create-event-metrics.test.ts
@@ -19,3 +19,12 @@
 	t.true(text.includes('deckwheel_tokens_used_total 100'));
 	t.true(text.includes('deckwheel_rights_tokens_total{event="rights_drawn"} 500'));
 });
+
+test('the metrics show the most bytes that the host held in the latest interval', async t => {
+	const metrics = createEventMetrics();
+	metrics.note('held_bytes', {max: 70_000, no_room: 2});
+	metrics.note('held_bytes', {max: 3000});
+	metrics.note('held_bytes', {no_room: 2});
+	const text = await metrics.text();
+	t.true(text.includes('deckwheel_held_bytes 3000\n'));
+});
--- a/packages/entry/src/test/log-of-response-ends.test.ts
+++ b/packages/entry/src/test/log-of-response-ends.test.ts
@@ -31,6 +31,19 @@
 	t.like(fields, {framing: 'connection', through: undefined, events: 2});
 });
 
+for (const kind of ['stream', 'repeatable'] as const) {
+	test(`the log does not tell how many bytes came of a response that broke: ${kind}`, async t => {
+		const host = await startHostBefore(t, {kind, isResumable: false, maxAttempts: 1}, [(_req, res) => {
+			res.write(events, () => {
+				res.destroy();
+			});
+		}]);
+		await openStream(host.callers, 's1').ended;
+		await host.logged('response_broken');
+		t.like(host.events.find(line => line.event === 'response_broken')!.fields, {id: 's1', endpoint: 'e0', bytes: events.length});
+	});
+}
+
 test('the log does not tell why a stream counts as broken', async t => {
 	const fields = await fieldsOf(t, (_req, res) => {
 		res.write(events, () => {
