A response is held only as far as there is room, and relayed beyond; one that never ends is broken off

What callers saw: on a host that ran out of memory the process ended, and all its requests were lost. One endpoint whose responses do not end is enough, and so are middling responses to callers that read slowly.

Cause: the body of a response that is no stream was collected until its end or the deadline, and nothing looked at one response or at their sum; an attempt that ended at the deadline said nothing of the endpoint. Ruled out: heads, trailers and chunk extensions, which node:http bounds.

Now a response is held up to 1 MiB, and all of them up to the host's bound (HeldBytes). That is what a retry elsewhere, an honest refusal and a Content-Length need. A longer one, or one for which there is no room, is relayed from then on as fast as its caller reads, and ends only once its framing or checkEnd says that it is whole; otherwise the caller's connection is cut. Beyond 64 MiB it is broken off at once (too_long), and the endpoint has failed, as it has where a response of more than 1 MiB still came at the deadline while its caller read. The run may have happened: it is charged, and never called not run. An error that may be asked for elsewhere, and a body without a length for a caller of HTTP/1.0, are not relayed: they are held up to 4 MiB. Small chunks are copied into blocks: an object for each would take a hundred times the bytes.

It now plays each case twice: with such a response while it is relayed, and with twelve of 1 MiB on one connection, which are held whole and answered before their caller reads.

What it costs: a response above 1 MiB whose caller reads slowly is cut at its deadline, where it was delivered later before; and a break of one after its first 1 MiB is seen by the caller, where it was made good at another endpoint.

--- a/packages/entry/src/lib/relaying/create-response-writer.ts
+++ b/packages/entry/src/lib/relaying/create-response-writer.ts
@@ -25,6 +25,10 @@
 				writeHead(response);
 			}
 		},
+		beginBody(response) {
+			const {'content-length': length, 'transfer-encoding': coding} = response.headers;
+			writeHead(response, length === undefined || coding !== undefined ? [] : ['Content-Length', length]);
+		},
 		endStream() {
 			res.end();
 		},
--- a/packages/entry/src/lib/request/decide-next-step.ts
+++ b/packages/entry/src/lib/request/decide-next-step.ts
@@ -26,7 +26,7 @@
 	({type: 'send_elsewhere', needs, otherwise});
 
 /** Whether another run can go on where the caller is. An empty id is none: it takes back the one before. */
-const canGoOn = ({relayedEvents, lastEventId}: RequestProgress): boolean => relayedEvents === 0 || Boolean(lastEventId);
+const canGoOn = ({relayedEvents, lastEventId, isPartRelayed = false}: RequestProgress): boolean => !isPartRelayed && (relayedEvents === 0 || Boolean(lastEventId));
 
 /**
 Decides after an attempt whether a request is sent to another endpoint, gets the response of this one, or is given up. Pure.
@@ -38,11 +38,11 @@
 | `lost` | give up | send elsewhere, with rights for one more run |
 | `server_error` | pass the response on | send elsewhere with rights for one more run; otherwise pass the response on |
 | `whole` | pass the response on | the same |
-| `streamed` | finish: the caller has the stream | the same |
+| `relayed`, `streamed` | finish: the caller has the response | the same |
 
 Except after `unsent`, sending elsewhere needs that the request is not over, that it has reached fewer endpoints than its route
 allows, and that the retry limiter allows one more retry. A stream of which the caller has events goes on elsewhere only where the id of the last
-one is known: any other run would begin anew. A misdirected attempt has reached none, so it leaves a route with a single attempt
+one is known: any other run would begin anew. So would one after a part of a response that is no stream. A misdirected attempt has reached none, so it leaves a route with a single attempt
 that attempt; it was an arrival at some process all the same, so the next one needs a retry.
 */
 export const decideNextStep = ({end, progress, maxAttempts, isRetryable, isOver}: Inputs): NextStep => {
@@ -74,6 +74,7 @@
 			return {type: 'pass_on'};
 		}
 
+		case 'relayed':
 		case 'streamed': {
 			return {type: 'finish'};
 		}
--- a/packages/entry/src/lib/request/next-step.ts
+++ b/packages/entry/src/lib/request/next-step.ts
@@ -7,7 +7,7 @@
 	| {readonly type: 'send_elsewhere'; readonly needs: 'nothing' | 'retry' | 'retry_and_rights'; readonly otherwise: 'give_up' | 'pass_on'}
 	/** Passes the endpoint's response on to the caller. */
 	| {readonly type: 'pass_on'}
-	/** Ends the request: the caller has the whole stream. */
+	/** Ends the request: the caller has the whole response. */
 	| {readonly type: 'finish'}
 	/** Ends the request with a refusal of the host, which depends on what is known of the runs (`decideOutcome`). */
 	| {readonly type: 'give_up'};
--- a/packages/entry/src/lib/request/report-to-poison-detector.ts
+++ b/packages/entry/src/lib/request/report-to-poison-detector.ts
@@ -5,7 +5,7 @@
 import type {RequestInputs} from './request-inputs.js';
 
 /** Whether the endpoint gave a whole response, and so did not crash while it ran the request. */
-const hasEndpointResponded = ({type}: AttemptEnd): boolean => type === 'whole' || type === 'streamed' || type === 'server_error';
+const hasEndpointResponded = ({type}: AttemptEnd): boolean => type === 'whole' || type === 'streamed' || type === 'relayed' || type === 'server_error';
 
 /**
 Reports to the detector of poison requests, which make endpoints crash, whether a run was lost or got a response.
--- a/packages/entry/src/lib/request/request-progress.ts
+++ b/packages/entry/src/lib/request/request-progress.ts
@@ -20,6 +20,8 @@
 	readonly relayedEvents: number;
 	/** The endpoint that wrote the first event that the caller got; `undefined` before one. */
 	readonly begunBy: ListedEndpoint | undefined;
+	/** Whether the caller got a part of a response that is no stream; `undefined` before that. */
+	readonly isPartRelayed?: boolean;
 	/** The id of the last event that the caller got, after which another run resumes the stream. */
 	readonly lastEventId: string | undefined;
 };
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -31,6 +31,8 @@
 	readonly onSent: () => void;
 	/** Called each time before events of a stream are relayed to the caller. */
 	readonly onEvents: () => void;
+	/** Called when the first part of a body that is too large to be held is relayed to the caller. */
+	readonly onBodyBegun: () => void;
 	/** The id of the last event that the caller got, after which the endpoint is to resume a stream; `undefined` where it got none. */
 	readonly lastEventId: string | undefined;
 	/** Whether the request may run at another endpoint if this endpoint's hall becomes unreachable. */
@@ -128,8 +130,8 @@
 /**
 Makes one attempt at one endpoint, up to the end of the endpoint's response.
 
-A successful response on a route for streams is relayed to the caller of the request as it arrives. Any other response is read whole
-and returned, and nothing of it is sent to the caller here.
+A successful response on a route for streams is relayed to the caller of the request as it arrives, and so is one that is too large to be held. Any other
+response is read whole and returned, and nothing of it is sent to the caller here.
 */
 export const runAttempt = async (options: Options, host: HostContext): Promise<AttemptEnd> => {
 	const sentAt = host.now();
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -25,6 +25,11 @@
 /** Whether a request was given up because no endpoint would take it. */
 const isLackOfEndpoints = (reason: string): boolean => reason === 'no_endpoint' || reason === 'not_run';
 
+type RelayedAttempt = AttemptEnd & {readonly type: 'streamed' | 'relayed'};
+
+/** Whether the caller has all of the response but its end. */
+const isRelayed = (end: AttemptEnd): end is RelayedAttempt => end.type === 'streamed' || end.type === 'relayed';
+
 /** Why a request is given up after an attempt, for the log and the refusal. */
 const giveUpReasonOf = (end: AttemptEnd, next: NextStep, mayForward: boolean): string => {
 	if (next.type === 'send_elsewhere' && !mayForward) {
@@ -114,6 +119,16 @@
 		return finish('answered', reason, {status});
 	};
 
+	const finishRelayed = (end: RelayedAttempt, reason: string): RequestResult => {
+		if (end.type === 'streamed') {
+			stream.noteWhole();
+		}
+
+		timer.noteBegun();
+		writer.endStream();
+		return finish('answered', reason, {status: end.status});
+	};
+
 	// Obtains what another attempt needs, and returns the step to take: `otherwise` where something is not to be had.
 	const resolveStep = async (next: NextStep): Promise<NextStep['type']> => {
 		if (next.type !== 'send_elsewhere' || next.needs === 'nothing') {
@@ -142,6 +157,7 @@
 				versionWait.noteEvents();
 				timer.noteEvents();
 			},
+			onBodyBegun: timer.noteBegun,
 			lastEventId: progress.lastEventId,
 			mayMove: isRetryable && progress.arrivals + 1 < route.maxAttempts,
 			signal: requestEnd.signal,
@@ -226,11 +242,8 @@
 			return giveUp(giveUpReasonOf(end, next, mayForward()));
 		}
 
-		if (end.type === 'streamed') {
-			stream.noteWhole();
-			timer.noteBegun();
-			writer.endStream();
-			return finish('answered', choice.reason, {status: end.status});
+		if (isRelayed(end)) {
+			return finishRelayed(end, choice.reason);
 		}
 
 		if (step === 'pass_on' && (end.type === 'whole' || end.type === 'server_error')) {
--- a/packages/entry/src/lib/request/step-progress.ts
+++ b/packages/entry/src/lib/request/step-progress.ts
@@ -32,7 +32,8 @@
 		}
 
 		case 'lost': {
-			return addRelayedEvents({...progress, arrivals: progress.arrivals + 1, lostRuns: progress.lostRuns + 1}, endpoint, end.relayed);
+			const lost = {...progress, arrivals: progress.arrivals + 1, lostRuns: progress.lostRuns + 1};
+			return addRelayedEvents(end.isPartRelayed ? {...lost, isPartRelayed: true} : lost, endpoint, end.relayed);
 		}
 
 		case 'streamed': {
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -10,6 +10,7 @@
 import {createLoadTracker} from '../lib/load-sharing/member/create-load-tracker.js';
 import {createResponseWriter} from '../lib/relaying/create-response-writer.js';
 import type {AttemptEnd} from '../lib/request/attempt-end.js';
+import {createHeldBytes} from '../lib/held-bytes/create-held-bytes.js';
 import type {HostContext} from '../lib/request/host-context.js';
 import {runAttempt} from '../lib/request/run-attempt.js';
 import {createConnectionPool} from '../lib/sending/create-connection-pool.js';
@@ -61,6 +62,7 @@
 		isCallerSeen: () => true,
 		now,
 		log: () => undefined,
+		heldBytes: createHeldBytes(1_000_000, {increment: () => undefined, recordMax: () => undefined}),
 		countUnsent: () => undefined,
 		limits: {noteResponse: () => undefined, isLimited: () => false, acquire: async () => ({isGranted: true})},
 		brittleEndpoints: {noteResponse: () => undefined},
@@ -90,6 +92,7 @@
 			isWanted: () => true,
 			onSent: () => undefined,
 			onEvents: () => undefined,
+			onBodyBegun: () => undefined,
 			originTold: Promise.resolve(),
 			lastEventId: undefined,
 			mayMove: false,
--- a/packages/entry/src/test/send-attempt.test.ts
+++ b/packages/entry/src/test/send-attempt.test.ts
@@ -1,8 +1,8 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
 import test from 'ava';
-import {readResponseBody} from '../lib/relaying/read-response-body.js';
 import {judgeEndpoint} from '../lib/request/judge-endpoint.js';
+import {readWholeBody} from './lib/read-whole-body.js';
 import {sendOneAttempt} from './lib/send-one-attempt.js';
 import {startRawServer} from './lib/start-raw-server.js';
 
@@ -18,7 +18,7 @@
 	server.close();
 	t.is(result.type, 'answered');
 	if (result.type === 'answered') {
-		const body = readResponseBody(result.response);
+		const body = readWholeBody(result.response);
 		await once(result.response, 'data');
 		reset();
 		t.is(await body, undefined);
@@ -33,7 +33,7 @@
 	});
 	const result = await sendOneAttempt(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	server.close();
-	t.is(result.type === 'answered' ? await readResponseBody(result.response) : undefined, undefined);
+	t.is(result.type === 'answered' ? await readWholeBody(result.response) : undefined, undefined);
 });
 
 test('a response without a length is complete when its connection ends normally', async t => {
@@ -44,7 +44,7 @@
 	server.close();
 	t.is(result.type, 'answered');
 	if (result.type === 'answered') {
-		const body = await readResponseBody(result.response);
+		const body = await readWholeBody(result.response);
 		t.is(new TextDecoder().decode(body), 'all');
 	}
 });
--- a/packages/entry/src/test/spoiled-bodies.test.ts
+++ b/packages/entry/src/test/spoiled-bodies.test.ts
@@ -7,7 +7,7 @@
 import fc from 'fast-check';
 import type {Route} from '../config/route.js';
 import {createResponseWriter} from '../lib/relaying/create-response-writer.js';
-import {readResponseBody} from '../lib/relaying/read-response-body.js';
+import {readWholeBody} from './lib/read-whole-body.js';
 import {callHost} from './lib/call-host.js';
 import {headerNames} from './lib/header-names.js';
 import {sendOneAttempt} from './lib/send-one-attempt.js';
@@ -111,7 +111,7 @@
 	const isLostOrWritten = async (sent: Uint8Array, method: string): Promise<boolean> => {
 		bytes = sent;
 		const result = await sendOneAttempt(address, {method});
-		const body = result.type === 'answered' ? await readResponseBody(result.response) : undefined;
+		const body = result.type === 'answered' ? await readWholeBody(result.response) : undefined;
 		if (result.type !== 'answered' || body === undefined) {
 			return true;
 		}
--- a/packages/entry/src/test/spoiled-chunks.test.ts
+++ b/packages/entry/src/test/spoiled-chunks.test.ts
@@ -8,7 +8,7 @@
 import test, {type ExecutionContext} from 'ava';
 import fc from 'fast-check';
 import type {ListedPeer} from '../adapter/listed-peer.js';
-import {readResponseBody} from '../lib/relaying/read-response-body.js';
+import {readWholeBody} from './lib/read-whole-body.js';
 import {callHost} from './lib/call-host.js';
 import {closedAddress} from './lib/closed-address.js';
 import {headerNames} from './lib/header-names.js';
@@ -52,7 +52,7 @@
 /** The body that counts as whole; `undefined` where none does. */
 const wholeBody = async (t: ExecutionContext, packets: readonly string[], method = 'GET'): Promise<string | undefined> => {
 	const result = await respondWith(t, packets, method);
-	const body = result.type === 'answered' ? await readResponseBody(result.response) : undefined;
+	const body = result.type === 'answered' ? await readWholeBody(result.response) : undefined;
 	return body && Buffer.from(body).toString('latin1');
 };
 
@@ -233,7 +233,7 @@
 		const places = cuts.map(cut => cut % text.length).sort((a, b) => a - b);
 		packets = [headOf() + text.slice(0, places[0]), ...places.map((place, index) => text.slice(place, places[index + 1]))];
 		const result = await sendOneAttempt(endpoint.listed.address);
-		const body = result.type === 'answered' ? await readResponseBody(result.response) : undefined;
+		const body = result.type === 'answered' ? await readWholeBody(result.response) : undefined;
 		const received = body && Buffer.from(body).toString('latin1');
 		return received === undefined ? changes.length > 0 : received === decode(text);
 	}), {numRuns: 300});
--- a/packages/entry/src/test/stop-cuts-answers.test.ts
+++ b/packages/entry/src/test/stop-cuts-answers.test.ts
@@ -11,6 +11,7 @@
 import {connect} from 'node:net';
 import test from 'ava';
 import {afterNextPoll} from '@deckwheel/core';
+import {maxHeldBytes} from '../lib/receiving/response-limits.js';
 import {createManualClock} from './lib/create-manual-clock.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
 import {headerNames} from './lib/header-names.js';
@@ -18,8 +19,20 @@
 import {startEndpoint, type Answer} from './lib/start-endpoint.js';
 import {makeConfig, makeRoute, startHost} from './lib/start-host.js';
 
-/** More than fits into the operating system's buffers between a host and a caller, in bytes. */
-const longResponseBytes = 32 * 1024 * 1024;
+/**
+Responses that take more than fits into the operating system's buffers between a host and a caller. One is relayed as its caller reads; the others, on one
+connection, are held whole by the host, to which they have been answered long before the caller has read them. `bytes`: the length of each.
+*/
+const forms = [
+	{
+		name: 'one that is relayed', bytes: 32 * 1024 * 1024, count: 1, isHeld: false,
+	},
+	{
+		name: 'several that are held', bytes: maxHeldBytes, count: 12, isHeld: true,
+	},
+] as const;
+
+type Form = typeof forms[number];
 
 /** Right after the host stops listening, in ms after the signal to stop. */
 const listenMs = 3001;
@@ -43,71 +56,99 @@
 	return {...host, clock, endpoint};
 };
 
-/** Sends a request as a caller that reads the response only when the test calls `readAll`. */
-const callSlowly = async (address: string) => {
+const countZeros = (bytes: Uint8Array): number => {
+	let count = 0;
+	for (const byte of bytes) {
+		count += byte === 0 ? 1 : 0;
+	}
+
+	return count;
+};
+
+/** Sends requests on one connection as a caller that reads the responses only when the test calls `readAll`. */
+const callSlowly = async (address: string, {bytes, count}: Form) => {
 	const [host, port] = address.split(':');
 	const socket = connect(Number(port), host);
+	let isReading = false;
+	let bodyBytes = 0;
 	socket.on('error', () => undefined);
 	await once(socket, 'connect');
+	const begun = new Promise<void>(resolve => {
+		socket.on('data', chunk => {
+			// Heads have no byte of zero, and bodies no other.
+			bodyBytes += countZeros(chunk);
+			resolve();
+			if (!isReading) {
+				socket.pause();
+			} else if (bodyBytes === bytes * count) {
+				socket.destroy();
+			}
+		});
+	});
 	socket.pause();
-	socket.write(['POST /p HTTP/1.1', 'host: fleet', `${headerNames.requestId}: slow`, `${headerNames.apiKey}: key`, 'content-length: 0', '', ''].join('\r\n'));
+	for (let index = 0; index < count; index++) {
+		socket.write(['POST /p HTTP/1.1', 'host: fleet', `${headerNames.requestId}: slow${index}`, `${headerNames.apiKey}: key`, 'content-length: 0', '', ''].join('\r\n'));
+	}
+
 	return {
-		/** Reads the response; returns how many bytes of the body came before the body was whole or the connection closed. */
+		/** Resolves with the first bytes of the first response, and reads no more than those. */
+		async untilBegun() {
+			socket.resume();
+			await begun;
+		},
+		/** Reads the responses; returns how many bytes of the bodies came before all were whole or the connection closed. */
 		async readAll(): Promise<number> {
-			return new Promise(resolve => {
-				let bytes = 0;
-				let headBytes = 0;
-				socket.on('data', (chunk: Uint8Array) => {
-					if (headBytes === 0) {
-						headBytes = new TextDecoder('latin1').decode(chunk).indexOf('\r\n\r\n') + 4;
-					}
-
-					bytes += chunk.length;
-					if (bytes - headBytes === longResponseBytes) {
-						socket.destroy();
-					}
-				});
-				socket.on('close', () => {
-					resolve(bytes - headBytes);
-				});
-				socket.resume();
-			});
+			isReading = true;
+			const closed = once(socket, 'close');
+			socket.resume();
+			await closed;
+			return bodyBytes;
 		},
 	};
 };
 
-const sendLongResponse: Answer = (_req, res) => {
-	res.end(new Uint8Array(longResponseBytes));
-};
+for (const form of forms) {
+	const allBytes = form.bytes * form.count;
+	const sendLongResponse: Answer = (_req, res) => {
+		res.end(new Uint8Array(form.bytes));
+	};
 
-test('a response that its caller is still reading when the shutdown begins arrives whole', async t => {
-	const {callers, entry, clock, logged} = await startHostWithEndpoint(sendLongResponse);
-	const caller = await callSlowly(callers);
-	await logged('request_answered');
-	const stopped = entry.stop();
-	const bytes = await caller.readAll();
-	clock.advance(listenMs);
-	await stopped;
-	t.is(bytes, longResponseBytes);
-});
+	/** Sends the requests, and waits until their responses are on their way to the caller, or wait in the host. */
+	const startReading = async ({callers, logged}: Awaited<ReturnType<typeof startHostWithEndpoint>>) => {
+		const caller = await callSlowly(callers, form);
+		await (form.isHeld
+			? Promise.all(Array.from({length: form.count}, async (_, index) => logged('request_answered', ({id}) => id === `slow${index}`)))
+			: caller.untilBegun());
+		return caller;
+	};
 
-test('a response that its caller is still reading when the host stops listening arrives whole', async t => {
-	const {callers, entry, clock, logged} = await startHostWithEndpoint(sendLongResponse);
-	const stopped = entry.stop();
-	const caller = await callSlowly(callers);
-	await logged('request_answered');
-	clock.advance(listenMs);
-	const bytes = await caller.readAll();
-	await stopped;
-	t.is(bytes, longResponseBytes);
-});
+	test(`a response that its caller is still reading when the shutdown begins arrives whole: ${form.name}`, async t => {
+		const host = await startHostWithEndpoint(sendLongResponse);
+		const caller = await startReading(host);
+		const stopped = host.entry.stop();
+		const bytes = await caller.readAll();
+		host.clock.advance(listenMs);
+		await stopped;
+		t.is(bytes, allBytes);
+	});
 
-test('a long response arrives whole at a slow caller of a host that is not shutting down', async t => {
-	const {callers, logged} = await startHostWithEndpoint(sendLongResponse);
-	const caller = await callSlowly(callers);
-	await logged('request_answered');
-	t.is(await caller.readAll(), longResponseBytes);
-});
+	test(`a response that its caller is still reading when the host stops listening arrives whole: ${form.name}`, async t => {
+		const host = await startHostWithEndpoint(sendLongResponse);
+		// A host that stops closes the connection after the response to the last request that it has read by then.
+		const early = form.isHeld ? await startReading(host) : undefined;
+		const stopped = host.entry.stop();
+		const caller = early ?? await startReading(host);
+		host.clock.advance(listenMs);
+		const bytes = await caller.readAll();
+		await stopped;
+		t.is(bytes, allBytes);
+	});
+
+	test(`a long response arrives whole at a slow caller of a host that is not shutting down: ${form.name}`, async t => {
+		const caller = await startReading(await startHostWithEndpoint(sendLongResponse));
+		t.is(await caller.readAll(), allBytes);
+	});
+}
 
 /** Starts a host whose caller has sent two requests on one connection; both were forwarded to the endpoint, which responds when the test calls `respond`. */
 const startWithTwoRequests = async () => {
