--- a/packages/entry/src/test/lib/start-host-before-raw.ts
+++ b/packages/entry/src/test/lib/start-host-before-raw.ts
@@ -16,18 +16,20 @@
 	/** The hall of each endpoint. */
 	readonly halls: readonly string[];
 	/** The host's clock; the real one by default. */
-	readonly clock?: ManualClock;
+	readonly clock?: Pick<ManualClock, 'now' | 'schedule'>;
+	/** The memory of the host's machine, in MB. */
+	readonly memoryMb?: number;
 };
 
 /** Starts a host with one route before raw endpoints, which write what `respond` says. All end with the test. */
-export const startHostBeforeRaw = async (t: ExecutionContext, route: Partial<Route>, {halls, clock}: Options, respond: (run: RawRun) => void) => {
+export const startHostBeforeRaw = async (t: ExecutionContext, route: Partial<Route>, {halls, clock, memoryMb}: Options, respond: (run: RawRun) => void) => {
 	let runs = 0;
 	const endpoints: readonly RawEndpoint[] = await Promise.all(halls.map(async (hall, index) => startRawEndpoint(`e${index}`, (req, socket) => {
 		respond({
 			req, socket, endpoint: endpoints[index]!, earlierRuns: runs++,
 		});
 	}, hall)));
-	const host = await startHost(createMemoryRightsStore(), clock);
+	const host = await startHost(createMemoryRightsStore(), {...clock, memoryMb});
 	host.entry.configure(makeConfig({routes: [makeRoute(route)], services: new Map([['s', makeService({healthPath})]])}));
 	host.entry.listEndpoints(endpoints.map(({listed}) => listed));
 	t.teardown(async () => {
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -70,12 +70,14 @@
 	readonly configApplyMs?: number;
 	readonly eventTimeout?: Bounds['eventTimeout'];
 	readonly placing?: PlacingSettings;
+	/** The memory of the host's machine, in MB. */
+	readonly memoryMb?: number;
 };
 
 /** Starts an entry host with the event log that tests look at. */
 export const startHost = async (rightsStore: RightsStore, options: Options = {}) => {
 	const {
-		host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, configApplyMs, eventTimeout, placing,
+		host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, configApplyMs, eventTimeout, placing, memoryMb,
 		originStore = createMemoryOriginStore(),
 	} = options;
 	const events: Array<{event: string; fields: Fields}> = [];
@@ -85,7 +87,7 @@
 		hall,
 		listen: {callers: anyPort, ready: anyPort, peers: anyPort},
 		bounds: {
-			retryRatio: 1, retryWindowMs: 10_000, storeWritesPerSecond: 400, relayMs: 60_000, stopGraceMs: 20_000, warmup, configApplyMs, eventTimeout,
+			retryRatio: 1, retryWindowMs: 10_000, storeWritesPerSecond: 400, relayMs: 60_000, stopGraceMs: 20_000, warmup, configApplyMs, eventTimeout, memoryMb,
 		},
 		hasEvacuations,
 		headers: headerNames,
