--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -7,6 +7,7 @@
 import type {AttemptResult} from './attempt-result.js';
 import type {Attempt} from './attempt.js';
 import type {ConnectionPool} from './connection-pool.js';
+import {discardBody} from './discard-body.js';
 import {hasValidNames} from './has-valid-names.js';
 import {isValidHead} from './is-valid-head.js';
 import {onceAborted} from './once-aborted.js';
@@ -37,12 +38,12 @@
 	}
 
 	if (statusCode === httpStatus.misdirectedRequest) {
-		response.resume();
+		discardBody(response);
 		return {type: 'misdirected'};
 	}
 
 	if (headers[headerNames.notRun] !== undefined) {
-		response.resume();
+		discardBody(response);
 		return {type: 'not_run'};
 	}
 
