--- a/packages/entry/src/lib/relaying/create-event-writer.ts
+++ b/packages/entry/src/lib/relaying/create-event-writer.ts
@@ -14,7 +14,7 @@
 };
 
 /** Creates the writer of one run's events. It owns how far the run was scanned. */
-export const createEventWriter = (res: ServerResponse, {lastId, resumedAfter, beforeWrite}: Options): EventWriter => {
+export const createEventWriter = (res: Pick<ServerResponse, 'write'>, {lastId, resumedAfter, beforeWrite}: Options): EventWriter => {
 	let state: ScanState = {
 		remainder: Buffer.alloc(0), lastId, resumedAfter, count: 0,
 	};
