An event of a stream is held up to 1 MiB, and each of its bytes is read a constant number of times

What callers saw: an endpoint that does not end an event filled the memory of its host, and each chunk blocked the host for longer, so that the answers of all other callers were late.

Cause: scanEvents joined what it held with each chunk, and searched all of it again. Nothing bounded what it held, and what it held kept the whole buffer of which it was a part.

Now the search goes on at the chunk (an end that two chunks share is seen from the last byte that is held), what is held grows in a buffer of its own, and an event that has not ended within 1 MiB is a fault (event_too_long): the stream is broken off by the way that other faults of events take, logged with the request's id and the endpoint, and goes on at another endpoint where its route allows that. An empty line without an event before it ends with itself: before, it depended on the chunks whether it counted as an event, and whether a stream with it was whole.

An endless event is cut after 1 MiB and a chunk; before, all of it was held.

scan-events.test.ts drives the writer of events now, since the function no longer holds bytes itself; what it asks of bytes, ids and counts is the same.

--- a/packages/entry/src/lib/relaying/create-event-writer.ts
+++ b/packages/entry/src/lib/relaying/create-event-writer.ts
@@ -1,5 +1,5 @@
-import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {createEventBuffer} from './create-event-buffer.js';
 import type {EventWriter} from './event-writer.js';
 import {scanEvents} from './scan-events.js';
 import type {ScanState} from './scan-state.js';
@@ -13,17 +13,21 @@
 	readonly beforeWrite: (events: number) => void;
 };
 
-/** Creates the writer of one run's events. It owns how far the run was scanned. */
+/** Creates the writer of one run's events. It owns how far the run was scanned, and what came of an event whose end has not. */
 export const createEventWriter = (res: Pick<ServerResponse, 'write'>, {lastId, resumedAfter, beforeWrite}: Options): EventWriter => {
-	let state: ScanState = {
-		remainder: Buffer.alloc(0), lastId, resumedAfter, count: 0,
-	};
+	const held = createEventBuffer();
+	let state: ScanState = {lastId, resumedAfter, count: 0};
 
 	return {
 		write(chunk) {
-			const scan = scanEvents(state, chunk);
+			const scan = scanEvents(state, held.bytes(), chunk);
 			const events = scan.state.count - state.count;
 			state = scan.state;
+			if (scan.completeBytes.length > 0 || scan.fault) {
+				held.clear();
+			}
+
+			held.append(scan.rest);
 			if (scan.completeBytes.length === 0) {
 				return {isFull: false, fault: scan.fault};
 			}
@@ -31,7 +35,7 @@
 			beforeWrite(events);
 			return {isFull: !res.write(scan.completeBytes), fault: scan.fault};
 		},
-		isInsideEvent: () => state.remainder.length > 0,
+		isInsideEvent: () => held.bytes().length > 0,
 		progress: () => ({lastId: state.lastId, count: state.count}),
 	};
 };
--- a/packages/entry/src/lib/relaying/scan-events.ts
+++ b/packages/entry/src/lib/relaying/scan-events.ts
@@ -2,55 +2,94 @@
 import {isHeaderValue} from '../sending/is-header-value.js';
 import type {EventFault} from './event-fault.js';
 import {isIdAbove} from './is-id-above.js';
+import {maxEventBytes} from './max-event-bytes.js';
 import type {ScanState} from './scan-state.js';
 
 const idField = /^id: ?(.*)$/m;
 
+const lf = 0x0A;
+
 const noBytes = Buffer.alloc(0);
 
+const toText = ({buffer, byteOffset, length}: Uint8Array): string => Buffer.from(buffer, byteOffset, length).toString('latin1');
+
 type Scan = {
 	readonly state: ScanState;
 	/** The bytes of the events that the chunk completed, up to one with a fault; none where a run does not resume the stream. */
 	readonly completeBytes: Uint8Array;
+	/** The bytes of the chunk after the last complete event; none where there is a fault. */
+	readonly rest: Uint8Array;
 	/** What is wrong with the last event that was scanned; `undefined` where nothing is. */
 	readonly fault: EventFault | undefined;
 };
 
-/** Scans the next chunk of a stream of server-sent events for complete events, each of which ends with an empty line. Pure. */
-export const scanEvents = (state: ScanState, chunk: Uint8Array): Scan => {
-	const {remainder, lastId, count} = state;
-	const bytes = remainder.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length) : Buffer.concat([remainder, chunk]);
-	const end = bytes.lastIndexOf('\n\n');
-	if (end === -1) {
-		return {state: {...state, remainder: bytes}, completeBytes: noBytes, fault: undefined};
+/** Where the event ends that goes on at `start`; 0 where it does not end in this text. An empty line without an event before it ends with itself. */
+const endOfEvent = (text: string, start: number, isLineStart: boolean): number => {
+	if (isLineStart && text[start] === '\n') {
+		return start + 1;
 	}
 
-	const completeBytes = bytes.subarray(0, end + 2);
-	let newestId = lastId;
-	let {resumedAfter} = state;
-	let events = 0;
-	let scannedBytes = 0;
-	const stateAfter = (left: Uint8Array): ScanState => ({
-		remainder: left, lastId: newestId, resumedAfter, count: count + events,
-	});
-	for (const event of completeBytes.toString('latin1').split('\n\n')) {
-		const id = idField.exec(event)?.[1];
-		if (id !== undefined && !isHeaderValue(id)) {
-			return {state: stateAfter(noBytes), completeBytes: completeBytes.subarray(0, scannedBytes), fault: 'event_id'};
+	const at = text.indexOf('\n\n', start);
+	return at === -1 ? 0 : at + 2;
+};
+
+/** Scans one complete event. Pure. */
+const stepEvent = ({lastId, resumedAfter, count}: ScanState, event: string): ScanState | EventFault => {
+	if (event.length > maxEventBytes) {
+		return 'event_too_long';
+	}
+
+	const id = idField.exec(event)?.[1];
+	if (id !== undefined && !isHeaderValue(id)) {
+		return 'event_id';
+	}
+
+	if (id !== undefined && resumedAfter !== undefined && !isIdAbove(id, resumedAfter)) {
+		return 'event_order';
+	}
+
+	return {
+		lastId: id ?? lastId, resumedAfter: id === undefined ? resumedAfter : undefined, count: count + (event === '\n' ? 0 : 1),
+	};
+};
+
+/**
+Scans the next chunk of a stream of server-sent events for complete events, each of which ends with an empty line. Pure.
+
+@param held What came of the event that goes on with the chunk. It is not searched again.
+*/
+export const scanEvents = (state: ScanState, held: Uint8Array, chunk: Uint8Array): Scan => {
+	const text = toText(chunk);
+	const completeUpTo = (end: number): Uint8Array => {
+		if (end === 0 || held.length === 0) {
+			return chunk.subarray(0, end);
 		}
 
-		if (id !== undefined && resumedAfter !== undefined) {
-			if (!isIdAbove(id, resumedAfter)) {
-				return {state: {...state, remainder: noBytes}, completeBytes: noBytes, fault: 'event_order'};
-			}
+		return Buffer.concat([held, chunk.subarray(0, end)]);
+	};
 
-			resumedAfter = undefined;
+	let scanned = state;
+	let start = 0;
+	let end = endOfEvent(text, 0, held.length === 0 || held.at(-1) === lf);
+	while (end > 0) {
+		const event = text.slice(start, end);
+		const next = stepEvent(scanned, start === 0 ? `${toText(held)}${event}` : event);
+		if (typeof next === 'string') {
+			const isRelayed = next !== 'event_order';
+			return {
+				state: isRelayed ? scanned : state, completeBytes: completeUpTo(isRelayed ? start : 0), rest: noBytes, fault: next,
+			};
 		}
 
-		events += event === '' ? 0 : 1;
-		newestId = id ?? newestId;
-		scannedBytes += event.length + 2;
+		scanned = next;
+		start = end;
+		end = endOfEvent(text, start, true);
 	}
 
-	return {state: stateAfter(bytes.subarray(end + 2)), completeBytes, fault: undefined};
+	const rest = chunk.subarray(start);
+	const heldBytes = (start === 0 ? held.length : 0) + rest.length;
+	const isTooLong = heldBytes >= maxEventBytes;
+	return {
+		state: scanned, completeBytes: completeUpTo(start), rest: isTooLong ? noBytes : rest, fault: isTooLong ? 'event_too_long' : undefined,
+	};
 };
--- a/packages/entry/src/lib/relaying/scan-state.ts
+++ b/packages/entry/src/lib/relaying/scan-state.ts
@@ -1,7 +1,5 @@
-/** How far a stream of server-sent events has been scanned. */
+/** How far the complete events of a stream of server-sent events have been scanned. */
 export type ScanState = {
-	/** The bytes after the last complete event. */
-	readonly remainder: Uint8Array;
 	/** The id of the latest complete event that has one; `undefined` if none has. */
 	readonly lastId: string | undefined;
 	/** The id that the next one has to be above; `undefined` where any id may come. */
--- a/packages/entry/src/test/scan-events.test.ts
+++ b/packages/entry/src/test/scan-events.test.ts
@@ -1,18 +1,17 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import fc from 'fast-check';
-import {scanEvents} from '../lib/relaying/scan-events.js';
 import {isHeaderValue} from '../lib/sending/is-header-value.js';
-
-const initialState = {
-	remainder: Buffer.alloc(0), lastId: undefined, resumedAfter: undefined, count: 0,
-};
+import {relayChunks} from './lib/relay-chunks.js';
+import {splitAt} from './lib/split-at.js';
 
 test('only the bytes of complete events are returned, with the newest id among them', t => {
-	const {state, completeBytes} = scanEvents(initialState, Buffer.from('id: 1\ndata: a\n\ndata: no id\n\nid: 3\nda'));
-	t.is(Buffer.from(completeBytes).toString(), 'id: 1\ndata: a\n\ndata: no id\n\n');
-	t.deepEqual({...state, remainder: Buffer.from(state.remainder).toString()}, {
-		remainder: 'id: 3\nda', lastId: '1', resumedAfter: undefined, count: 2,
+	const chunks = ['id: 1\ndata: a\n\ndata: no id\n\nid: 3\nda', 'ta: b\n\n'].map(text => Buffer.from(text));
+	t.deepEqual(relayChunks(chunks.slice(0, 1)), {
+		text: 'id: 1\ndata: a\n\ndata: no id\n\n', fault: undefined, lastId: '1', count: 2, isInsideEvent: true,
+	});
+	t.deepEqual(relayChunks(chunks), {
+		text: 'id: 1\ndata: a\n\ndata: no id\n\nid: 3\ndata: b\n\n', fault: undefined, lastId: '3', count: 3, isInsideEvent: false,
 	});
 });
 
@@ -20,18 +19,9 @@
 	const event = fc.tuple(fc.nat(), fc.boolean()).map(([id, hasId]) => `${hasId ? `id: ${id}\n` : ''}data: piece\n\n`);
 	fc.assert(fc.property(fc.array(event), fc.array(fc.nat(20)), (events, sizes) => {
 		const bytes = Buffer.from(events.join(''));
-		let state: ReturnType<typeof scanEvents>['state'] = initialState;
-		let output = '';
-		let offset = 0;
-		for (const size of [...sizes, bytes.length]) {
-			const scan = scanEvents(state, bytes.subarray(offset, offset + size));
-			state = scan.state;
-			output += Buffer.from(scan.completeBytes).toString();
-			offset += size;
-		}
-
-		const unsplit = scanEvents(initialState, bytes);
-		return output === bytes.toString() && state.count === events.length && state.lastId === unsplit.state.lastId;
+		const split = relayChunks(splitAt(bytes, sizes));
+		const unsplit = relayChunks([bytes]);
+		return split.text === bytes.toString() && split.count === events.length && split.lastId === unsplit.lastId;
 	}));
 	t.pass();
 });
@@ -40,19 +30,18 @@
 	const piece = fc.oneof(fc.constantFrom('id: ', 'id:', 'data: ', '\n', '\n\n', '\r\n'), fc.uint8Array({maxLength: 4}).map(bytes => Buffer.from(bytes).toString('latin1')));
 	fc.assert(fc.property(fc.array(piece, {maxLength: 20}), pieces => {
 		const bytes = Buffer.from(pieces.join(''), 'latin1');
-		const {state, completeBytes, fault} = scanEvents(initialState, bytes);
-		const isPrefix = bytes.subarray(0, completeBytes.length).equals(completeBytes);
-		const isAllScanned = fault === 'event_id' || completeBytes.length + state.remainder.length === bytes.length;
-		return isHeaderValue(state.lastId ?? '') && isPrefix && isAllScanned;
+		const {text, lastId, fault, isInsideEvent} = relayChunks([bytes]);
+		const all = bytes.toString('latin1');
+		const rest = all.slice(text.length);
+		const isAllScanned = fault === 'event_id' || (rest === '') === !isInsideEvent;
+		return isHeaderValue(lastId ?? '') && all.startsWith(text) && isAllScanned && (fault === 'event_id' || !rest.includes('\n\n'));
 	}));
 	t.pass();
 });
 
 const scanResumed = (resumedAfter: string, text: string) => {
-	const {completeBytes, fault, state: {lastId, count}} = scanEvents({...initialState, lastId: resumedAfter, resumedAfter}, Buffer.from(text));
-	return {
-		text: Buffer.from(completeBytes).toString(), fault, lastId, count,
-	};
+	const {isInsideEvent: _, ...relayed} = relayChunks([Buffer.from(text)], {lastId: resumedAfter, resumedAfter});
+	return relayed;
 };
 
 for (const [last, id] of [['1', '1'], ['10', '9'], ['9007199254740993', '9007199254740992'], ['a', 'a'], ['7', '07']] as const) {
@@ -76,5 +65,5 @@
 test('a run is broken off for the order of ids after its first one', t => {
 	const events = 'id: 3\ndata: piece\n\nid: 1\ndata: piece\n\nid: 1\ndata: piece\n\n';
 	t.like(scanResumed('2', events), {text: events, fault: undefined, count: 3});
-	t.like(scanEvents(initialState, Buffer.from(events)), {fault: undefined, state: {count: 3}});
+	t.like(relayChunks([Buffer.from(events)]), {fault: undefined, count: 3});
 });
