--- a/packages/entry/src/test/endless-events.test.ts
+++ b/packages/entry/src/test/endless-events.test.ts
@@ -33,7 +33,6 @@
 		});
 		t.true(touched <= bytes.length * maxTouchesPerByte, `${touched} bytes touched for ${bytes.length}`);
 	});
-
 }
 
 for (const size of [4096, 16_384]) {
