Informational responses are bounded in number

What callers saw: an endpoint that goes on with 100 Continue had its host read until the deadline, at full speed; each question for health did the same.

Cause: node:http bounds each head, not their number.

--- a/packages/entry/src/lib/response-ends/ask-health.ts
+++ b/packages/entry/src/lib/response-ends/ask-health.ts
@@ -2,6 +2,7 @@
 import {splitAddress} from '@deckwheel/core';
 import type {ProbeResult} from '@deckwheel/host-kit';
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
+import {limitInformational} from '../sending/limit-informational.js';
 import {isParseError} from './is-parse-error.js';
 
 const resultOfError = (code = ''): ProbeResult => {
@@ -32,6 +33,7 @@
 */
 export const askHealth = async ({address, instance}: Endpoint, {path, instanceHeader, connectMs, answerMs}: Options): Promise<ProbeResult> => new Promise(resolve => {
 	const req = get({...splitAddress(address), path, agent: false});
+	limitInformational(req);
 	const finish = (result: ProbeResult): void => {
 		clearTimeout(timer);
 		resolve(result);
--- a/packages/entry/src/lib/sending/send-attempt.ts
+++ b/packages/entry/src/lib/sending/send-attempt.ts
@@ -10,6 +10,7 @@
 import {discardBody} from './discard-body.js';
 import {hasValidNames} from './has-valid-names.js';
 import {isValidHead} from './is-valid-head.js';
+import {limitInformational} from './limit-informational.js';
 import {onceAborted} from './once-aborted.js';
 
 /**
@@ -86,6 +87,7 @@
 		headers: headers as string[],
 	});
 	checkChunks(req);
+	limitInformational(req);
 	const stopListening = onceAborted(signal, () => {
 		// A request that is aborted while it waits for its connection would end only with that.
 		if (!isConnected) {
