A host has room for bodies of callers, and refuses those beyond it in place of running out of memory

What callers saw: nothing until the host ended. Each body may be as large as the configuration allows (up to 16 MB), and all were held at once: 50 callers of 10 MB fill a host.

Cause: readBody bounds one body. Now the bodies of a host take up to a fifth of its machine's memory: half for small ones (up to 64 KiB), half for large ones. So callers of large bodies, however slowly they send, take no room from small ones. Bytes count as they come, not as they are announced: a caller that announces 16 MB and sends nothing takes no room. Of large bodies that come together, the one whose next bytes find no room is refused at once and lets go of what it had, which the others get; one that is alone is always held, since a small host could never serve it else. The refusal is 503 host_overloaded, not run, with its Retry-After and cause=bodies, bytes and max_bytes in the log; held_small_bodies and held_large_bodies tell the most that was held, every ten seconds. What a refused caller sends on is read and dropped, as with other refusals before the body.

--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -6,6 +6,7 @@
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
 import type {ConfigProof} from '../admission/config-proof.js';
+import type {BodyRoom} from '../held-bytes/body-room.js';
 import type {HeldBytes} from '../held-bytes/held-bytes.js';
 import type {OverloadMonitor} from '../own-health/overload-monitor.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
@@ -70,7 +71,9 @@
 	readonly poison: PoisonDetector;
 	readonly rights: RightsManager;
 	readonly pool: ConnectionPool;
-	/** The account of the bytes of responses and bodies that this host holds. */
+	/** The room of this host for bodies of callers' requests. */
+	readonly bodyRoom: BodyRoom;
+	/** The account of the bytes of responses that this host holds. */
 	readonly heldBytes: HeldBytes;
 	/** Finds out whether an endpoint itself ended a response of which only the end of its connection tells that it is whole. */
 	readonly checkEnd: ReturnType<typeof createEndCheck>;
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -1,12 +1,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {traceFields} from '../response-ends/trace-fields.js';
 import {admitRequest} from '../admission/admit-request.js';
+import type {ConfigProof} from '../admission/config-proof.js';
 import {hostRefusals} from '../admission/host-refusals.js';
 import {isAbandonedByCaller} from '../admission/is-abandoned-by-caller.js';
 import {readBody} from '../admission/read-body.js';
 import {secondsUntil} from '../admission/seconds-until.js';
 import {refuseByConfig} from '../admission/refuse-by-config.js';
 import {isRetryableRoute} from '../admission/is-retryable-route.js';
+import type {Hold} from '../held-bytes/create-hold.js';
 import {chargeOfResult} from './charge-of-result.js';
 import {costOfRequest} from './cost-of-request.js';
 import {createFingerprint} from './create-fingerprint.js';
@@ -25,6 +27,12 @@
 /** An admitted request whose whole body was read, and for which no rights are reserved yet. */
 type ReceivedRequest = Omit<RequestInputs, 'reserveRun' | 'plan'>;
 
+/** An admitted request whose body was not read. */
+type AdmittedRequest = Omit<ReceivedRequest, 'body' | 'subjects'>;
+
+/** For how long the configuration was not confirmed, in ms; `undefined` where it never was. */
+const ageOf = ({ageMs}: ConfigProof): number | undefined => Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+
 /** Serves a request whose whole body was read: reserves its worst case, runs it, charges what it cost, and logs its end. */
 const serveReceivedRequest = async (received: ReceivedRequest, requestLog: RequestLog, host: HostContext): Promise<void> => {
 	const {admitted} = received;
@@ -92,6 +100,39 @@
 	}
 };
 
+/** Reads the body of an admitted request, and serves it. */
+const receiveRequest = async (request: AdmittedRequest, hold: Hold, requestLog: RequestLog, host: HostContext): Promise<void> => {
+	const {req, res, admitted} = request;
+	const proof = host.configProof();
+	const body = await readBody(req, host.config()!.limits.maxBodyBytes, hold);
+	if (body === 'caller_left') {
+		return;
+	}
+
+	if (body === 'too_large') {
+		res.shouldKeepAlive = false;
+		requestLog.refused(refuseByConfig(hostRefusals.tooLarge, proof), {config_age_ms: ageOf(proof)});
+		return;
+	}
+
+	if (body === 'no_room') {
+		requestLog.refused(hostRefusals.hostOverloaded, {
+			cause: 'bodies', route: admitted.route.name, bytes: hold.bytes(), max_bytes: host.bodyRoom.maxLargeBytes,
+		});
+		return;
+	}
+
+	for (const {service} of admitted.route.services) {
+		host.retries.noteRequest(service);
+	}
+
+	const {organisation, prompt} = admitted;
+	const fingerprint = createFingerprint({
+		method: req.method!, hostHeader: req.headers.host ?? '', path: req.url!, organisation: organisation?.name, body,
+	});
+	await serveReceivedRequest({...request, body, subjects: {fingerprint, parts: sharedPartsOf(prompt)}}, requestLog, host);
+};
+
 /**
 Serves one request of a caller, from its head to its final response. In order: admission, the load of this host, the body, rights, and
 the runs at endpoints. The first of these that refuses the request ends it at once.
@@ -106,7 +147,7 @@
 		id, receivedAt, waitedMs, res,
 	}, host);
 	const proof = host.configProof();
-	const configAgeMs = Number.isFinite(proof.ageMs) ? Math.round(proof.ageMs) : undefined;
+	const configAgeMs = ageOf(proof);
 	const admitted = admitRequest(host.config(), proof, {
 		url: req.url!, headers: req.headers, httpVersion: req.httpVersion, receivedAt,
 	}, host.headerNames);
@@ -137,26 +178,12 @@
 		host.noteLessUrgent(res);
 	}
 
-	const body = await readBody(req, host.config()!.limits.maxBodyBytes);
-	if (body === 'caller_left') {
-		return;
+	const hold = host.bodyRoom.hold();
+	try {
+		await receiveRequest({
+			id, req, res, admitted: admitted.value, receivedAt,
+		}, hold, requestLog, host);
+	} finally {
+		hold.release();
 	}
-
-	if (body === 'too_large') {
-		res.shouldKeepAlive = false;
-		requestLog.refused(refuseByConfig(hostRefusals.tooLarge, proof), {config_age_ms: configAgeMs});
-		return;
-	}
-
-	for (const {service} of route.services) {
-		host.retries.noteRequest(service);
-	}
-
-	const {organisation, prompt} = admitted.value;
-	const fingerprint = createFingerprint({
-		method: req.method!, hostHeader: req.headers.host ?? '', path: req.url!, organisation: organisation?.name, body,
-	});
-	await serveReceivedRequest({
-		id, req, res, body, admitted: admitted.value, receivedAt, subjects: {fingerprint, parts: sharedPartsOf(prompt)},
-	}, requestLog, host);
 };
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -14,7 +14,9 @@
 import {createEndpointEnds} from './lib/choice/create-endpoint-ends.js';
 import {createEndpointListing} from './lib/choice/create-endpoint-listing.js';
 import {createWarmupRules} from './lib/choice/create-warmup-rules.js';
+import {createBodyRoom} from './lib/held-bytes/create-body-room.js';
 import {createHeldBytes} from './lib/held-bytes/create-held-bytes.js';
+import {planMaxBodyBytes} from './lib/held-bytes/plan-max-body-bytes.js';
 import {planMaxHeldBytes} from './lib/held-bytes/plan-max-held-bytes.js';
 import {createCallerConnections} from './lib/host/create-caller-connections.js';
 import {createRequestCounter} from './lib/host/create-request-counter.js';
@@ -158,6 +160,8 @@
 	const connectionCounter = createEventCounter('connections', log);
 	const closesAfter = (res: ServerResponse): boolean => isClosingConnections() && connections.isLastOpenResponse(res);
 
+	const maxBodyBytes = planMaxBodyBytes(bounds.memoryMb ?? 0);
+
 	// No request is forwarded before this host knows which halls are evacuated: until then, it serves requests as if it had no configuration.
 	const hostContext: HostContext = {
 		config: () => evacuatedHalls === undefined ? undefined : config,
@@ -192,6 +196,10 @@
 		rights,
 		streamOrigins: peerTasks.streamOrigins,
 		pool,
+		bodyRoom: createBodyRoom(
+			createHeldBytes(maxBodyBytes, createEventCounter('held_small_bodies', log)),
+			createHeldBytes(maxBodyBytes, createEventCounter('held_large_bodies', log)),
+		),
 		heldBytes: createHeldBytes(planMaxHeldBytes(bounds.memoryMb ?? 0), createEventCounter('held_bytes', log)),
 		checkEnd: createEndCheck({
 			askHealth,
--- a/packages/entry/src/test/bodies-of-many-callers.test.ts
+++ b/packages/entry/src/test/bodies-of-many-callers.test.ts
@@ -111,7 +111,9 @@
 	const lines = host.events.filter(({event}) => event === 'request_refused');
 	t.is(lines.length, callers - held);
 	for (const {fields} of lines) {
-		t.like(fields, {code: 'host_overloaded', ran: 'not_run', cause: 'bodies'});
+		t.like(fields, {
+			code: 'host_overloaded', ran: 'not_run', cause: 'bodies', max_bytes: roomBytes,
+		});
 		t.true(Number(fields.bytes) > 0);
 	}
 
