What waits for a peer is bounded as replies and before the link is open, too

One peer that asks and does not read could fill a host with its replies; a peer that accepts connections and does not answer the handshake, with what is sent meanwhile. Both now terminate the connection beyond the same 32 MB as requests on an open link; requests on it fail as before (unknown, or unreachable where none can have left), and the next use dials anew.

Read and not changed: frames are bounded (16 MB each), tunnels pass with backpressure (a pause at 256 KiB). Open: before a peer has proved that it knows the secret it may send one frame of up to 16 MB a connection, for 5 s; how many requests of a peer run at once is not bounded.

--- a/packages/mesh/src/lib/dial-link.ts
+++ b/packages/mesh/src/lib/dial-link.ts
@@ -5,6 +5,7 @@
 import {createPendingRequests} from './create-pending-requests.js';
 import {isEqualProof} from './is-equal-proof.js';
 import type {DialledLink} from './dialled-link.js';
+import {maxBufferedBytes} from './max-buffered-bytes.js';
 import {maxFrameBytes} from './max-frame-bytes.js';
 import {createNonce} from './create-nonce.js';
 import {createProof} from './create-proof.js';
@@ -12,9 +13,6 @@
 /** The time within which a dialled connection must complete its handshake, in ms; after it, its requests fail as `unreachable`. */
 const dialTimeoutMs = 2000;
 
-/** The most bytes that may wait unsent on one connection. Beyond it, the connection is terminated; the next use of the link dials a new one. */
-const maxBufferedBytes = 32_000_000;
-
 type Callbacks = {
 	/** Called once the handshake is done. */
 	readonly onUp: () => void;
@@ -30,6 +28,7 @@
 	const clientNonce = createNonce();
 	const pending = createPendingRequests();
 	let backlog: Uint8Array[] = [];
+	let backlogBytes = 0;
 	let serverNonce = '';
 	let isUp = false;
 	const dialTimer = setTimeout(() => {
@@ -37,17 +36,14 @@
 	}, dialTimeoutMs);
 
 	const sendFrame = (data: Uint8Array): void => {
-		if (!isUp) {
-			backlog.push(data);
-			return;
-		}
-
-		if (socket.bufferedAmount > maxBufferedBytes) {
+		if (socket.bufferedAmount + backlogBytes > maxBufferedBytes) {
 			socket.terminate();
-			return;
+		} else if (isUp) {
+			socket.send(data);
+		} else {
+			backlog.push(data);
+			backlogBytes += data.length;
 		}
-
-		socket.send(data);
 	};
 
 	const completeHandshake = (): void => {
@@ -58,6 +54,7 @@
 		}
 
 		backlog = [];
+		backlogBytes = 0;
 		onUp();
 	};
 
--- a/packages/mesh/src/lib/serve-link.ts
+++ b/packages/mesh/src/lib/serve-link.ts
@@ -3,13 +3,17 @@
 import type {MeshOptions} from '../mesh-options.js';
 import {codec} from './codec.js';
 import {isEqualProof} from './is-equal-proof.js';
+import {maxBufferedBytes} from './max-buffered-bytes.js';
 import {createNonce} from './create-nonce.js';
 import {createProof} from './create-proof.js';
 
 /** The time within which a peer must complete the handshake before its connection is terminated, in ms. */
 const handshakeTimeoutMs = 5000;
 
-/** Serves one incoming link. A request or message that comes before the peer has proved that it knows the secret closes the link. */
+/**
+Serves one incoming link. A request or message that comes before the peer has proved that it knows the secret closes the link. So do replies that the
+peer does not read.
+*/
 export const serveLink = (socket: WebSocket, options: MeshOptions): void => {
 	const {self, secret, handlers} = options;
 	const nonce = createNonce();
@@ -31,9 +35,16 @@
 
 	const handleRequest = async (from: Identity, id: number, body: unknown): Promise<void> => {
 		const reply = await handlers.onRequest(from, body);
-		if (socket.readyState === socket.OPEN) {
-			socket.send(codec.encode({type: 'reply', id, body: reply}));
+		if (socket.readyState !== socket.OPEN) {
+			return;
 		}
+
+		if (socket.bufferedAmount > maxBufferedBytes) {
+			socket.terminate();
+			return;
+		}
+
+		socket.send(codec.encode({type: 'reply', id, body: reply}));
 	};
 
 	socket.on('message', (data: Uint8Array) => {
