--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,6 +19,7 @@
 export {isRecord} from './is-record.js';
 export {isSuccessStatus} from './is-success-status.js';
 export type {Result} from './result.js';
+export {limitDownload} from './limit-download.js';
 export {longestTimerMs} from './longest-timer-ms.js';
 export {ownValue} from './own-value.js';
 export {parseJson} from './parse-json.js';
--- a/packages/daemon/src/lib/placing/create-endpoint-polls.ts
+++ b/packages/daemon/src/lib/placing/create-endpoint-polls.ts
@@ -1,5 +1,7 @@
+import {limitDownload} from '@deckwheel/core';
 import got from 'got';
 import {z} from 'zod';
+import {maxReportBytes} from './max-report-bytes.js';
 
 /** How long an endpoint may take to report, in ms. */
 const pollTimeoutMs = 1000;
@@ -22,6 +24,9 @@
 	readonly leaving: () => Iterable<string>;
 };
 
+const readReport = async (url: string, searchParameters: Readonly<Record<string, number>> = {}): Promise<unknown> =>
+	limitDownload(got(url, {searchParams: searchParameters, timeout: {request: pollTimeoutMs}, retry: {limit: 0}}), maxReportBytes).json();
+
 /** Creates the polls of endpoints' reports. A report that does not come is no fault: the choice does without it. */
 export const createEndpointPolls = ({onLoad, onCached}: Options): EndpointPolls => {
 	const cacheCursors = new Map<string, number>();
@@ -29,7 +34,7 @@
 	return {
 		async load(endpoint, url) {
 			try {
-				const report = loadSchema.parse(await got(`${url}/load`, {timeout: {request: pollTimeoutMs}, retry: {limit: 0}}).json());
+				const report = loadSchema.parse(await readReport(`${url}/load`));
 				onLoad(endpoint, report.running + report.queued);
 				if (report.isLeaving) {
 					leaving.add(endpoint);
@@ -44,7 +49,7 @@
 		async cache(endpoint, url) {
 			try {
 				const after = cacheCursors.get(endpoint) ?? 0;
-				const events = cacheEventsSchema.parse(await got(`${url}/cache-events`, {searchParams: {after}, timeout: {request: pollTimeoutMs}, retry: {limit: 0}}).json());
+				const events = cacheEventsSchema.parse(await readReport(`${url}/cache-events`, {after}));
 				cacheCursors.set(endpoint, events.next);
 				onCached(endpoint, events.blocks);
 			} catch {
--- a/packages/daemon/src/lib/running/service-job.ts
+++ b/packages/daemon/src/lib/running/service-job.ts
@@ -1,12 +1,14 @@
+import {limitDownload} from '@deckwheel/core';
 import {framingOf} from '@deckwheel/host-kit';
 import type {StoredResponse} from '@deckwheel/ledger';
-import got, {type Method} from 'got';
+import got, {CancelError, type Method} from 'got';
 import type {Caller} from '../gateway/caller.js';
 import {fingerprint} from '../gateway/fingerprint.js';
 import type {RequestOptions} from '../gateway/reading/request-options.js';
 import type {ServiceCall} from '../gateway/service-call.js';
 import {traceHeaders} from '../process/trace-headers.js';
 import {isNeverSent} from './is-never-sent.js';
+import {maxAnswerBytes} from './max-answer-bytes.js';
 import {sendChecked} from './send-checked.js';
 import type {Job} from './job.js';
 import type {RunEnd} from './run-end.js';
@@ -41,7 +43,7 @@
 
 	const callService = async (url: string, id: string): Promise<RunEnd> => {
 		try {
-			const response = await got(`${url}${path}`, {
+			const response = await limitDownload(got(`${url}${path}`, {
 				method: method as Method,
 				headers: {...(contentType && {'content-type': contentType}), 'x-request-key': id, ...traceHeaders()},
 				body: body === '' ? undefined : body,
@@ -50,7 +52,7 @@
 				throwHttpErrors: false,
 				followRedirect: false,
 				timeout: {connect: connectMs, request: Math.max(1, options.deadline - Date.now())},
-			});
+			}), maxAnswerBytes);
 			if (framingOf(response, method) === 'connection') {
 				return {
 					outcome: 'lost', reason: 'unstated_end', served: 0, outputTokens: 0,
@@ -63,6 +65,12 @@
 				outcome: 'finished', served: call.cost, outputTokens: 0, answer,
 			};
 		} catch (error) {
+			if (error instanceof CancelError) {
+				return {
+					outcome: 'lost', reason: 'answer_too_long', served: 0, outputTokens: 0,
+				};
+			}
+
 			return {outcome: isNeverSent(error) ? 'not_run' : 'lost', served: 0, outputTokens: 0};
 		}
 	};
--- a/packages/daemon/src/lib/running/streams/read-engine-stream.ts
+++ b/packages/daemon/src/lib/running/streams/read-engine-stream.ts
@@ -6,11 +6,15 @@
 import {isNeverSent} from '../is-never-sent.js';
 import {sendChecked} from '../send-checked.js';
 import type {EngineEnd} from './engine-end.js';
+import {maxEventLength} from './max-event-length.js';
 import type {ToldEnd} from './told-end.js';
 
 /** An engine that sends nothing for this long counts as lost, in ms. */
 const silenceMs = 30_000;
 
+/** How much of the body of a refusal is read only so that its connection can be used again, in UTF-16 code units. */
+const maxRefusalLength = 65_536;
+
 /** An engine that takes longer to accept a connection did not get the request, in ms. */
 const connectMs = 1000;
 
@@ -61,7 +65,12 @@
 export const readEngineStream = async ({method, url, headers, body, onEvent, told, signal}: EngineCall): Promise<EngineEnd> => {
 	let end = told;
 	let isDone = false;
+	let isTooLong = false;
 	const parser = createParser({
+		maxBufferSize: maxEventLength,
+		onError({type}) {
+			isTooLong ||= type === 'max-buffer-size-exceeded';
+		},
 		onEvent(message) {
 			const latest = parseEnd(message.data);
 			if (latest && told) {
@@ -87,17 +96,25 @@
 	});
 	try {
 		let response: IncomingMessage | undefined;
+		let refusalLength = 0;
 		stream.once('response', (incoming: IncomingMessage) => {
 			response = incoming;
 		});
 		stream.setEncoding('utf8');
 		for await (const text of stream) {
-			if (response?.statusCode === 200) {
+			if (response?.statusCode === httpStatus.ok) {
 				parser.feed(text as string);
+			} else {
+				refusalLength += (text as string).length;
+			}
+
+			// Leaving the loop closes the connection.
+			if (isTooLong || refusalLength > maxRefusalLength) {
+				break;
 			}
 		}
 
-		if (response && response.statusCode !== 200) {
+		if (response && response.statusCode !== httpStatus.ok) {
 			return endOfStatus(response);
 		}
 
--- a/packages/store-client/src/connect-platform.ts
+++ b/packages/store-client/src/connect-platform.ts
@@ -1,5 +1,9 @@
-import {fail, succeed, type Result} from '@deckwheel/core';
-import got, {RequestError, type Got, type Response} from 'got';
+import {
+	fail, limitDownload, succeed, type Result,
+} from '@deckwheel/core';
+import got, {
+	RequestError, type CancelableRequest, type Got, type Response,
+} from 'got';
 import {z} from 'zod';
 import type {ListedHost} from './listed-host.js';
 import type {Platform} from './platform.js';
@@ -12,6 +16,9 @@
 /** Timeout of a watch, in ms: somewhat longer than the time after which the platform itself ends a watch without a new version. */
 const watchTimeoutMs = 40_000;
 
+/** The largest response that is read, in bytes; a larger one fails its call. Objects and lists of them have up to some MB. */
+const maxResponseBytes = 16 * 1024 * 1024;
+
 const objectSchema = z.object({key: z.string(), version: z.number(), value: z.unknown()});
 const listSchema = z.object({items: z.array(objectSchema)});
 const hostsSchema = z.object({
@@ -65,6 +72,8 @@
 	}
 };
 
+const limitResponse = async (response: CancelableRequest<Response>): Promise<Response> => limitDownload(response, maxResponseBytes);
+
 const objectPath = (key: string): string => `objects/${encodeURIComponent(key)}`;
 
 const preconditionHeaders = (expectedVersion: number): Readonly<Record<string, string>> =>
@@ -89,21 +98,21 @@
 export const connectPlatform = (url: string): Platform => {
 	const client = createClient(url);
 	return {
-		get: async key => call<StoredObject>(async () => client.get(objectPath(key)), objectSchema),
+		get: async key => call<StoredObject>(async () => limitResponse(client.get(objectPath(key))), objectSchema),
 		async list(prefix) {
-			const result = await call(async () => client.get('objects', {searchParams: {prefix}}), listSchema);
+			const result = await call(async () => limitResponse(client.get('objects', {searchParams: {prefix}})), listSchema);
 			return result.ok ? succeed(result.value.items) : result;
 		},
 		put: async (key, value, expectedVersion) => call<StoredObject>(
-			async () => client.put(objectPath(key), {json: {value}, headers: preconditionHeaders(expectedVersion), followRedirect: keepsMethod}),
+			async () => limitResponse(client.put(objectPath(key), {json: {value}, headers: preconditionHeaders(expectedVersion), followRedirect: keepsMethod})),
 			objectSchema,
 		),
 		watch: async (key, afterVersion, signal) => call<StoredObject>(
-			async () => client.get(`watch/${encodeURIComponent(key)}`, {searchParams: {after: afterVersion}, signal, timeout: {request: watchTimeoutMs}}),
+			async () => limitResponse(client.get(`watch/${encodeURIComponent(key)}`, {searchParams: {after: afterVersion}, signal, timeout: {request: watchTimeoutMs}})),
 			objectSchema,
 		),
 		async hosts() {
-			const result = await call<{hosts: ListedHost[]}>(async () => client.get('hosts'), hostsSchema);
+			const result = await call<{hosts: ListedHost[]}>(async () => limitResponse(client.get('hosts')), hostsSchema);
 			return result.ok ? succeed(result.value.hosts) : result;
 		},
 	};
