--- a/packages/entry/src/lib/relaying/create-event-buffer.ts
+++ b/packages/entry/src/lib/relaying/create-event-buffer.ts
@@ -5,6 +5,9 @@
 /** How many times the needed size is allocated, so that each byte is copied to a larger buffer less than once on average. */
 const growthFactor = 2;
 
+/** The least that is allocated, and the most that is kept for the next event, in bytes: events of some tokens are smaller. */
+const keptBytes = 1024;
+
 const noBytes = Buffer.alloc(0);
 
 /**
@@ -20,7 +23,7 @@
 		append(bytes) {
 			const needed = length + bytes.length;
 			if (needed > storage.length) {
-				const larger = Buffer.allocUnsafeSlow(Math.max(needed, Math.min(needed * growthFactor, maxEventBytes)));
+				const larger = Buffer.allocUnsafeSlow(Math.max(needed, keptBytes, Math.min(needed * growthFactor, maxEventBytes)));
 				larger.set(storage.subarray(0, length));
 				storage = larger;
 			}
@@ -29,7 +32,7 @@
 			length = needed;
 		},
 		clear() {
-			storage = noBytes;
+			storage = storage.length > keptBytes ? noBytes : storage;
 			length = 0;
 		},
 	};
