A part of an event beyond 64 KiB counts in the account of what its host holds

What callers saw: nothing until the host ended. Each unfinished event is bounded to 1 MiB, the sum over all streams of a host was not.

Now what is held of an event beyond 64 KiB needs room in the account that responses use. Smaller parts need no room, so that sound streams never break for what large events take.

Of 20 streams with 256 KiB each and room for 1 MiB, 4 go on, 16 end, and a small event still passes.

--- a/packages/entry/src/lib/relaying/relay-stream.ts
+++ b/packages/entry/src/lib/relaying/relay-stream.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Hold} from '../held-bytes/create-hold.js';
 import {onceAborted} from '../sending/once-aborted.js';
 import type {EventFault} from './event-fault.js';
 import type {RelayEnd} from './relay-end.js';
@@ -21,6 +22,8 @@
 	readonly beforeWrite: (events: number) => void;
 	/** Called when an event came that cannot be one of the stream. Neither it nor anything after it is relayed, and the stream counts as broken. */
 	readonly onInvalid: (fault: EventFault) => void;
+	/** The hold of a part of an event that is larger than most are. By default, a host has room for each. */
+	readonly hold?: Hold;
 };
 
 /**
@@ -43,14 +46,15 @@
 		}
 	});
 
-	const finish = (type: RelayEnd['type']): void => {
+	const finish = (type: RelayEnd['type'], lacksRoom?: boolean): void => {
 		isFinished = true;
 		stopListening();
-		resolve({type, ...events.progress()});
+		events.close();
+		resolve({type, ...(lacksRoom && {lacksRoom}), ...events.progress()});
 	};
 
-	const breakOff = (type: 'broken' | 'caller_left'): void => {
-		finish(type);
+	const breakOff = (type: 'broken' | 'caller_left', lacksRoom?: boolean): void => {
+		finish(type, lacksRoom);
 		response.destroy();
 	};
 
@@ -64,7 +68,9 @@
 			flow.pauseUntilDrain();
 		}
 
-		if (fault) {
+		if (fault === 'no_room') {
+			breakOff('broken', true);
+		} else if (fault) {
 			onInvalid(fault);
 			breakOff('broken');
 		}
--- a/packages/entry/src/lib/request/receive-response.ts
+++ b/packages/entry/src/lib/request/receive-response.ts
@@ -1,5 +1,6 @@
 import {isSuccessStatus} from '@deckwheel/core';
 import {framingOf} from '@deckwheel/host-kit';
+import {createHold} from '../held-bytes/create-hold.js';
 import {breakOff} from '../receiving/break-off.js';
 import {checkResponseEnd} from '../receiving/check-response-end.js';
 import {isWholeEnd} from '../receiving/is-whole-end.js';
@@ -43,7 +44,12 @@
 		onInvalid(fault) {
 			logInvalidResponse(fault, received, host);
 		},
+		hold: createHold(host.heldBytes),
 	});
+	if (relayed.lacksRoom) {
+		return {...breakOff(received, 'no_room', host, relayed), excess: 'no_room'};
+	}
+
 	if (relayed.type !== 'whole') {
 		return breakOff(received, breakReasonOf(response), host, relayed);
 	}
