--- a/packages/entry/src/lib/relaying/scan-events.ts
+++ b/packages/entry/src/lib/relaying/scan-events.ts
@@ -2,7 +2,6 @@
 import {isHeaderValue} from '../sending/is-header-value.js';
 import type {EventFault} from './event-fault.js';
 import {isIdAbove} from './is-id-above.js';
-import {maxEventBytes} from './max-event-bytes.js';
 import type {ScanState} from './scan-state.js';
 
 const idField = /^id: ?(.*)$/m;
@@ -34,8 +33,8 @@
 };
 
 /** Scans one complete event. Pure. */
-const stepEvent = ({lastId, resumedAfter, count}: ScanState, event: string): ScanState | EventFault => {
-	if (event.length > maxEventBytes) {
+const stepEvent = ({lastId, resumedAfter, count}: ScanState, event: string, maxBytes: number): ScanState | EventFault => {
+	if (event.length > maxBytes) {
 		return 'event_too_long';
 	}
 
@@ -57,8 +56,9 @@
 Scans the next chunk of a stream of server-sent events for complete events, each of which ends with an empty line. Pure.
 
 @param held What came of the event that goes on with the chunk. It is not searched again.
+@param maxBytes The largest event that is none with a fault, in bytes.
 */
-export const scanEvents = (state: ScanState, held: Uint8Array, chunk: Uint8Array): Scan => {
+export const scanEvents = (state: ScanState, held: Uint8Array, chunk: Uint8Array, maxBytes: number): Scan => {
 	const text = toText(chunk);
 	const completeUpTo = (end: number): Uint8Array => {
 		if (end === 0 || held.length === 0) {
@@ -73,7 +73,7 @@
 	let end = endOfEvent(text, 0, held.length === 0 || held.at(-1) === lf);
 	while (end > 0) {
 		const event = text.slice(start, end);
-		const next = stepEvent(scanned, start === 0 ? `${toText(held)}${event}` : event);
+		const next = stepEvent(scanned, start === 0 ? `${toText(held)}${event}` : event, maxBytes);
 		if (typeof next === 'string') {
 			const isRelayed = next !== 'event_order';
 			return {
@@ -88,7 +88,7 @@
 
 	const rest = chunk.subarray(start);
 	const heldBytes = (start === 0 ? held.length : 0) + rest.length;
-	const isTooLong = heldBytes >= maxEventBytes;
+	const isTooLong = heldBytes >= maxBytes;
 	return {
 		state: scanned, completeBytes: completeUpTo(start), rest: isTooLong ? noBytes : rest, fault: isTooLong ? 'event_too_long' : undefined,
 	};
