Log how late a stop was noticed, and which requests it ended

What could not be told: whether a request that got 504 ran into its own deadline or was ended by a stopping host, when it had come and why it was taken then; and whether a host noticed its SIGTERM when it was sent.

Change, no behaviour of a stop yet: - receiveSignals notes every 100 ms that the event loop has polled. A signal that is found now was sent after the last such poll. This instant goes with the signal through stopOnSignal to EntryHost.stop, also where the signal is held until the host has started. - stopping and stopped have late_ms (how late the signal may have been noticed) and grace_left_ms. - request_refused of a request that the shutdown ended has cut_received_ms, cut_grace_left_ms and cut_taken.

A timer alone would not do: after a stop of the process it may fire before the poll that finds the signal. The instant is taken in the timer and counts once the poll after it has passed.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -34,8 +34,10 @@
 	/**
 	Shuts the host down as planned: forwards no request that may outlast the shutdown, finishes open requests, and gives rights back.
 	A second call waits for the first.
+
+	@param sentAfter The earliest instant at which the platform may have sent the signal to stop, in monotonic ms. By default now.
 	*/
-	readonly stop: () => Promise<void>;
+	readonly stop: (sentAfter?: number) => Promise<void>;
 	/** Ends the host at once, as a crash of its process would: no request is finished and no rights are given back. */
 	readonly kill: () => Promise<void>;
 };
--- a/packages/entry/src/lib/host/create-shutdown.ts
+++ b/packages/entry/src/lib/host/create-shutdown.ts
@@ -1,6 +1,8 @@
 import {setMaxListeners} from 'node:events';
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
+import {cutFieldsOf} from '../shutdown/cut-fields.js';
+import type {SignalTimes} from '../shutdown/signal-times.js';
 import {planShutdown} from './plan-shutdown.js';
 import type {RequestCounter} from './request-counter.js';
 import {runShutdown} from './run-shutdown.js';
@@ -20,14 +22,19 @@
 /** Creates the shutdown of a host that is not shutting down yet. */
 export const createShutdown = ({graceMs, requestCounter, schedule, log, now}: Options): Shutdown => {
 	let plan: ShutdownPlan | undefined;
+	let signal: SignalTimes | undefined;
 	const controller = new AbortController();
 	// Each open request listens to this signal, so more than ten listeners are no leak.
 	setMaxListeners(0, controller.signal);
 	return {
 		plan: () => plan,
 		signal: controller.signal,
-		async execute({servers, rights}) {
-			const made = planShutdown(now(), graceMs);
+		cutFields: receivedAt => controller.signal.aborted && plan && signal ? cutFieldsOf({signal, plan, receivedAt}) : {},
+		async execute({servers, rights}, sentAfter) {
+			const noticedAt = now();
+			const times = {sentAfter, noticedAt, killedAfter: sentAfter + graceMs};
+			const made = planShutdown(noticedAt, graceMs);
+			signal = times;
 			plan = made;
 			const cancelAbort = schedule(made.cutRequestsAt - now(), () => {
 				controller.abort();
@@ -37,7 +44,9 @@
 				rights,
 				requestCounter,
 				plan: made,
-				log,
+				log(event, fields) {
+					log(event, {...fields, late_ms: Math.round(noticedAt - sentAfter), grace_left_ms: Math.round(times.killedAfter - now())});
+				},
 				waitUntil: async time => new Promise<void>(resolve => {
 					schedule(time - now(), resolve);
 				}),
--- a/packages/entry/src/lib/request/host-context.ts
+++ b/packages/entry/src/lib/request/host-context.ts
@@ -10,6 +10,7 @@
 import type {HeldBytes} from '../held-bytes/held-bytes.js';
 import type {OverloadMonitor} from '../own-health/overload-monitor.js';
 import type {RetryLimiter} from '../host/retry-limiter.js';
+import type {Shutdown} from '../host/shutdown.js';
 import type {createEndCheck} from '../response-ends/create-end-check.js';
 import type {ConnectionPool} from '../sending/connection-pool.js';
 import type {EndpointChooser} from '../choice/endpoint-chooser.js';
@@ -38,6 +39,8 @@
 	readonly mayForward: (deadline: number) => boolean;
 	/** Aborted shortly before the shutdown ends. It counts as the deadline of all requests that are still open. */
 	readonly shutdownSignal: AbortSignal;
+	/** Describes for the log a request that the shutdown ended: when it came, in monotonic ms, and why it was taken. Nothing before that. */
+	readonly cutFields: Shutdown['cutFields'];
 	/** Whether this host is so late with its own work that it cannot judge endpoints by the time that they take. */
 	readonly isOverloaded: () => boolean;
 	/** The rank of a route's priority in the configuration in force: 0 for the most urgent routes, and for all in small halls. */
--- a/packages/entry/src/start-entry-host.ts
+++ b/packages/entry/src/start-entry-host.ts
@@ -170,6 +170,7 @@
 		closesAfter,
 		isStopping: () => shutdown.plan() !== undefined,
 		shutdownSignal: shutdown.signal,
+		cutFields: shutdown.cutFields,
 		mayForward: deadline => mayForward({shutdownPlan: shutdown.plan(), deadline, now: now()}),
 		isOverloaded: overload.isOverloaded,
 		rankOf: priority => config && isLoadShared() ? rankOfPriority(config, priority) : 0,
@@ -242,8 +243,8 @@
 		health.close();
 	};
 
-	const shutDown = async (): Promise<void> => {
-		await shutdown.execute({servers, rights});
+	const shutDown = async (sentAfter: number): Promise<void> => {
+		await shutdown.execute({servers, rights}, sentAfter);
 		closeMonitors();
 		await peerTasks.close();
 	};
@@ -288,8 +289,8 @@
 			pool.keepOnly(new Set());
 			await peerTasks.close();
 		},
-		async stop() {
-			shutdownDone ??= shutDown();
+		async stop(sentAfter = now()) {
+			shutdownDone ??= shutDown(sentAfter);
 			await shutdownDone;
 		},
 	};
