--- a/packages/entry/src/lib/host/create-shutdown.ts
+++ b/packages/entry/src/lib/host/create-shutdown.ts
@@ -33,7 +33,7 @@
 		async execute({servers, rights}, sentAfter) {
 			const noticedAt = now();
 			const times = {sentAfter, noticedAt, killedAfter: sentAfter + graceMs};
-			const made = planShutdown(noticedAt, graceMs);
+			const made = planShutdown(sentAfter, graceMs, noticedAt);
 			signal = times;
 			plan = made;
 			const cancelAbort = schedule(made.cutRequestsAt - now(), () => {
--- a/packages/entry/src/lib/host/plan-shutdown.ts
+++ b/packages/entry/src/lib/host/plan-shutdown.ts
@@ -30,10 +30,12 @@
 /**
 Plans the shutdown of a host. Pure.
 
-@param now When the host noticed the signal to stop, in monotonic ms.
+@param sentAfter The earliest instant at which the signal to stop may have been sent, in monotonic ms.
 @param graceMs The time from the signal until the platform kills the process, in ms.
+@param noticedAt When the host noticed the signal, in monotonic ms.
 */
-export const planShutdown = (now: number, graceMs: number): ShutdownPlan => {
+export const planShutdown = (sentAfter: number, graceMs: number, noticedAt = sentAfter): ShutdownPlan => {
+	const now = noticedAt;
 	const waitForRequestsUntil = now + graceMs - returnRightsMs;
 	const respondBy = waitForRequestsUntil - writeResponseMs;
 	return {
