The grace time of a stop counts from when its signal may have been sent

What callers saw: requests that a stopping host had passed on ended with a closed connection, sent up to 5.2 s after the signal.

Cause: planShutdown counted from when the process noticed the signal; the platform counts from when it sent it. 200 ms stood for the difference. A process that was stopped, suspended or slow for longer, or that kept the signal until its start was done, planned its last responses for a time after its kill, and forwarded requests whose deadlines lay there.

Change: the plan counts from the earliest instant at which the signal may have been sent, the last proven poll of the event loop before it was found. Up to 100 ms, the interval of that proof, the old margins cover the difference, so the plan of a host that runs is the same as before. Only the time to listen counts from the notice, since the balancer learns from this host that it stops: requests that come then are refused as not run. A host that notices the signal after its time ends what is open at once, and waits 1 s for the responses, which an exit would cut.

Ruled out: a larger constant (ends every stop earlier and covers no longer delay); the time of the last timer (after a stop of the process, a timer may fire before the poll that finds the signal).

--- a/packages/entry/src/lib/host/plan-shutdown.ts
+++ b/packages/entry/src/lib/host/plan-shutdown.ts
@@ -6,6 +6,12 @@
 */
 const lingerMs = 3000;
 
+/**
+How late a host that runs may notice the signal to stop without a proof of when it was sent, in ms. `signalDelayMs` and `exitMs` cover the
+difference.
+*/
+const calmDelayMs = 100;
+
 /**
 How much earlier than the end of `lingerMs` the host ceases to forward every request, in ms. The linger counts from the sending of the
 signal, and the process may notice the signal later by as much.
@@ -17,7 +23,7 @@
 
 /**
 The part of the grace time that is kept for the exit of the process, in ms. A signal that is noticed late leaves less time before the kill,
-and this part covers the difference.
+and this part covers what `calmDelayMs` does not count.
 */
 const exitMs = 200;
 
@@ -27,24 +33,36 @@
 */
 const writeResponseMs = 200;
 
+/**
+For how long a host that noticed the signal when it should have ended all requests already waits for its final responses, in ms: the kill may
+come later, and the exit of the process would cut them at once.
+*/
+const lastResponsesMs = 1000;
+
 /**
 Plans the shutdown of a host. Pure.
 
+The grace time counts from `sentAfter`, since the platform kills the process that long after it sent the signal, whenever the process noticed
+it. Only the time for which connections are accepted counts from `noticedAt`: the load balancer learns from this host that it stops. So a
+host that noticed the signal late accepts connections whose requests it refuses, and their callers go elsewhere. Once all times have passed,
+what is open ends at once.
+
 @param sentAfter The earliest instant at which the signal to stop may have been sent, in monotonic ms.
 @param graceMs The time from the signal until the platform kills the process, in ms.
 @param noticedAt When the host noticed the signal, in monotonic ms.
 */
 export const planShutdown = (sentAfter: number, graceMs: number, noticedAt = sentAfter): ShutdownPlan => {
-	const now = noticedAt;
-	const waitForRequestsUntil = now + graceMs - returnRightsMs;
+	const from = Math.min(noticedAt, sentAfter + calmDelayMs);
+	const waitForRequestsUntil = from + graceMs - returnRightsMs;
 	const respondBy = waitForRequestsUntil - writeResponseMs;
+	const cutRequestsAt = Math.max(waitForRequestsUntil, from + graceMs - exitMs - writeResponseMs);
 	return {
-		forwardAllUntil: Math.min(now + lingerMs - signalDelayMs, respondBy),
-		listenUntil: Math.min(now + lingerMs, waitForRequestsUntil),
+		forwardAllUntil: Math.min(from + lingerMs - signalDelayMs, respondBy),
+		listenUntil: Math.min(noticedAt + lingerMs, waitForRequestsUntil),
 		respondBy,
 		waitForRequestsUntil,
-		cutRequestsAt: Math.max(waitForRequestsUntil, now + graceMs - exitMs - writeResponseMs),
-		waitForFinalResponsesUntil: Math.max(waitForRequestsUntil, now + graceMs - exitMs),
+		cutRequestsAt,
+		waitForFinalResponsesUntil: noticedAt > cutRequestsAt ? noticedAt + lastResponsesMs : Math.max(waitForRequestsUntil, from + graceMs - exitMs),
 		isForwardingOver: false,
 	};
 };
