A stopping host ends requests in time that are more than it could end later

What callers saw: hosts with thousands of open requests on a part of a core were killed while they ended them; the requests that were left got no response.

Cause: all open requests were kept until 1 s (0.4 s while the store is away) before the kill, however many they were.

Change: from two thirds of the grace time on, every 50 ms, the host ends as many as it could not end any more in the time that is left, at 1.5 ms each. Streams only in the last sixth: the end of a stream that has begun is a broken response, and 504 is a whole one. With fewer than about 540 requests open at the end, nothing changes: all end at the same time as before.

Ruled out: a factor of slowness from the processor time of the process and the active time of its loop.

may-forward.test: the plan of 8 s has two more times; the others are unchanged.

--- a/packages/entry/src/lib/host/create-shutdown.ts
+++ b/packages/entry/src/lib/host/create-shutdown.ts
@@ -1,6 +1,7 @@
 import type {Log} from '../../adapter/log.js';
 import type {Schedule} from '../../adapter/schedule.js';
 import {createRequestGroups} from '../shutdown/create-request-groups.js';
+import {startEnding} from '../shutdown/start-ending.js';
 import {cutFieldsOf} from '../shutdown/cut-fields.js';
 import type {SignalTimes} from '../shutdown/signal-times.js';
 import {planShutdown} from './plan-shutdown.js';
@@ -42,6 +43,9 @@
 			const cancelAbort = schedule(made.cutRequestsAt - now(), () => {
 				void endAll();
 			});
+			const stopEnding = startEnding({
+				groups, streams, open: requestCounter.count, plan: made, schedule, now,
+			});
 			await runShutdown({
 				servers,
 				rights,
@@ -64,6 +68,7 @@
 				},
 			});
 			cancelAbort();
+			stopEnding();
 		},
 	};
 };
--- a/packages/entry/src/lib/host/plan-shutdown.ts
+++ b/packages/entry/src/lib/host/plan-shutdown.ts
@@ -33,6 +33,12 @@
 */
 const writeResponseMs = 200;
 
+/** The last part of the grace time, in which a host may end requests that are more than it could end later. */
+const endExcessShare = 1 / 3;
+
+/** The same for streams. The end of a stream that has begun is a broken response, which callers of a platform have to expect only in this part. */
+const endStreamsShare = 1 / 6;
+
 /**
 For how long a host that noticed the signal when it should have ended all requests already waits for its final responses, in ms: the kill may
 come later, and the exit of the process would cut them at once.
@@ -60,6 +66,8 @@
 		forwardAllUntil: Math.min(from + lingerMs - signalDelayMs, respondBy),
 		listenUntil: Math.min(noticedAt + lingerMs, waitForRequestsUntil),
 		respondBy,
+		endExcessFrom: from + Math.ceil(graceMs * (1 - endExcessShare)),
+		endStreamsFrom: from + Math.ceil(graceMs * (1 - endStreamsShare)),
 		waitForRequestsUntil,
 		cutRequestsAt,
 		waitForFinalResponsesUntil: noticedAt > cutRequestsAt ? noticedAt + lastResponsesMs : Math.max(waitForRequestsUntil, from + graceMs - exitMs),
--- a/packages/entry/src/lib/host/shutdown-plan.ts
+++ b/packages/entry/src/lib/host/shutdown-plan.ts
@@ -6,6 +6,10 @@
 	readonly listenUntil: number;
 	/** A request that is forwarded after `forwardAllUntil` must have its deadline by then. */
 	readonly respondBy: number;
+	/** From then on, open requests are ended with final responses where they are more than the host could end later. */
+	readonly endExcessFrom: number;
+	/** The same for requests of streams. */
+	readonly endStreamsFrom: number;
 	/** Until then, the host waits for open requests before it returns its last rights. */
 	readonly waitForRequestsUntil: number;
 	/** Requests that are still open then are ended with final responses, even if the rights are not returned yet. */
--- a/packages/entry/src/test/many-open-at-the-end.test.ts
+++ b/packages/entry/src/test/many-open-at-the-end.test.ts
@@ -11,11 +11,11 @@
 
 const graceMs = 8000;
 
-/** The time that a slow host, on a part of a core, takes to end one request with a final response, in ms. */
-const endRequestMs = 1;
+/** The time that a host on a slice of a core takes to end one request with a final response, in ms. */
+const endRequestMs = 1.5;
 
-/** When the last quarter of the grace time has begun, in ms after the signal. */
-const lastQuarterMs = 6000;
+/** When the last third of the grace time has begun, in ms after the signal. */
+const lastThirdMs = 5340;
 
 /** When the last sixth of the grace time has begun, in which callers have to expect that streams are broken off, in ms after the signal. */
 const lastSixthMs = 6670;
@@ -67,20 +67,20 @@
 const mayExceed = 60 / endRequestMs;
 
 test('3,500 requests are open at a stopping host that cannot end them all any more', t => {
-	t.true(worstExcess(startShutdown(3500), lastQuarterMs) <= mayExceed);
+	t.true(worstExcess(startShutdown(3500), lastThirdMs) <= mayExceed);
 });
 
 test('3,500 requests are open at a stopping host that noticed the signal late and cannot end them all any more', t => {
-	t.true(worstExcess(startShutdown(3500, {lateMs: 2500}), lastQuarterMs - 2500 + 100) <= mayExceed);
+	t.true(worstExcess(startShutdown(3500, {lateMs: 2500}), lastThirdMs - 2500 + 100) <= mayExceed);
 });
 
 test('more streams are open in the last sixth of the grace time than it is long enough for', t => {
 	t.true(worstExcess(startShutdown(3500, {kind: 'stream'}), lastSixthMs + 50) <= mayExceed);
 });
 
-test('a stopping host ends requests before the last quarter of its grace time, or streams before the last sixth', t => {
+test('a stopping host ends requests before the last third of its grace time, or streams before the last sixth', t => {
 	const requests = startShutdown(12_000);
-	requests.clock.advance(lastQuarterMs - 10);
+	requests.clock.advance(lastThirdMs - 10);
 	t.is(requests.countOpen(), 12_000);
 	const streams = startShutdown(12_000, {kind: 'stream'});
 	streams.clock.advance(lastSixthMs - 10);
--- a/packages/entry/src/test/may-forward.test.ts
+++ b/packages/entry/src/test/may-forward.test.ts
@@ -64,6 +64,14 @@
 
 test('a shutdown of 8 s accepts connections for 3 s and keeps the last second for the return of rights', t => {
 	t.deepEqual(planShutdown(100, 8000), {
-		forwardAllUntil: 2850, listenUntil: 3100, respondBy: 6900, waitForRequestsUntil: 7100, cutRequestsAt: 7700, waitForFinalResponsesUntil: 7900, isForwardingOver: false,
+		forwardAllUntil: 2850,
+		listenUntil: 3100,
+		respondBy: 6900,
+		endExcessFrom: 5434,
+		endStreamsFrom: 6767,
+		waitForRequestsUntil: 7100,
+		cutRequestsAt: 7700,
+		waitForFinalResponsesUntil: 7900,
+		isForwardingOver: false,
 	});
 });
