An idle process proves its polls as they occur

The instant after which a signal was sent was up to two intervals old in a host without work: an immediate that does not keep the process alive does not end the wait for events either, so the poll was noted only when the next timer fired. A calm host noticed its signal up to 127 ms late by its log, beyond the 100 ms that the plan of a stop treats as at once (8 idle processes: 12 to 127 ms before, 9 to 94 and 15 to 78 ms after; load 12).

The immediate now ends the wait; the timer still keeps no process alive. A test covers the instant of a signal that is held until the host has started.

--- a/packages/host-kit/src/receive-signals.ts
+++ b/packages/host-kit/src/receive-signals.ts
@@ -30,7 +30,7 @@
 			setInterval(callback, pauseMs).unref();
 		},
 		afterPoll(callback) {
-			setImmediate(callback).unref();
+			setImmediate(callback);
 		},
 		elapsed,
 	});
--- a/packages/host-kit/src/test/receive-signals.test.ts
+++ b/packages/host-kit/src/test/receive-signals.test.ts
@@ -1,5 +1,6 @@
 /** Guards against signals that end a process, or are lost, since no part of it acts on them yet. */
 import {EventEmitter} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {receiveSignals} from '../receive-signals.js';
 
@@ -38,3 +39,19 @@
 	});
 	t.deepEqual(calls, ['second']);
 });
+
+test('a signal that was held counts as sent when it reached its listener, or when it came again', async t => {
+	const owner = new EventEmitter();
+	const signals = receiveSignals(owner, 'SIGTERM');
+	const instants: number[] = [];
+	owner.emit('SIGTERM');
+	const cameAt = performance.now();
+	// Longer than the interval at which polls are noted.
+	await sleep(300);
+	owner.emit('SIGTERM');
+	signals.on('SIGTERM', sentAfter => {
+		instants.push(sentAfter);
+	});
+	t.is(instants.length, 1);
+	t.true(instants[0]! <= cameAt);
+});
