--- a/packages/entry/src/lib/host/start-health-monitor.ts
+++ b/packages/entry/src/lib/host/start-health-monitor.ts
@@ -7,9 +7,10 @@
 import {startEndpointPaths} from '../endpoint-paths/start-endpoint-paths.js';
 import type {HallMonitor} from '../hall-health/hall-monitor.js';
 import {startHallMonitor} from '../hall-health/start-hall-monitor.js';
+import {limitByHeap} from '../own-heap/limit-by-heap.js';
+import {ownHeap} from '../own-heap/own-heap.js';
+import {startHeapMonitor} from '../own-heap/start-heap-monitor.js';
 import type {OverloadMonitor} from '../own-health/overload-monitor.js';
-import {ownHeap} from '../own-health/own-heap.js';
-import {startHeapMonitor} from '../own-health/start-heap-monitor.js';
 import {startOverloadMonitor} from '../own-health/start-overload-monitor.js';
 
 type Options = {
@@ -45,15 +46,9 @@
 
 /** Starts the monitors of this host's own overload, of its links to endpoints and of other halls. An overloaded host judges no hall. */
 export const startHealthMonitor = ({hall, isEvacuated, bounds, timeouts, open, openLessUrgent, reachedByPeers, closeIdle, log, now}: Options): HealthMonitor => {
-	const lateness = startOverloadMonitor({
+	const overload = limitByHeap(startOverloadMonitor({
 		boundMs: bounds.relayMs, open, openLessUrgent, log, now,
-	});
-	const heap = startHeapMonitor({open, heap: ownHeap, log});
-	const overload: OverloadMonitor = {
-		...lateness,
-		isShedding: rank => heap.isFull() || lateness.isShedding(rank),
-		cause: () => heap.isFull() ? 'memory' : lateness.cause(),
-	};
+	}), startHeapMonitor({open, heap: ownHeap, log}));
 	const probe = async (address: string): Promise<boolean> => await probeAddress(address, timeouts.probeMs) === 'reached';
 	// On a host that is late, a probe that fails shows nothing that a peer could tell from a cut link.
 	const askPeers = async (endpoints: readonly ListedEndpoint[]): Promise<ReadonlySet<string>> =>
@@ -99,7 +94,6 @@
 		},
 		close() {
 			overload.close();
-			heap.close();
 			halls.close();
 			paths.close();
 		},
--- a/packages/entry/src/lib/own-health/start-heap-monitor.ts
+++ b/packages/entry/src/lib/own-heap/start-heap-monitor.ts
@@ -1,4 +1,5 @@
 import type {Log} from '../../adapter/log.js';
+import type {HeapMonitor} from './heap-monitor.js';
 import type {Heap} from './heap.js';
 import {planHeapLimit} from './plan-heap-limit.js';
 
@@ -21,12 +22,6 @@
 	readonly log: Log;
 };
 
-type HeapMonitor = {
-	/** Whether more requests are open than the heap has room for. */
-	readonly isFull: () => boolean;
-	readonly close: () => void;
-};
-
 /** Starts the monitor of what open requests take of the heap of this process: V8 ends a process whose heap is full. */
 export const startHeapMonitor = ({open, heap, log}: Options): HeapMonitor => {
 	/** The most requests that this host keeps open; `undefined` without a limit. */
--- a/packages/entry/src/test/start-heap-monitor.test.ts
+++ b/packages/entry/src/test/start-heap-monitor.test.ts
@@ -1,7 +1,7 @@
 /** Guards against hosts whose processes end since their open requests fill the heap: new requests are refused before, and only as long as that is so. */
 import test from 'ava';
-import {planHeapLimit} from '../lib/own-health/plan-heap-limit.js';
-import {startHeapMonitor} from '../lib/own-health/start-heap-monitor.js';
+import {planHeapLimit} from '../lib/own-heap/plan-heap-limit.js';
+import {startHeapMonitor} from '../lib/own-heap/start-heap-monitor.js';
 
 const start = () => {
 	const state = {open: 0, usedBytes: 0};
