Lines of ended requests tell what a further attempt lacked

A stream whose endpoint fails is broken off with endpoint_failed and the reason broken or lost, whether the retry limiter of the service had no retry left, rights for one more run were not to be had, or the route allows no further attempt.

lacking=retry or lacking=rights is in the line now.

--- a/packages/entry/src/lib/request/request-result.ts
+++ b/packages/entry/src/lib/request/request-result.ts
@@ -28,6 +28,8 @@
 	readonly excluded: ReadonlyMap<string, number> | undefined;
 	/** How long the request waited for an endpoint of the version that began its stream, in ms. */
 	readonly endpointWaitMs: number;
+	/** What was not to be had for a further attempt: a retry of the service, or rights; `undefined` where nothing lacked. */
+	readonly lacking: 'retry' | 'rights' | undefined;
 	/** The endpoint of the last attempt; `undefined` where no attempt was made. */
 	readonly endpoint: ListedEndpoint | undefined;
 	/** The endpoint that wrote the first event that the caller got from this host; `undefined` without one. */
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -62,6 +62,7 @@
 	const tokensPerEvent = host.config()?.services.get(service)?.tokensPerEvent ?? 0;
 	let progress: RequestProgress = initialProgress;
 	let trace: ResponseTrace | undefined;
+	let lacking: RequestResult['lacking'];
 
 	const finish = (outcome: RequestResult['outcome'], reason: string, {status, retryAt, excluded}: Partial<Pick<RequestResult, 'status' | 'retryAt' | 'excluded'>> = {}): RequestResult => {
 		requestEnd.close();
@@ -76,6 +77,7 @@
 			reason,
 			excluded,
 			endpointWaitMs: versionWait.waitedMs(),
+			lacking,
 			endpoint: latest,
 			begunBy,
 			origin: plan.found,
@@ -136,8 +138,16 @@
 			return next.type;
 		}
 
-		const isAcquired = mayForward() && host.retries.mayRetry(service) && (next.needs === 'retry' || await request.reserveRun());
-		return isAcquired && mayForward() ? next.type : next.otherwise;
+		if (!mayForward()) {
+			return next.otherwise;
+		}
+
+		lacking = host.retries.mayRetry(service) ? undefined : 'retry';
+		if (lacking === undefined && next.needs === 'retry_and_rights' && !await request.reserveRun()) {
+			lacking = 'rights';
+		}
+
+		return lacking === undefined && mayForward() ? next.type : next.otherwise;
 	};
 
 	const attemptAt = async ({endpoint, uncachedTokens}: ChosenEndpoint): Promise<AttemptEnd> => {
--- a/packages/entry/src/lib/request/serve-request.ts
+++ b/packages/entry/src/lib/request/serve-request.ts
@@ -87,6 +87,7 @@
 		reserved,
 		used,
 		reason: result.reason,
+		lacking: result.lacking,
 		endpoint_wait_ms: Math.round(result.endpointWaitMs) || undefined,
 		excluded: result.excluded && [...result.excluded].map(([reason, count]) => `${reason}:${count}`).join(','),
 		...traceFields(result.trace),
--- a/packages/entry/src/test/lib/start-host.ts
+++ b/packages/entry/src/test/lib/start-host.ts
@@ -69,6 +69,8 @@
 	readonly hasEvacuations?: boolean;
 	readonly configApplyMs?: number;
 	readonly eventTimeout?: Bounds['eventTimeout'];
+	/** A retry for each request by default. */
+	readonly retries?: Pick<Bounds, 'retryRatio' | 'retryWindowMs'>;
 	readonly placing?: PlacingSettings;
 	/** The memory of the host's machine, in MB. */
 	readonly memoryMb?: number;
@@ -78,7 +80,7 @@
 export const startHost = async (rightsStore: RightsStore, options: Options = {}) => {
 	const {
 		host = 'edge-1', hall = 'hall-a', peers = new Map<string, ListedPeer>(), seenAs = peer => peer, schedule, now, warmup, hasEvacuations, configApplyMs, eventTimeout, placing, memoryMb,
-		originStore = createMemoryOriginStore(),
+		originStore = createMemoryOriginStore(), retries = {retryRatio: 1, retryWindowMs: 10_000},
 	} = options;
 	const events: Array<{event: string; fields: Fields}> = [];
 	const eventWaiters: Array<{event: string; isMeant: (fields: Fields) => boolean; resolve: () => void}> = [];
@@ -87,7 +89,7 @@
 		hall,
 		listen: {callers: anyPort, ready: anyPort, peers: anyPort},
 		bounds: {
-			retryRatio: 1, retryWindowMs: 10_000, storeWritesPerSecond: 400, relayMs: 60_000, stopGraceMs: 20_000, warmup, configApplyMs, eventTimeout, memoryMb,
+			...retries, storeWritesPerSecond: 400, relayMs: 60_000, stopGraceMs: 20_000, warmup, configApplyMs, eventTimeout, memoryMb,
 		},
 		hasEvacuations,
 		headers: headerNames,
