A stopping host counts requests that it has ended, but not answered yet, once

What callers saw: 504 seconds before the end of the grace time, at a host with thousands of open requests, although most of them could have been answered.

Cause: every 50 ms the open requests are counted, and as many are ended as could not be ended later. Those that were ended before, and whose responses are not written yet, counted as open, so each count ended more.

--- a/packages/entry/src/lib/shutdown/create-request-groups.ts
+++ b/packages/entry/src/lib/shutdown/create-request-groups.ts
@@ -1,4 +1,4 @@
-import {setMaxListeners} from 'node:events';
+import {getEventListeners, setMaxListeners} from 'node:events';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 
 /** The number of groups: a shutdown ends about as large a part of the open requests at a time as one group holds. */
@@ -8,8 +8,8 @@
 export type RequestGroups = {
 	/** The signal of the group that the next request belongs to; it is aborted when the group is to end. An aborted one once all groups are ended. */
 	readonly assign: () => AbortSignal;
-	/** Ends as many groups as hold a number of the open requests. */
-	readonly end: (excess: number, open: number) => void;
+	/** Ends as many groups as hold a number of the open requests. Returns how many requests listened to their signals. */
+	readonly end: (excess: number, open: number) => number;
 	/** Ends all groups, one in each turn of the event loop, so that the first responses do not wait for the ends of all requests. */
 	readonly endAll: () => Promise<void>;
 };
@@ -25,12 +25,16 @@
 		setMaxListeners(0, signal);
 	}
 
-	const endFirst = (count: number): void => {
+	const endFirst = (count: number): number => {
 		const ending = groups.slice(0, count);
 		groups = groups.slice(count);
+		let requests = 0;
 		for (const group of ending) {
+			requests += getEventListeners(group.signal, 'abort').length;
 			group.abort();
 		}
+
+		return requests;
 	};
 
 	return {
@@ -38,9 +42,7 @@
 			assigned++;
 			return (groups[assigned % groups.length] ?? ended).signal;
 		},
-		end(excess, open) {
-			endFirst(Math.ceil(groups.length * excess / Math.max(1, open)));
-		},
+		end: (excess, open) => endFirst(Math.ceil(groups.length * excess / Math.max(1, open))),
 		async endAll() {
 			while (groups.length > 0) {
 				endFirst(1);
--- a/packages/entry/src/lib/shutdown/start-ending.ts
+++ b/packages/entry/src/lib/shutdown/start-ending.ts
@@ -25,15 +25,16 @@
 */
 export const startEnding = ({groups, streams, open, plan, schedule, now}: Options): (() => void) => {
 	let cancel: () => void;
+	/** How many requests are open once those that were ended have their responses. */
+	let left = Number.POSITIVE_INFINITY;
 	const poll = (): void => {
 		const count = open();
 		const time = now();
-		const excess = excessRequests({open: count, endBy: plan.waitForFinalResponsesUntil, now: time});
-		groups.end(excess, count);
-		if (time >= plan.endStreamsFrom) {
-			streams.end(excess, count);
-		}
-
+		left = Math.min(left, count);
+		// Requests that were ended count as open until their responses are written.
+		const excess = Math.max(0, excessRequests({open: count, endBy: plan.waitForFinalResponsesUntil, now: time}) - (count - left));
+		const ended = groups.end(excess, left) + (time >= plan.endStreamsFrom ? streams.end(excess, left) : 0);
+		left -= ended;
 		cancel = schedule(pollMs, poll);
 	};
 
