A body in chunks of a byte takes little more memory than its bytes

Cause: the body of a caller's request was kept as a list of its chunks. Each is an object of over a hundred bytes, of which the room for bodies counts only the byte that it holds. Bodies of responses are collected in blocks; this one was not.

Why this works: the body is collected as those of responses are, small chunks copied into blocks, so that what is kept is about what is counted.

--- a/packages/entry/src/lib/admission/read-body.ts
+++ b/packages/entry/src/lib/admission/read-body.ts
@@ -1,6 +1,6 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import type {Hold} from '../held-bytes/create-hold.js';
+import {createCollector} from '../relaying/create-collector.js';
 
 /** Why a body could not be read. `no_room`: the host has no room for all of it. */
 type BodyReadFailure = 'too_large' | 'no_room' | 'caller_left';
@@ -12,10 +12,10 @@
 		return;
 	}
 
-	let chunks: Uint8Array[] = [];
+	let collector = createCollector();
 	let receivedBytes = 0;
 	const giveUp = (failure: BodyReadFailure): void => {
-		chunks = [];
+		collector = createCollector();
 		req.off('data', takeChunk);
 		req.resume();
 		resolve(failure);
@@ -26,7 +26,7 @@
 		if (receivedBytes > maxBytes) {
 			giveUp('too_large');
 		} else if (hold.tryAdd(chunk.length)) {
-			chunks.push(chunk);
+			collector.add(chunk);
 		} else {
 			giveUp('no_room');
 		}
@@ -34,7 +34,7 @@
 
 	req.on('data', takeChunk);
 	req.on('end', () => {
-		resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+		resolve(collector.whole());
 	});
 	req.on('close', () => {
 		resolve('caller_left');
--- a/packages/entry/src/lib/relaying/create-collector.ts
+++ b/packages/entry/src/lib/relaying/create-collector.ts
@@ -5,6 +5,8 @@
 	readonly add: (chunk: Uint8Array) => void;
 	/** All bytes so far, in order. */
 	readonly parts: () => readonly Uint8Array[];
+	/** All bytes so far in one piece. */
+	readonly whole: () => Uint8Array;
 };
 
 /** Chunks below this length, in bytes, are copied: each kept one costs the memory of an object, which is more than that of a few bytes. */
@@ -26,6 +28,11 @@
 		}
 	};
 
+	const sealedParts = (): readonly Uint8Array[] => {
+		seal();
+		return parts;
+	};
+
 	return {
 		add(chunk) {
 			// Most messages come in one chunk, which needs no copy.
@@ -44,9 +51,10 @@
 			block.set(chunk, filled);
 			filled += chunk.length;
 		},
-		parts() {
-			seal();
-			return parts;
+		parts: sealedParts,
+		whole() {
+			const all = sealedParts();
+			return all.length === 1 ? all[0]! : Buffer.concat(all);
 		},
 	};
 };
--- a/packages/entry/src/lib/relaying/hold-response-body.ts
+++ b/packages/entry/src/lib/relaying/hold-response-body.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import type {Hold} from '../held-bytes/create-hold.js';
 import {createCollector} from './create-collector.js';
@@ -60,9 +59,7 @@
 	};
 
 	const onEnd = (): void => {
-		const parts = collector.parts();
-		const isOne = parts.length === 1;
-		finish(response.complete ? {type: 'whole', body: isOne ? parts[0]! : Buffer.concat(parts)} : {type: 'broken'});
+		finish(response.complete ? {type: 'whole', body: collector.whole()} : {type: 'broken'});
 	};
 
 	const onClose = (): void => {
