Test: callers with short deadlines do not eject endpoints whose large responses are sound

Callers that give responses of 8 MB 300 ms, of the 20 s of their route, eject both endpoints within 1.5 s: 60 of 60 sound requests of another caller get 503 no_endpoint.

--- a/packages/entry/src/test/large-responses.test.ts
+++ b/packages/entry/src/test/large-responses.test.ts
@@ -6,7 +6,7 @@
 import {request} from 'node:http';
 import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {scheduleByTimer} from '../lib/host/schedule-by-timer.js';
 import {maxHeldBytes, maxResponseBytes, maxUnrelayedBytes} from '../lib/receiving/response-limits.js';
 import {judgeEndpoint} from '../lib/request/judge-endpoint.js';
@@ -158,7 +158,8 @@
 	await logged('request_refused', ({reason, lost_runs: lost}) => reason === 'too_long' && lost === 1);
 });
 
-test('a response that still comes at the deadline says nothing of its endpoint, however much of it came', async t => {
+/** Starts a host before an endpoint whose responses go on after a large part, and whose requests' deadlines pass once a caller got that part. */
+const startHostOfLongResponses = async (t: ExecutionContext) => {
 	const deadlines: Array<() => void> = [];
 	const clock = {
 		now: () => performance.now(),
@@ -175,10 +176,12 @@
 		socket.write(headOf(req, 'chunks', 0));
 		writeBody(socket, 'chunks', largeBody);
 	});
-	const callUntilCut = async () => new Promise(resolve => {
+	const callUntilCut = async (headers: Readonly<Record<string, string>> = {}) => new Promise(resolve => {
 		const [host, port] = callers.split(':');
 		request({
-			host, port, method: 'POST', path: '/p', agent: false, headers: {host: 'fleet', [headerNames.requestId]: 'q', [headerNames.apiKey]: 'key'},
+			host, port, method: 'POST', path: '/p', agent: false, headers: {
+				host: 'fleet', [headerNames.requestId]: 'q', [headerNames.apiKey]: 'key', ...headers,
+			},
 		}, res => {
 			let bytes = 0;
 			res.on('error', () => undefined);
@@ -193,6 +196,11 @@
 			});
 		}).end();
 	});
+	return {callers, runs, callUntilCut};
+};
+
+test('a response that still comes at the deadline says nothing of its endpoint, however much of it came', async t => {
+	const {callers, runs, callUntilCut} = await startHostOfLongResponses(t);
 	for (let call = 0; call < 3; call++) {
 		t.deepEqual(await callUntilCut(), {status: 200, isWhole: false, bytes: largeBody.length});
 	}
@@ -202,6 +210,15 @@
 	t.is(runs(), 3);
 });
 
+test('an endpoint is not asked any more since callers gave its large responses less time than their route', async t => {
+	const {runs, callUntilCut} = await startHostOfLongResponses(t);
+	for (let call = 0; call < 5; call++) {
+		t.deepEqual(await callUntilCut({[headerNames.deadline]: String(deadlineMs - 1000)}), {status: 200, isWhole: false, bytes: largeBody.length});
+	}
+
+	t.is(runs(), 5);
+});
+
 test('the length of a response is judged by the time, or the lack of room by the endpoint', t => {
 	const lost = {end: 'lost', isOver: false, isOverloaded: false} as const;
 	t.is(judgeEndpoint({
