An endpoint is judged by a response without an end only after its route's whole time

Cause: whatever passed the deadline with more than 1 MiB counted as a failure of its endpoint, also where the caller gave it less time than the route, or the host's shutdown cut it; three in a row eject.

Why this works: the time that a caller gives, or a shutdown leaves, says nothing of an endpoint. One that never ends its responses is still found at the end of the route's time, or at 64 MiB.

--- a/packages/entry/src/lib/receiving/receive-body.ts
+++ b/packages/entry/src/lib/receiving/receive-body.ts
@@ -35,13 +35,19 @@
 	return {...breakOff(received, 'too_long', host), reason: 'too_long', excess: 'too_long'};
 };
 
+/** Whether the request had the whole time of its route: its caller may give less, and a shutdown may end it before, which says nothing of the endpoint. */
+const hadWholeTime = ({request: {receivedAt, admitted: {deadline, route}}}: FramedResponse, host: HostContext): boolean =>
+	deadline >= receivedAt + route.timeoutMs && !host.isStopping();
+
 /** Whether the deadline passed while the endpoint still sent, and its caller read, a response that is longer than one may be held. */
-const isWithoutEnd = ({request: {res}, size, tracked}: FramedResponse): boolean =>
-	tracked.signal.aborted && size.bytes() > maxHeldBytes && !res.writableNeedDrain && !hasCallerLeft(res);
+const isWithoutEnd = (received: FramedResponse, host: HostContext): boolean => {
+	const {request: {res}, size, tracked} = received;
+	return tracked.signal.aborted && size.bytes() > maxHeldBytes && !res.writableNeedDrain && !hasCallerLeft(res) && hadWholeTime(received, host);
+};
 
 const breakOffBody = (received: FramedResponse, host: HostContext): LostAttempt => ({
 	...breakOff(received, breakReasonOf(received.response), host),
-	excess: isWithoutEnd(received) ? 'no_end' : undefined,
+	excess: isWithoutEnd(received, host) ? 'no_end' : undefined,
 });
 
 const relayUnheld = async (received: FramedResponse, {parts}: HeldBody & {type: 'unheld'}, hold: Hold, host: HostContext): Promise<AttemptEnd> => {
--- a/packages/entry/src/lib/request/attempt-end.ts
+++ b/packages/entry/src/lib/request/attempt-end.ts
@@ -18,7 +18,7 @@
 	`isPartRelayed` says that it got a part of another response.
 
 	`excess`: what a response did that is larger than one that is held. `too_long`: it was longer than any may be. `no_end`: the endpoint still sent at
-	the deadline, and the caller read. `no_room`: it could neither be held nor relayed.
+	the end of the route's time, and the caller read. `no_room`: it could neither be held nor relayed.
 	*/
 	| {
 		readonly type: 'lost';
