An event may have 4 MiB, and own-end-of-streams plays sound events

Three tests of own-end-of-streams wrote one event of 12 MB to fill the buffers on the way to a caller that does not read. A host breaks such an event off, so that the one of a whole stream failed, and the other two passed without the cut that they are about. Now the 12 MB come as events of 512 KiB. For the stream that has come whole, events are written one by one until the host waits for its caller, and then the last two, which it has read but not relayed when it is cut. Neither form notices that the release of a complete response in relay-stream is undone (tried with both, on both codes): what is whole reaches the caller without it.

--- a/packages/entry/src/lib/relaying/max-event-bytes.ts
+++ b/packages/entry/src/lib/relaying/max-event-bytes.ts
@@ -1,5 +1,5 @@
 /**
-The size from which on an event of a stream is not relayed any more, in bytes with the empty line that ends it. An event is held until its end has come.
-Events hold some tokens, or the output of a tool; what is larger than the largest body of a caller comes from an endpoint that does not end its events.
+The size from which on an event of a stream is not relayed any more, in bytes with the empty line that ends it. An event is held until its end has come,
+and takes up to twice its size meanwhile. Events hold some tokens, or the output of a tool; what is larger comes from an endpoint that does not end its events.
 */
-export const maxEventBytes = 16 * 1024 * 1024;
+export const maxEventBytes = 4 * 1024 * 1024;
--- a/packages/entry/src/test/own-end-of-streams.test.ts
+++ b/packages/entry/src/test/own-end-of-streams.test.ts
@@ -4,9 +4,10 @@
 */
 import {subscribe, unsubscribe} from 'node:diagnostics_channel';
 import {once} from 'node:events';
-import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {ClientRequest, IncomingMessage, ServerResponse} from 'node:http';
 import {connect} from 'node:net';
 import test from 'ava';
+import {afterNextPoll} from '@deckwheel/core';
 import {createManualClock} from './lib/create-manual-clock.js';
 import {headerNames} from './lib/header-names.js';
 import {createMemoryRightsStore} from './lib/memory-rights-store.js';
@@ -17,6 +18,9 @@
 /** More than fits into the operating system's buffers between a host and a caller, in bytes. */
 const longBytes = 12 * 1024 * 1024;
 
+/** The data of one of the events that take these bytes together: a host holds each event until it is complete, and breaks off one that is far larger. */
+const eventBytes = 512 * 1024;
+
 /** The times at which a stopping host stops to wait for open requests, and cuts them, in ms after the signal to stop. */
 const [waitMs, cutMs] = [19_001, 19_601];
 
@@ -81,9 +85,11 @@
 	res.write(firstEvent);
 };
 
-const writeLongEvent = (isEnded: boolean): Answer => (_req, res) => {
+const longEvents = Array.from({length: longBytes / eventBytes}, (_, index) => `id: ${index + 2}\ndata: ${'x'.repeat(eventBytes)}\n\n`).join('');
+
+const writeLongEvents = (isEnded: boolean): Answer => (_req, res) => {
 	res.writeHead(200, {'content-type': 'text/event-stream'});
-	res.write(`${firstEvent}id: 2\ndata: ${'x'.repeat(longBytes)}\n\n`);
+	res.write(`${firstEvent}${longEvents}`);
 	if (isEnded) {
 		res.end();
 	}
@@ -105,7 +111,7 @@
 });
 
 test('a stream whose caller reads slowly looks whole after it is cut at the end of the grace time', async t => {
-	const {callers, entry, clock, logged} = await startHostAndEndpoint(t, writeLongEvent(false));
+	const {callers, entry, clock, logged} = await startHostAndEndpoint(t, writeLongEvents(false));
 	const caller = await callRaw(callers, '/stream/p');
 	await caller.has('piece 1');
 	caller.socket.pause();
@@ -138,30 +144,58 @@
 	return responses;
 };
 
+/** The data of an event that comes whole with one read of a connection. */
+const shortData = 'x'.repeat(4096);
+
+/** For how long a host does not read a response on, in ms, before it counts as one whose caller does not read. */
+const stallMs = 200;
+
+/** Writes events until the host that reads them as `response` waits for its caller. All events are read by then. */
+const writeUntilStalled = async (res: ServerResponse, response: IncomingMessage): Promise<void> => {
+	for (let id = 2; ; id++) {
+		const before = response.socket.bytesRead;
+		res.write(`id: ${id}\ndata: ${shortData}\n\n`);
+		await eventually(() => response.socket.bytesRead > before + shortData.length);
+		const pausedAt = performance.now();
+		while (response.isPaused()) {
+			if (performance.now() - pausedAt > stallMs) {
+				return;
+			}
+
+			await afterNextPoll();
+		}
+	}
+};
+
 test('a stream that has come whole and waits behind a slow caller looks whole without its last events after it is cut at the end of the grace time', async t => {
 	const path = '/stream/complete';
 	const responses = followResponses(t, path);
-	const {callers, entry, clock} = await startHostAndEndpoint(t, (_req, res) => {
-		res.writeHead(200, {'content-type': 'text/event-stream'});
-		res.write(`${firstEvent}id: 2\ndata: ${'x'.repeat(longBytes)}\n\n`);
-		res.write('id: 3\ndata: piece 3\n\n');
-		res.end('id: 4\ndata: piece 4\n\n');
+	const answers: ServerResponse[] = [];
+	const {callers, entry, clock} = await startHostAndEndpoint(t, (req, res) => {
+		answers.push(res);
+		writeFirstEvent(req, res);
 	});
 	const caller = await callRaw(callers, path);
+	await caller.has('piece 1');
 	caller.socket.pause();
-	t.true(await eventually(() => responses.length === 1 && responses[0]!.complete));
+	const [answer, response] = [answers[0]!, responses[0]!];
+	await writeUntilStalled(answer, response);
+	answer.write('id: 100000\ndata: next to last\n\n');
+	answer.end('id: 100001\ndata: last piece\n\n');
+	t.true(await eventually(() => response.complete));
+	t.true(response.isPaused());
 	const stopped = entry.stop();
 	clock.advance(waitMs);
 	clock.advance(cutMs - waitMs);
 	const text = await caller.all();
 	clock.advance(cutMs);
 	await stopped;
-	t.true(text.includes('piece 4'));
+	t.true(text.includes('last piece'));
 	t.true(text.endsWith(lastChunk));
 });
 
 test('a stream of which a part waits behind a slow caller looks whole after the host ends at once', async t => {
-	const {callers, entry} = await startHostAndEndpoint(t, writeLongEvent(true));
+	const {callers, entry} = await startHostAndEndpoint(t, writeLongEvents(true));
 	const caller = await callRaw(callers, '/stream/p');
 	await caller.has('piece 1');
 	caller.socket.pause();
