A response that waits for its caller goes on after its deadline

Cause: the deadline ends the attempt, also where the host itself holds the response back since its caller has not read what was relayed.

Now a relayed response that has waited for its caller since the last look goes on; it is looked at again every 500 ms.

--- a/packages/entry/src/lib/receiving/receive-body.ts
+++ b/packages/entry/src/lib/receiving/receive-body.ts
@@ -51,7 +51,7 @@
 });
 
 const relayUnheld = async (received: FramedResponse, {parts}: HeldBody & {type: 'unheld'}, hold: Hold, host: HostContext): Promise<AttemptEnd> => {
-	const {response, request: {res}, writer, tracked, size, onBodyBegun} = received;
+	const {response, request: {res}, writer, tracked, size, onBodyBegun, callerWait} = received;
 	const status = response.statusCode!;
 	writer.beginBody(response);
 	onBodyBegun();
@@ -64,6 +64,7 @@
 			size.add(bytes);
 			tracked.noteHeard();
 		},
+		callerWait,
 		signal: tracked.signal,
 	});
 	if (relayed === 'too_long') {
--- a/packages/entry/src/lib/receiving/received-response.ts
+++ b/packages/entry/src/lib/receiving/received-response.ts
@@ -3,6 +3,7 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {TrackedRun} from '../load-sharing/tracked-run.js';
 import type {ByteCount} from '../relaying/create-byte-count.js';
+import type {CallerWait} from '../relaying/caller-wait.js';
 import type {ResponseWriter} from '../relaying/response-writer.js';
 import type {RequestInputs} from '../request/request-inputs.js';
 import type {TrackedAttempt} from '../sending/tracked-attempt.js';
@@ -28,6 +29,8 @@
 	readonly onEvents: () => void;
 	/** Called when the first part of a body that is too large to be held is relayed to the caller. */
 	readonly onBodyBegun: () => void;
+	/** Is told when the response waits for its caller while its body is relayed. */
+	readonly callerWait: CallerWait;
 	readonly tracked: Pick<TrackedAttempt, 'signal' | 'noteHeard'>;
 	readonly run: Pick<TrackedRun, 'noteEvent'>;
 };
--- a/packages/entry/src/lib/relaying/create-flow-control.ts
+++ b/packages/entry/src/lib/relaying/create-flow-control.ts
@@ -1,8 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {CallerWait} from './caller-wait.js';
 import type {FlowControl} from './flow-control.js';
 
-/** Creates the flow control of one response that is relayed to a caller. */
-export const createFlowControl = (response: IncomingMessage, res: ServerResponse): FlowControl => {
+/** Creates the flow control of one response that is relayed to a caller. `callerWait` is told when it waits for the caller. */
+export const createFlowControl = (response: IncomingMessage, res: ServerResponse, callerWait?: Pick<CallerWait, 'notePaused' | 'noteDrained'>): FlowControl => {
 	let isWaitingForDrain = false;
 	let isReleased = false;
 
@@ -18,8 +19,10 @@
 			response.pause();
 			if (!isWaitingForDrain) {
 				isWaitingForDrain = true;
+				callerWait?.notePaused();
 				res.once('drain', () => {
 					isWaitingForDrain = false;
+					callerWait?.noteDrained();
 					response.resume();
 				});
 			}
--- a/packages/entry/src/lib/relaying/relay-body.ts
+++ b/packages/entry/src/lib/relaying/relay-body.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {onceAborted} from '../sending/once-aborted.js';
+import type {CallerWait} from './caller-wait.js';
 import {createFlowControl} from './create-flow-control.js';
 import {onceResponseClosed} from './once-response-closed.js';
 
@@ -20,6 +21,8 @@
 	readonly bytes: () => number;
 	/** Called with the length of each further part, in bytes. */
 	readonly onChunk: (bytes: number) => void;
+	/** Is told when the relay waits for the caller. */
+	readonly callerWait: CallerWait;
 	/** Aborted when the attempt is given up. A response that is complete by then is still relayed. */
 	readonly signal: AbortSignal;
 };
@@ -28,8 +31,9 @@
 Relays the body of a paused response to the caller, as fast as the caller reads. The head is written already, and the response to the caller is left
 open: whether the body is whole may have to be found out first. Never rejects.
 */
-export const relayBody = async (response: IncomingMessage, res: ServerResponse, {parts, onHeldTaken, maxBytes, bytes, onChunk, signal}: Options): Promise<BodyRelayEnd> => new Promise(resolve => {
-	const flow = createFlowControl(response, res);
+export const relayBody = async (response: IncomingMessage, res: ServerResponse, options: Options): Promise<BodyRelayEnd> => new Promise(resolve => {
+	const {parts, onHeldTaken, maxBytes, bytes, onChunk, callerWait, signal} = options;
+	const flow = createFlowControl(response, res, callerWait);
 	const stopListening = onceAborted(signal, () => {
 		if (response.complete) {
 			flow.release();
--- a/packages/entry/src/lib/request/create-request-end.ts
+++ b/packages/entry/src/lib/request/create-request-end.ts
@@ -6,6 +6,11 @@
 /** The reason of all signals of requests. An error of each request would take a large part of the time to end thousands of them. */
 const requestOver = new Error('The request is over');
 
+/** How often it is looked, after the deadline, whether a response still waits for its caller, in ms. */
+const lateCheckMs = 500;
+
+const never = (): boolean => false;
+
 /** Tells whether one request is over before it has its response, and why. */
 type RequestEnd = {
 	/** Aborted when the deadline passes, the caller leaves, or the host's shutdown cuts open requests. */
@@ -26,6 +31,8 @@
 	readonly res: ServerResponse;
 	/** When the request has to be over, in monotonic ms. */
 	readonly deadline: number;
+	/** Whether a response that has begun has waited for its caller since this was called last. It goes on after the deadline then. By default never. */
+	readonly hasWaitedForCaller?: () => boolean;
 	/** Aborted when the host's shutdown cuts this request. */
 	readonly shutdownSignal: AbortSignal;
 	readonly schedule: Schedule;
@@ -38,17 +45,27 @@
 
 When the caller has left and the deadline has passed, `endedBy` is `caller_left`.
 */
-export const createRequestEnd = ({res, deadline, shutdownSignal, schedule, now}: Options): RequestEnd => {
+export const createRequestEnd = ({res, deadline, hasWaitedForCaller = never, shutdownSignal, schedule, now}: Options): RequestEnd => {
 	const abortController = new AbortController();
 	let hasDeadlinePassed = false;
 	let leftAt: number | undefined;
 	let isCut = false;
+	let isLate = false;
 	const onDeadline = (): void => {
 		hasDeadlinePassed = true;
 		abortController.abort(requestOver);
 	};
 
-	const cancelDeadlineTimer = schedule(Math.max(0, deadline - now()), onDeadline);
+	const checkDeadline = (): void => {
+		isLate = hasWaitedForCaller();
+		if (isLate) {
+			cancelDeadlineTimer = schedule(lateCheckMs, checkDeadline);
+		} else {
+			onDeadline();
+		}
+	};
+
+	let cancelDeadlineTimer = schedule(Math.max(0, deadline - now()), checkDeadline);
 	const onCallerLeft = (): void => {
 		leftAt ??= now();
 		abortController.abort(requestOver);
@@ -66,7 +83,7 @@
 		signal: abortController.signal,
 		isOver() {
 			// While this process is busy, the timer of the deadline fires late; so the clock is read here.
-			if (now() >= deadline) {
+			if (now() >= deadline && !isLate) {
 				onDeadline();
 			}
 
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -1,5 +1,6 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {TrackedRun} from '../load-sharing/tracked-run.js';
+import type {CallerWait} from '../relaying/caller-wait.js';
 import type {ResponseWriter} from '../relaying/response-writer.js';
 import type {AttemptResult} from '../sending/attempt-result.js';
 import {forwardedHeaders} from '../sending/forwarded-headers.js';
@@ -33,6 +34,8 @@
 	readonly onEvents: () => void;
 	/** Called when the first part of a body that is too large to be held is relayed to the caller. */
 	readonly onBodyBegun: () => void;
+	/** Is told when the response waits for its caller while its body is relayed. */
+	readonly callerWait: CallerWait;
 	/** The id of the last event that the caller got, after which the endpoint is to resume a stream; `undefined` where it got none. */
 	readonly lastEventId: string | undefined;
 	/** Whether the request may run at another endpoint if this endpoint's hall becomes unreachable. */
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,4 +1,5 @@
 import type {ChosenEndpoint} from '../choice/chosen-endpoint.js';
+import {createCallerWait} from '../relaying/create-caller-wait.js';
 import {createResponseTimer} from '../relaying/create-response-timer.js';
 import {createResponseWriter} from '../relaying/create-response-writer.js';
 import {isRetryableRoute} from '../admission/is-retryable-route.js';
@@ -54,8 +55,9 @@
 	const parts = prompt?.parts ?? [];
 	const writer = createResponseWriter(res, req.method === 'HEAD', () => host.closesAfter(res));
 	const timer = createResponseTimer(now);
+	const callerWait = createCallerWait(now);
 	const requestEnd = createRequestEnd({
-		res, deadline, shutdownSignal: host.assignShutdownGroup(route.kind), schedule, now,
+		res, deadline, hasWaitedForCaller: callerWait.takeWaited, shutdownSignal: host.assignShutdownGroup(route.kind), schedule, now,
 	});
 	const stream = createStreamRecord(plan, deadline, streamOrigins);
 	const {service} = stream;
@@ -169,6 +171,7 @@
 				timer.noteEvents();
 			},
 			onBodyBegun: timer.noteBegun,
+			callerWait,
 			lastEventId: progress.lastEventId,
 			mayMove: isRetryable && progress.arrivals + 1 < route.maxAttempts,
 			signal: requestEnd.signal,
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -10,6 +10,7 @@
 import {createLoadTracker} from '../lib/load-sharing/member/create-load-tracker.js';
 import {createResponseWriter} from '../lib/relaying/create-response-writer.js';
 import type {AttemptEnd} from '../lib/request/attempt-end.js';
+import {createCallerWait} from '../lib/relaying/create-caller-wait.js';
 import {createHeldBytes} from '../lib/held-bytes/create-held-bytes.js';
 import type {HostContext} from '../lib/request/host-context.js';
 import {runAttempt} from '../lib/request/run-attempt.js';
@@ -93,6 +94,7 @@
 			onSent: () => undefined,
 			onEvents: () => undefined,
 			onBodyBegun: () => undefined,
+			callerWait: createCallerWait(() => 0),
 			originTold: Promise.resolve(),
 			lastEventId: undefined,
 			mayMove: false,
