--- a/packages/entry/src/lib/held-bytes/plan-max-held-bytes.ts
+++ b/packages/entry/src/lib/held-bytes/plan-max-held-bytes.ts
@@ -1,14 +1,10 @@
-const bytesPerMb = 1_000_000;
-
-/** The memory of a host's machine where none is stated, in MB: that of a small one. */
-const defaultMemoryMb = 160;
+import {machineBytes} from './machine-bytes.js';
 
 /** The part of the machine's memory that messages may take: most of the rest is what a host needs at rest, and what its runtime has not collected yet. */
 const memoryShare = 0.1;
 
 /** The most bytes at all: beyond that, holding more buys nothing, since what has no room is passed on as it comes. */
-const maxBytesOfAny = 32 * bytesPerMb;
+const maxBytesOfAny = 32_000_000;
 
 /** Plans how many bytes of messages a host may hold at once. Pure. `memoryMb`: the memory of its machine, in MB; 0 where it is not stated. */
-export const planMaxHeldBytes = (memoryMb: number): number =>
-	Math.min(maxBytesOfAny, Math.floor((memoryMb || defaultMemoryMb) * bytesPerMb * memoryShare));
+export const planMaxHeldBytes = (memoryMb: number): number => Math.min(maxBytesOfAny, Math.floor(machineBytes(memoryMb) * memoryShare));
--- a/packages/entry/src/lib/receiving/received-response.ts
+++ b/packages/entry/src/lib/receiving/received-response.ts
@@ -3,11 +3,11 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {TrackedRun} from '../load-sharing/tracked-run.js';
 import type {ByteCount} from '../relaying/create-byte-count.js';
-import type {CallerWait} from '../relaying/caller-wait.js';
 import type {ResponseWriter} from '../relaying/response-writer.js';
 import type {RequestInputs} from '../request/request-inputs.js';
 import type {TrackedAttempt} from '../sending/tracked-attempt.js';
 import type {TunnelTicket} from '../tunnels/tunnel-ticket.js';
+import type {CallerWait} from './caller-wait.js';
 
 /** The response to one attempt, whose head has come. */
 export type ReceivedResponse = {
--- a/packages/entry/src/lib/relaying/create-collector.ts
+++ b/packages/entry/src/lib/relaying/create-collector.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 
 /** Collects the bytes of one message as they come. */
-export type Collector = {
+type Collector = {
 	readonly add: (chunk: Uint8Array) => void;
 	/** All bytes so far, in order. */
 	readonly parts: () => readonly Uint8Array[];
--- a/packages/entry/src/lib/relaying/create-flow-control.ts
+++ b/packages/entry/src/lib/relaying/create-flow-control.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {CallerWait} from './caller-wait.js';
+import type {CallerWait} from '../receiving/caller-wait.js';
 import type {FlowControl} from './flow-control.js';
 
 /** Creates the flow control of one response that is relayed to a caller. `callerWait` is told when it waits for the caller. */
--- a/packages/entry/src/lib/relaying/relay-body.ts
+++ b/packages/entry/src/lib/relaying/relay-body.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {onceAborted} from '../sending/once-aborted.js';
-import type {CallerWait} from './caller-wait.js';
+import type {CallerWait} from '../receiving/caller-wait.js';
 import {createFlowControl} from './create-flow-control.js';
 import {onceResponseClosed} from './once-response-closed.js';
 
@@ -8,7 +8,7 @@
 How the relay of a body ended. `whole`: all of it was handed to the caller's connection. `broken`: the endpoint's connection broke before, or the attempt
 was given up. `too_long`: more came than any response may have.
 */
-export type BodyRelayEnd = 'whole' | 'broken' | 'too_long' | 'caller_left';
+type BodyRelayEnd = 'whole' | 'broken' | 'too_long' | 'caller_left';
 
 type Options = {
 	/** What was held of the body, which is relayed first. */
--- a/packages/entry/src/lib/request/run-attempt.ts
+++ b/packages/entry/src/lib/request/run-attempt.ts
@@ -1,6 +1,6 @@
 import type {ListedEndpoint} from '../../adapter/listed-endpoint.js';
 import type {TrackedRun} from '../load-sharing/tracked-run.js';
-import type {CallerWait} from '../relaying/caller-wait.js';
+import type {CallerWait} from '../receiving/caller-wait.js';
 import type {ResponseWriter} from '../relaying/response-writer.js';
 import type {AttemptResult} from '../sending/attempt-result.js';
 import {forwardedHeaders} from '../sending/forwarded-headers.js';
--- a/packages/entry/src/lib/request/run-request.ts
+++ b/packages/entry/src/lib/request/run-request.ts
@@ -1,5 +1,5 @@
 import type {ChosenEndpoint} from '../choice/chosen-endpoint.js';
-import {createCallerWait} from '../relaying/create-caller-wait.js';
+import {createCallerWait} from '../receiving/create-caller-wait.js';
 import {createResponseTimer} from '../relaying/create-response-timer.js';
 import {createResponseWriter} from '../relaying/create-response-writer.js';
 import {isRetryableRoute} from '../admission/is-retryable-route.js';
--- a/packages/entry/src/test/create-caller-wait.test.ts
+++ b/packages/entry/src/test/create-caller-wait.test.ts
@@ -1,6 +1,6 @@
 /** Guards against a response that its caller still reads and that counts as given up, and against one that goes on for ever though its caller does not read. */
 import test from 'ava';
-import {createCallerWait} from '../lib/relaying/create-caller-wait.js';
+import {createCallerWait} from '../lib/receiving/create-caller-wait.js';
 
 const start = () => {
 	let time = 0;
--- a/packages/entry/src/test/load-of-attempts.test.ts
+++ b/packages/entry/src/test/load-of-attempts.test.ts
@@ -10,7 +10,7 @@
 import {createLoadTracker} from '../lib/load-sharing/member/create-load-tracker.js';
 import {createResponseWriter} from '../lib/relaying/create-response-writer.js';
 import type {AttemptEnd} from '../lib/request/attempt-end.js';
-import {createCallerWait} from '../lib/relaying/create-caller-wait.js';
+import {createCallerWait} from '../lib/receiving/create-caller-wait.js';
 import {createHeldBytes} from '../lib/held-bytes/create-held-bytes.js';
 import type {HostContext} from '../lib/request/host-context.js';
 import {runAttempt} from '../lib/request/run-attempt.js';
