--- a/packages/entry/src/test/unread-request.test.ts
+++ b/packages/entry/src/test/unread-request.test.ts
@@ -5,12 +5,16 @@
 import {createServer} from 'node:http';
 import test from 'ava';
 import {listenAt} from '@deckwheel/host-kit';
+import {createBodyRoom} from '../lib/held-bytes/create-body-room.js';
+import {createHeldBytes} from '../lib/held-bytes/create-held-bytes.js';
 import type {HostContext} from '../lib/request/host-context.js';
 import {serveRequest} from '../lib/request/serve-request.js';
 import {callHost} from './lib/call-host.js';
 import {headerNames} from './lib/header-names.js';
 import {makeConfig, makeRoute} from './lib/start-host.js';
 
+const createRoom = () => createHeldBytes(1_000_000, {increment: () => undefined, recordMax: () => undefined});
+
 /**
 Starts a host that reads and admits requests and forwards none. Whatever else a request asks of the host fails the test.
 
@@ -33,6 +37,7 @@
 		unreadTimeout: {ms: 1000, share: 1 / 3},
 		rankOf: () => 0,
 		isShedding: () => false,
+		bodyRoom: createBodyRoom(createRoom(), createRoom()),
 		retries: {noteRequest: () => undefined},
 		mayForward(deadline: number) {
 			forwardDeadlines.push(deadline);
